--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3
+BIN = .venv/bin
+
+.PHONY: demo test format check clean
+
+.venv/installed: pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: .venv/installed
+	$(BIN)/rattanridge demo
+
+format: .venv/installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+check: .venv/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/lint-imports
+
+test: check
+	$(BIN)/pytest
+
+clean:
+	rm -rf .venv build *.egg-info
--- /dev/null
+++ b/rattanridge/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration: presets, rollouts and status over HTTP, by token and role."""
--- /dev/null
+++ b/rattanridge/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Call path: entry, exit, forwarding and what they decide."""
--- /dev/null
+++ b/rattanridge/calls/endpoints.py
@@ -0,0 +1,97 @@
+"""The endpoints of each service, as one entry sees them."""
+
+import asyncio
+import random
+
+from rattanridge.control import messages, replica
+from rattanridge.kernel import codes, presets, settings
+from rattanridge.policies import balancers
+
+
+class Endpoints:
+    """Candidates by service, kept in step with the replica's records.
+
+    :param config: the node's settings.
+    :param state: the node's replica.
+    """
+
+    def __init__(
+        self,
+        config: settings.NodeSettings,
+        state: replica.Replica,
+        rng: random.Random | None = None,
+    ):
+        self.config = config
+        self.state = state
+        self.random = rng or random.Random()
+        self.services: dict[str, dict[str, balancers.Candidate]] = {}
+        self.balancers: dict[str, tuple[presets.Service, balancers.Balancer]] = {}
+        state.table.listeners.append(self.see)
+
+    def see(self, record: messages.Record) -> None:
+        """Take a new endpoint record."""
+        if not isinstance(record, messages.Endpoint):
+            return
+        for name, group in self.services.items():
+            if name != record.service:
+                group.pop(record.name, None)
+        group = self.services.setdefault(record.service, {})
+        if record.state != "up":
+            group.pop(record.name, None)
+            return
+        known = group.get(record.name)
+        if known is not None and known.hop == record.hop:
+            known.version = record.version
+            known.slots = record.slots
+            return
+        group[record.name] = balancers.Candidate(
+            record.name,
+            record.zone,
+            record.version,
+            record.hop,
+            record.slots,
+            since=asyncio.get_running_loop().time(),
+        )
+
+    def choose(
+        self, service: str, idempotent: bool, avoid: frozenset[str] = frozenset()
+    ) -> balancers.Candidate:
+        """Choose an endpoint: first the version, then the least loaded of two."""
+        found = [
+            item
+            for item in self.services.get(service, {}).values()
+            if item.name not in avoid
+        ]
+        found = self.by_version(service, found, idempotent)
+        if not found:
+            raise codes.Failure(codes.NO_ENDPOINT, service, retry_after=1.0)
+        now = asyncio.get_running_loop().time()
+        return self.balancer(service).choose(found, now)
+
+    def by_version(
+        self, service: str, found: list[balancers.Candidate], idempotent: bool
+    ) -> list[balancers.Candidate]:
+        """Keep the endpoints of one version, drawn by the rollout's share."""
+        stage = self.state.table.records.get(("stage", service))
+        if stage is None:
+            return found
+        share = stage.share
+        if stage.state == "taken-back" or (stage.idempotent_only and not idempotent):
+            share = 0.0
+        wanted = stage.new if self.random.random() < share else stage.old
+        kept = [item for item in found if item.version == wanted]
+        if kept or stage.state != "done":
+            return kept or [item for item in found if item.version == stage.old]
+        return found
+
+    def balancer(self, service: str) -> balancers.Balancer:
+        """Return the service's balancer; a changed preset makes a new one."""
+        snapshot = self.state.snapshot
+        wanted = snapshot.preset.services.get(service) or presets.Service()
+        known = self.balancers.get(service)
+        if known is None or known[0] != wanted:
+            kind = balancers.BALANCERS.get(wanted.balancer)
+            made = kind(self.config.zone, wanted.warmup, self.random)
+            known = (wanted, made)
+            self.balancers[service] = known
+        return known[1]
--- /dev/null
+++ b/rattanridge/calls/local.py
@@ -0,0 +1,116 @@
+"""The node's local port: announcements of the upstream, and its own calls."""
+
+import asyncio
+import typing
+
+import aiohttp.web
+import msgspec
+
+from rattanridge.calls import entry as entries, exit as exits, headers, types
+from rattanridge.control import roster
+from rattanridge.kernel import codes, log, settings
+
+ANNOUNCE_PATH = "/announce"
+ANNOUNCEMENT_TERM = 5.0  # seconds that an announcement holds without renewal
+ANNOUNCEMENT_BYTES = 4096
+
+
+class Announcement(settings.Struct):
+    """What an upstream says of itself, renewed every second.
+
+    :param address: ``127.0.0.1:port`` or another address of this host.
+    :param state: ``up``, ``draining`` or ``gone``.
+    """
+
+    service: settings.Name
+    version: settings.Name
+    address: typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:\d+$")]
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+    connections: typing.Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 110
+    state: typing.Literal["up", "draining", "gone"] = "up"
+
+
+class Local:
+    """Serves the upstream beside the node.
+
+    :param config: the node's settings.
+    :param entry: answers the upstream's own calls.
+    :param exit: takes the announced upstream.
+    :param announcer: publishes the endpoint.
+    """
+
+    def __init__(
+        self,
+        config: settings.NodeSettings,
+        entry: entries.Entry,
+        exit: exits.Exit,
+        announcer: roster.Announcer,
+    ):
+        self.config = config
+        self.entry = entry
+        self.exit = exit
+        self.announcer = announcer
+        self.log = log.Log("local", config.name)
+        self.hop = ""
+        self.renewed = 0.0
+        self.task: asyncio.Task | None = None
+
+    async def start(self, hop: str) -> None:
+        """Begin to watch the announcement's lease; ``hop`` is published."""
+        self.hop = hop
+        self.task = asyncio.create_task(self.expire())
+
+    async def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+        """Answer an announcement, or a call of the upstream."""
+        if request.path != ANNOUNCE_PATH or request.method != "PUT":
+            return await self.entry.serve_upstream(request)
+        try:
+            if (request.content_length or 0) > ANNOUNCEMENT_BYTES:
+                raise codes.Failure(codes.BODY_TOO_LARGE)
+            await self.announce(await request.read())
+        except codes.Failure as failure:
+            refused = types.refuse(failure)
+            refused.headers[headers.CODE] = str(failure.code.number)
+            return aiohttp.web.Response(
+                status=refused.status, headers=refused.headers, body=refused.body
+            )
+        return aiohttp.web.Response(body=b"{}", content_type="application/json")
+
+    async def announce(self, body: bytes) -> None:
+        """Check an announcement, attach the upstream and publish its endpoint."""
+        try:
+            said = msgspec.json.decode(body, type=Announcement)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise codes.Failure(codes.BAD_FIELD, str(error), where="announcement")
+        if self.entry.stopping and said.state == "up":
+            raise codes.Failure(codes.STOPPING)
+        self.renewed = asyncio.get_running_loop().time()
+        upstream = exits.Upstream(
+            said.service,
+            said.version,
+            said.address,
+            said.slots,
+            said.connections,
+            said.state,
+        )
+        await self.exit.attach(upstream, self.entry.queue_of(said.service))
+        self.announcer.announce(
+            said.service,
+            said.version,
+            self.hop,
+            said.slots,
+            said.connections,
+            said.state,
+        )
+
+    async def expire(self) -> None:
+        """Withdraw the endpoint when its announcement is not renewed."""
+        while True:
+            await asyncio.sleep(ANNOUNCEMENT_TERM / 4)
+            age = asyncio.get_running_loop().time() - self.renewed
+            if self.renewed and age > ANNOUNCEMENT_TERM:
+                self.announcer.change("gone")
--- /dev/null
+++ b/rattanridge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: one module for each group of commands."""
--- /dev/null
+++ b/rattanridge/cli/demo.py
@@ -0,0 +1,215 @@
+"""Command that shows the whole system in one process, in under 30 seconds."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import sys
+import time
+
+import aiohttp
+import click
+
+from rattanridge.calls import headers
+from rattanridge.cli import main
+from rattanridge.kernel import codes, log
+from rattanridge.measure import fleet
+from rattanridge.standin import upstream as upstreams
+
+SERVICES = ("registry", "workshop")
+ZONES = ("tunis-a", "tunis-b")
+PACE = 0.01  # seconds between calls
+CRASHER = "cracked-seal"
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What callers saw."""
+
+    answers: collections.Counter
+    not_run: set[str]
+    calls: int = 0
+
+
+class Demo:
+    """Runs the steps, prints what happens, and checks what must always hold.
+
+    :param seconds: about how long the demo runs.
+    """
+
+    def __init__(self, seconds: float, seed: int = 1):
+        self.seconds = seconds
+        self.random = random.Random(seed)
+        self.fleet = fleet.Fleet(seed)
+        self.tally = Tally(collections.Counter(), set())
+        self.broken: list[str] = []
+        self.generations: dict[str, int] = {}
+        self.dead: list[upstreams.Upstream] = []
+        self.began = time.monotonic()
+
+    def say(self, text: str) -> None:
+        click.echo(f"{time.monotonic() - self.began:5.1f}s  {text}")
+
+    async def run(self) -> bool:
+        """Run all steps; return whether everything watched held."""
+        async with self.fleet:
+            await self.start()
+            watching = asyncio.create_task(self.watch())
+            calling = asyncio.create_task(self.send_calls())
+            try:
+                await self.act()
+            finally:
+                calling.cancel()
+                watching.cancel()
+                await asyncio.gather(calling, watching, return_exceptions=True)
+            self.check_runs()
+            self.summarise()
+        return not self.broken
+
+    async def start(self) -> None:
+        """Start two services in two zones and put the first preset in force."""
+        for zone in ZONES:
+            for service in SERVICES:
+                shape = upstreams.Shape(service, slots=12)
+                await self.fleet.add(f"{service}-{zone}", zone, shape)
+        self.say(f"{len(self.fleet.hosts)} hosts in {len(ZONES)} zones are up")
+        await self.choose("ordinary", 5.0)
+        await self.fleet.wait_endpoints()
+
+    async def choose(self, name: str, timeout: float) -> None:
+        """Put a preset in force and say how long it took everywhere."""
+        preset = fleet.make_preset(name, list(SERVICES), timeout)
+        generation = await self.fleet.put_preset(preset)
+        seconds = await self.fleet.wait_applied(generation)
+        count = len(self.fleet.hosts)
+        self.say(
+            f"preset {name} is in force, generation {generation}: "
+            f"{count} of {count} nodes after {seconds * 1000:.0f} ms"
+        )
+
+    async def act(self) -> None:
+        """Change things under traffic."""
+        pause = self.seconds / 4
+        await asyncio.sleep(pause)
+        await self.choose("peak", 2.0)
+        await asyncio.sleep(pause)
+        await self.kill_upstream()
+        await asyncio.sleep(pause)
+        await self.drain_upstream()
+        await asyncio.sleep(pause)
+
+    async def kill_upstream(self) -> None:
+        """Let one upstream die while it runs a request."""
+        host = self.fleet.hosts[f"workshop-{ZONES[0]}"]
+        host.upstream.faults.crash_on = CRASHER
+        url = host.node.caller_url
+        async with aiohttp.ClientSession() as session:
+            while not host.upstream.crashed.is_set():
+                await self.call(session, url, "POST", "workshop", CRASHER)
+        self.dead.append(host.upstream)
+        host.upstream = None
+        self.say("one workshop upstream died while running a commission")
+
+    async def drain_upstream(self) -> None:
+        """Let one upstream leave as planned, while the other one serves."""
+        host = self.fleet.hosts[f"registry-{ZONES[1]}"]
+        await host.upstream.drain()
+        await asyncio.sleep(1.0)
+        before = len(host.upstream.runs)
+        await asyncio.sleep(1.0)
+        late = len(host.upstream.runs) - before
+        self.expect(late == 0, f"a leaving upstream got {late} calls")
+        self.say("one registry upstream drained and gets no new work")
+
+    async def send_calls(self) -> None:
+        """Send consultations and commissions to random nodes."""
+        async with aiohttp.ClientSession() as session:
+            tasks: set[asyncio.Task] = set()
+            number = 0
+            while True:
+                number += 1
+                host = self.random.choice(list(self.fleet.hosts.values()))
+                method, service = ("GET", "registry")
+                if number % 5 == 0:
+                    method, service = ("POST", "workshop")
+                task = asyncio.create_task(
+                    self.call(
+                        session,
+                        host.node.caller_url,
+                        method,
+                        service,
+                        f"order-{number}",
+                    )
+                )
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+                await asyncio.sleep(PACE)
+
+    async def call(
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        method: str,
+        service: str,
+        key: str,
+    ) -> None:
+        """Send one call and check that its answer is its own and whole."""
+        self.tally.calls += 1
+        marks = {"Idempotency-Key": key} if method == "POST" else {}
+        async with session.request(
+            method, f"{url}/{service}/{key}", headers=marks
+        ) as response:
+            text = await response.text()
+        number = response.headers.get(headers.CODE)
+        if number is None:
+            self.tally.answers["answered"] += 1
+            self.expect(f"/{service}/{key}" in text, f"{key} got another's answer")
+            return
+        name = codes.TABLE[int(number)].name
+        self.tally.answers[name] += 1
+        if response.headers[headers.RAN] == codes.Ran.NOT_RUN and method == "POST":
+            self.tally.not_run.add(key)
+
+    async def watch(self) -> None:
+        """Check that no node's generation ever falls."""
+        while True:
+            for name, host in self.fleet.hosts.items():
+                now = host.node.state.generation
+                self.expect(
+                    now >= self.generations.get(name, 0), f"{name} fell back to {now}"
+                )
+                self.generations[name] = now
+            await asyncio.sleep(0.02)
+
+    def check_runs(self) -> None:
+        """Count commissions where they ran: none twice, none said not to have run."""
+        served = [host.upstream for host in self.fleet.hosts.values() if host.upstream]
+        runs = [run for item in [*served, *self.dead] for run in item.runs]
+        counts = collections.Counter(run.key for run in runs if run.method == "POST")
+        twice = [key for key, count in counts.items() if count > 1]
+        self.expect(not twice, f"commissions ran twice: {twice}")
+        false = [key for key in self.tally.not_run if key in counts]
+        self.expect(not false, f"false 'not run': {false}")
+
+    def expect(self, holds: bool, text: str) -> None:
+        if not holds:
+            self.broken.append(text)
+            self.say(f"BROKEN: {text}")
+
+    def summarise(self) -> None:
+        self.say(f"{self.tally.calls} calls")
+        for name, count in self.tally.answers.most_common():
+            self.say(f"  {name}: {count}")
+        held = "everything watched held" if not self.broken else "something broke"
+        self.say(held)
+
+
+@main.COMMANDS.register("demo")
+@click.command()
+@click.option("--seconds", default=12.0, show_default=True, help="Length in seconds.")
+@click.option("--seed", default=1, show_default=True)
+def demo(seconds: float, seed: int) -> None:
+    """Run a small fleet under traffic and faults; exit 0 if all held."""
+    log.configure("error")
+    held = asyncio.run(Demo(seconds, seed).run())
+    sys.exit(0 if held else 1)
--- /dev/null
+++ b/rattanridge/cli/preset.py
@@ -0,0 +1,98 @@
+"""Commands on presets."""
+
+import datetime
+import time
+import urllib.parse
+
+import click
+
+from rattanridge.cli import main, remote
+from rattanridge.kernel import codes, documents, presets
+
+POLL = 0.1  # seconds
+
+
+@main.COMMANDS.register("preset")
+@click.group()
+def preset() -> None:
+    """Put, show and choose presets."""
+
+
+@preset.command()
+@click.argument("file")
+@remote.options
+def put(file: str, remote: remote.Remote) -> None:
+    """Check a preset FILE and store it as the next revision."""
+    text = documents.read(file)
+    name = presets.parse(text, file).name
+    answer = remote.call("PUT", f"/presets/{name}", text.encode())
+    click.echo(f"preset {answer['name']} revision {answer['revision']}")
+
+
+@preset.command("list")
+@remote.options
+def list_presets(remote: remote.Remote) -> None:
+    """List the presets and their newest revisions."""
+    for item in remote.call("GET", "/presets"):
+        click.echo(f"{item['name']} revision {item['revision']}")
+
+
+@preset.command()
+@click.argument("name")
+@click.option("--revision", default=0, help="Revision; the newest by default.")
+@remote.options
+def show(name: str, revision: int, remote: remote.Remote) -> None:
+    """Show a preset's routes."""
+    query = urllib.parse.urlencode({"revision": revision})
+    answer = remote.call("GET", f"/presets/{name}?{query}")
+    click.echo(f"preset {name} revision {answer['revision']}")
+    for route in answer["content"]["routes"]:
+        once = "idempotent" if route["idempotent"] else "once"
+        methods = ",".join(route["methods"])
+        click.echo(
+            f"  {methods} {route['host']}{route['prefix']} -> {route['service']}"
+            f" {once} {route['priority']} {route['timeout']}s"
+        )
+
+
+@preset.command()
+@click.argument("name")
+@click.option("--generation", default=-1, help="Refuse if another one is in force.")
+@click.option("--wait", is_flag=True, help="Return when it is in force everywhere.")
+@click.option("--timeout", default=30.0, show_default=True, help="Seconds to wait.")
+@remote.options
+def use(
+    name: str, generation: int, wait: bool, timeout: float, remote: remote.Remote
+) -> None:
+    """Put the newest revision of preset NAME in force."""
+    began = time.monotonic()
+    query = f"?generation={generation}" if generation >= 0 else ""
+    answer = remote.call("POST", f"/presets/{name}/use{query}")
+    chosen = answer["generation"]
+    click.echo(f"generation {chosen}: preset {name} revision {answer['revision']}")
+    if wait:
+        nodes = wait_until_applied(remote, chosen, began + timeout)
+        click.echo(f"in force at {nodes} nodes after {time.monotonic() - began:.2f} s")
+
+
+def wait_until_applied(remote: remote.Remote, generation: int, end: float) -> int:
+    """Return the number of nodes once all of them apply a generation."""
+    while time.monotonic() < end:
+        applied = remote.call("GET", "/status")["applied"]
+        behind = sum(n for key, n in applied.items() if int(key) < generation)
+        if applied and not behind:
+            return sum(applied.values())
+        time.sleep(POLL)
+    raise codes.Failure(codes.NOT_IN_FORCE, f"generation {generation}: {applied}")
+
+
+@preset.command()
+@remote.options
+def history(remote: remote.Remote) -> None:
+    """List the choices of presets, the oldest first."""
+    for item in remote.call("GET", "/history"):
+        at = datetime.datetime.fromtimestamp(item["at"], datetime.UTC)
+        click.echo(
+            f"{at:%Y-%m-%d %H:%M:%S}Z generation {item['generation']} "
+            f"preset {item['preset']} revision {item['revision']} by {item['operator']}"
+        )
--- /dev/null
+++ b/rattanridge/cli/remote.py
@@ -0,0 +1,83 @@
+"""Client of the administration API, for commands."""
+
+import asyncio
+import typing
+
+import aiohttp
+import click
+import msgspec
+
+from rattanridge.admin import server
+from rattanridge.kernel import codes
+
+TIMEOUT = 10.0  # seconds
+
+
+class Remote:
+    """Calls one node's administration API.
+
+    :param url: base URL.
+    :param token: bearer token.
+    """
+
+    def __init__(self, url: str, token: str):
+        self.url = url.rstrip("/")
+        self.token = token
+
+    def call(self, method: str, path: str, body: bytes = b"") -> typing.Any:
+        """Make one call; return the decoded answer or raise its coded failure."""
+        return asyncio.run(self.request(method, path, body))
+
+    async def request(self, method: str, path: str, body: bytes) -> typing.Any:
+        headers = {"Authorization": f"Bearer {self.token}"}
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT)
+        try:
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                async with session.request(
+                    method, self.url + path, data=body or None, headers=headers
+                ) as response:
+                    data = await response.read()
+                    status = response.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            detail = f"{self.url}: {type(error).__name__}"
+            raise codes.Failure(codes.ADMIN_UNREACHABLE, detail)
+        if status != 200:
+            raise as_failure(data)
+        return msgspec.json.decode(data)
+
+
+def as_failure(data: bytes) -> codes.Failure:
+    """Return the failure that a refused call tells."""
+    try:
+        error = msgspec.json.decode(data, type=server.Error)
+    except msgspec.MsgspecError:
+        return codes.Failure(
+            codes.ADMIN_BAD_REQUEST, data[:200].decode(errors="replace")
+        )
+    code = codes.TABLE.get(error.code, codes.ADMIN_BAD_REQUEST)
+    return codes.Failure(code, error.detail, where=error.where)
+
+
+def options(command: typing.Any) -> typing.Any:
+    """Add the options that tell which node to call, and pass a ``Remote``."""
+
+    def make(context: click.Context, parameter: click.Parameter, token: str) -> Remote:
+        return Remote(context.params["admin"], token)
+
+    command = click.option(
+        "--token",
+        "remote",
+        envvar="RATTANRIDGE_TOKEN",
+        required=True,
+        callback=make,
+        help="Bearer token; or set RATTANRIDGE_TOKEN.",
+    )(command)
+    return click.option(
+        "--admin",
+        envvar="RATTANRIDGE_ADMIN",
+        default="http://127.0.0.1:7404",
+        show_default=True,
+        expose_value=False,
+        is_eager=True,
+        help="Administration URL of a node.",
+    )(command)
--- /dev/null
+++ b/rattanridge/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control path: configuration, membership and roles between nodes."""
--- /dev/null
+++ b/rattanridge/control/source.py
@@ -0,0 +1,123 @@
+"""The relay's view of the platform: watch the pointer, fetch, check, apply."""
+
+import asyncio
+import typing
+
+import msgspec
+
+from rattanridge.control import messages, replica
+from rattanridge.kernel import clock, codes, log, presets, settings, snapshot
+from rattanridge.platform import client, objects
+
+PREFIXES = ("in-force", "rollouts/")
+PAUSE = 0.05  # seconds between watches, so that changes come in batches
+RETRY_FIRST = 0.1  # seconds
+RETRY_LIMIT = 2.0  # seconds
+
+
+class Source:
+    """Feeds a replica from the platform while ``run`` runs.
+
+    :param config: the node's settings.
+    :param platform: the platform's client.
+    :param state: the replica to feed.
+    """
+
+    def __init__(
+        self,
+        config: settings.NodeSettings,
+        platform: client.Client,
+        state: replica.Replica,
+        time: clock.Clock | None = None,
+    ):
+        self.config = config
+        self.platform = platform
+        self.state = state
+        self.time = time or clock.Clock()
+        self.log = log.Log("source", config.name)
+        self.revision = 0
+        self.reachable = False
+        self.rollout_seen: typing.Callable[[objects.Stored], None] = lambda item: None
+
+    async def run(self) -> None:
+        """List, then watch; after a failure wait and list again."""
+        retry = RETRY_FIRST
+        while True:
+            try:
+                await self.load()
+                retry = RETRY_FIRST
+                while True:
+                    await self.follow()
+                    await self.time.sleep(PAUSE)
+            except codes.Failure as failure:
+                lost = failure.code is codes.WATCH_LOST
+                self.reachable = self.reachable and lost
+                self.log.info("platform-failed", code=failure.code.number)
+                await self.time.sleep(retry)
+                retry = min(retry * 2, RETRY_LIMIT)
+
+    async def load(self) -> None:
+        """Read all watched objects once."""
+        listing = await self.platform.list(*PREFIXES)
+        self.reachable = True
+        await self.take(listing)
+
+    async def follow(self) -> None:
+        """Wait for the next changes."""
+        wait = self.config.control.watch_wait
+        listing = await self.platform.watch(PREFIXES, self.revision, wait)
+        self.reachable = True
+        await self.take(listing)
+
+    async def take(self, listing: objects.Listing) -> None:
+        for stored in listing.objects:
+            if stored.key == "in-force":
+                await self.choose(stored)
+            else:
+                self.rollout_seen(stored)
+        self.revision = listing.revision
+
+    async def choose(self, stored: objects.Stored) -> None:
+        """Apply the preset that the pointer names, if its generation is new."""
+        if stored.value == b"null":
+            return
+        pointer = client.value_of(stored, objects.InForce)
+        if pointer.generation <= self.state.generation:
+            return
+        try:
+            new = await self.fetch(pointer)
+        except codes.Failure as failure:
+            if failure.code in (codes.PLATFORM_DOWN, codes.PLATFORM_BUSY):
+                raise
+            self.state.reject(pointer.generation, failure)
+            return
+        self.state.swap(new)
+
+    async def fetch(self, pointer: objects.InForce) -> snapshot.Snapshot:
+        """Read and check the preset's revision."""
+        key = preset_key(pointer.preset, pointer.revision)
+        stored = await self.platform.get(key)
+        try:
+            preset = msgspec.json.decode(stored.value, type=presets.Preset)
+        except msgspec.MsgspecError as error:
+            raise codes.Failure(codes.BAD_FIELD, str(error), where=key)
+        presets.check(preset, key)
+        resources = snapshot.split(preset, pointer.revision)
+        return snapshot.build(pointer.generation, resources)
+
+
+async def reach(state: replica.Replica, seconds: float) -> bool:
+    """Wait until a replica has a configuration; return whether it has."""
+    try:
+        await asyncio.wait_for(state.applied.wait(), seconds)
+    except TimeoutError:
+        return False
+    return True
+
+
+def preset_key(name: str, revision: int) -> str:
+    return f"presets/{name}/{revision:08}"
+
+
+def role_record(role: str, value: objects.LeaseValue) -> messages.Role:
+    return messages.Role(role, value.holder, value.address, value.epoch)
--- /dev/null
+++ b/rattanridge/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Kernel: settings, result codes, registries, clocks, logs, counters, snapshots."""
--- /dev/null
+++ b/rattanridge/kernel/codes.py
@@ -0,0 +1,241 @@
+"""Numbered result codes and the exceptions that carry them.
+
+A code never changes its number or meaning. The table in ``docs/CODES.md`` is
+printed by ``rattanridge codes``.
+"""
+
+import dataclasses
+import enum
+
+
+class Ran(enum.StrEnum):
+    """What is known of the work that a request asked for.
+
+    ``NOT_RUN`` is said only where it is proved.
+    """
+
+    NOT_RUN = "not-run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Code:
+    """One result code.
+
+    :param number: the number that operators search for; its thousands name the
+        group.
+    :param name: a short name, also the counter's name.
+    :param status: HTTP status of an answer that carries the code.
+    :param exit_code: exit status of a command that ends with the code.
+    :param meaning: one line for the table in the docs.
+    """
+
+    number: int
+    name: str
+    status: int
+    exit_code: int
+    meaning: str
+
+
+TABLE: dict[int, Code] = {}
+
+
+def define(
+    number: int, name: str, status: int, meaning: str, *, exit_code: int = 1
+) -> Code:
+    """Add a code to the table; a number or name used twice is an error."""
+    if number in TABLE or any(code.name == name for code in TABLE.values()):
+        raise ValueError(f"code {number} {name} is defined twice")
+    code = Code(number, name, status, exit_code, meaning)
+    TABLE[number] = code
+    return code
+
+
+class Failure(Exception):
+    """An error with a code.
+
+    :param code: the numbered code.
+    :param detail: what was wrong, for a person.
+    :param ran: for calls, whether the work is known to have run.
+    :param where: file and line, or the path inside a document.
+    :param retry_after: seconds after which trying again makes sense.
+    """
+
+    def __init__(
+        self,
+        code: Code,
+        detail: str = "",
+        *,
+        ran: Ran = Ran.NOT_RUN,
+        where: str = "",
+        retry_after: float = 0.0,
+    ):
+        super().__init__(code.number, detail)
+        self.code = code
+        self.detail = detail
+        self.ran = ran
+        self.where = where
+        self.retry_after = retry_after
+
+    @property
+    def exit_code(self) -> int:
+        return self.code.exit_code
+
+    def format(self) -> str:
+        """Return one line for a terminal: place, number, name and detail."""
+        prefix = f"{self.where}: " if self.where else ""
+        suffix = f": {self.detail}" if self.detail else ""
+        return f"{prefix}error {self.code.number} {self.code.name}{suffix}"
+
+    def __str__(self) -> str:
+        return self.format()
+
+
+# 1xxx: settings, presets and other documents from people.
+BAD_YAML = define(1001, "bad-yaml", 400, "The document is not YAML", exit_code=2)
+DUPLICATE_KEY = define(
+    1002, "duplicate-key", 400, "A mapping holds one key twice", exit_code=2
+)
+BAD_FIELD = define(
+    1003,
+    "bad-field",
+    400,
+    "A field is unknown, missing, of a wrong type or out of range",
+    exit_code=2,
+)
+MISSING_SERVICE = define(
+    1004,
+    "missing-service",
+    400,
+    "A route names a service that the preset lacks",
+    exit_code=2,
+)
+TOO_LARGE = define(
+    1005, "too-large", 413, "A document or value is over its size limit", exit_code=2
+)
+NO_FILE = define(1006, "no-file", 400, "The file cannot be read", exit_code=2)
+DUPLICATE_ROUTE = define(
+    1007,
+    "duplicate-route",
+    400,
+    "Two routes match exactly the same requests",
+    exit_code=2,
+)
+
+# 2xxx: the platform's object API.
+PLATFORM_DOWN = define(
+    2001, "platform-down", 503, "The platform did not answer; nothing is known"
+)
+PLATFORM_CONFLICT = define(
+    2002, "platform-conflict", 409, "The object's version is not the expected one"
+)
+PLATFORM_MISSING = define(2003, "platform-missing", 404, "There is no such object")
+PLATFORM_BUSY = define(2004, "platform-busy", 503, "The platform limits the call rate")
+PLATFORM_REFUSED = define(
+    2005, "platform-refused", 502, "The platform refused the call"
+)
+WATCH_LOST = define(
+    2006, "watch-lost", 410, "The watch fell too far behind and must list again"
+)
+
+# 3xxx: control between nodes.
+HASH_MISMATCH = define(
+    3001, "hash-mismatch", 409, "A delta does not lead to the announced hash"
+)
+NO_RELAY = define(3002, "no-relay", 503, "No relay of the zone can be reached")
+NOT_AUTHENTIC = define(
+    3003, "not-authentic", 401, "A peer did not prove the shared key"
+)
+RELAY_BUSY = define(
+    3004, "relay-busy", 503, "The relay admits no more subscribers now; try later"
+)
+LEASE_LOST = define(
+    3005, "lease-lost", 409, "The lease of the role is no longer held here"
+)
+BAD_MESSAGE = define(3006, "bad-message", 400, "A control message cannot be read")
+OLD_GENERATION = define(
+    3007, "old-generation", 409, "The generation is not above the one in force"
+)
+
+# 4xxx: requests that callers send wrongly, refused before any work.
+NO_ROUTE = define(4001, "no-route", 404, "No route of the preset matches the request")
+BAD_REQUEST = define(4002, "bad-request", 400, "The request cannot be read")
+HEADERS_TOO_LARGE = define(
+    4003, "headers-too-large", 431, "The request's headers are over the limit"
+)
+BODY_TOO_LARGE = define(
+    4004, "body-too-large", 413, "The request's body is over the limit"
+)
+BODY_CUT = define(4005, "body-cut", 400, "The request's body ended too early")
+HOP_REFUSED = define(
+    4006, "hop-refused", 403, "A node-to-node call did not prove the shared key"
+)
+
+# 5xxx: calls.
+NOT_READY = define(5001, "not-ready", 503, "The node has no configuration yet")
+NO_ENDPOINT = define(5002, "no-endpoint", 503, "No endpoint of the service is usable")
+QUEUE_FULL = define(5003, "queue-full", 503, "The endpoint's queue is full")
+TOO_LATE = define(
+    5004, "too-late", 504, "The request cannot be answered before its deadline"
+)
+DEADLINE = define(5005, "deadline", 504, "The deadline passed while the work ran")
+CONNECT_FAILED = define(5006, "connect-failed", 503, "The upstream took no connection")
+UPSTREAM_FAILED = define(
+    5007, "upstream-failed", 502, "The upstream broke off before an answer"
+)
+ANSWER_CUT = define(5008, "answer-cut", 502, "The upstream's answer ended too early")
+DRAINING = define(5009, "draining", 503, "The endpoint is leaving")
+SHEDDING = define(5010, "shedding", 503, "The upstream said that it sheds load")
+STOPPING = define(5011, "stopping", 503, "The node is stopping")
+PEER_FAILED = define(
+    5012, "peer-failed", 502, "The node beside the upstream broke off the call"
+)
+QUARANTINED = define(
+    5013, "quarantined", 503, "The request crashed upstreams before and is held back"
+)
+RETRY_BUDGET = define(
+    5014, "retry-budget", 503, "The service's retry budget is used up"
+)
+WRONG_ENDPOINT = define(
+    5015, "wrong-endpoint", 503, "The endpoint is not beside this node (any more)"
+)
+CLAIM_UNAVAILABLE = define(
+    5016, "claim-unavailable", 503, "The claim could not be recorded, so nothing ran"
+)
+ALREADY_ACCEPTED = define(
+    5017, "already-accepted", 409, "The same request was accepted; outcome unknown"
+)
+CLAIMS_FULL = define(5018, "claims-full", 503, "The claims of the slice are full")
+CANCELLED = define(5019, "cancelled", 499, "The caller went away")
+
+# 6xxx: rollouts.
+ROLLOUT_RUNNING = define(
+    6001, "rollout-running", 409, "Another rollout of the service is running"
+)
+ROLLOUT_DEADLINE = define(
+    6002, "rollout-deadline", 400, "The deadline cannot be met", exit_code=2
+)
+ROLLOUT_VERSIONS = define(
+    6003, "rollout-versions", 400, "The versions named cannot be used", exit_code=2
+)
+ROLLOUT_MISSING = define(6004, "rollout-missing", 404, "There is no such rollout")
+ROLLOUT_ENDED = define(6005, "rollout-ended", 409, "The rollout has already ended")
+
+# 7xxx: administration.
+NO_TOKEN = define(7001, "no-token", 401, "No valid token was sent")
+WRONG_ROLE = define(7002, "wrong-role", 403, "The token's role does not allow this")
+CONFLICT = define(7003, "conflict", 409, "Another operator changed this first")
+NO_PRESET = define(7004, "no-preset", 404, "There is no such preset")
+ADMIN_BAD_REQUEST = define(
+    7005, "admin-bad-request", 400, "The administration request cannot be read"
+)
+NOT_IN_FORCE = define(
+    7006, "not-in-force", 504, "The preset is not in force everywhere yet"
+)
+ADMIN_UNREACHABLE = define(
+    7007, "admin-unreachable", 503, "The administration API cannot be reached"
+)
+PRESET_IN_FORCE = define(
+    7008, "preset-in-force", 409, "The preset is already the one in force"
+)
--- /dev/null
+++ b/rattanridge/kernel/registry.py
@@ -0,0 +1,47 @@
+"""Registries that decorators fill, for behaviour that varies."""
+
+import collections.abc
+import importlib
+import pkgutil
+import types
+import typing
+
+T = typing.TypeVar("T")
+
+
+class Registry(typing.Generic[T]):
+    """Named plug-ins of one kind.
+
+    :param kind: what the plug-ins are, for error messages.
+    """
+
+    def __init__(self, kind: str):
+        self.kind = kind
+        self.items: dict[str, T] = {}
+
+    def register(self, name: str) -> collections.abc.Callable[[T], T]:
+        """Return a decorator that adds its subject under ``name``."""
+
+        def decorator(item: T) -> T:
+            if name in self.items:
+                raise ValueError(f"{self.kind} {name!r} is registered twice")
+            self.items[name] = item
+            return item
+
+        return decorator
+
+    def get(self, name: str) -> T:
+        """Return the plug-in; an unknown name raises ``KeyError`` with the choices."""
+        if name not in self.items:
+            choices = ", ".join(sorted(self.items))
+            raise KeyError(f"unknown {self.kind} {name!r}; known: {choices}")
+        return self.items[name]
+
+    def names(self) -> list[str]:
+        return sorted(self.items)
+
+
+def load_plugins(package: types.ModuleType) -> None:
+    """Import every module of a package, so that its plug-ins register themselves."""
+    for module in pkgutil.iter_modules(package.__path__):
+        importlib.import_module(f"{package.__name__}.{module.name}")
--- /dev/null
+++ b/rattanridge/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: experiments with a seed, figures and a target, one command each."""
--- /dev/null
+++ b/rattanridge/node.py
@@ -0,0 +1,127 @@
+"""One node: all parts on one host, put together."""
+
+import asyncio
+import collections.abc
+
+import aiohttp.web
+
+from rattanridge import policies
+from rattanridge.admin import server as admin
+from rattanridge.calls import entry, exit as exits, hop, local
+from rattanridge.control import member, replica, roster, transport
+from rattanridge.kernel import log, metrics, registry, settings
+from rattanridge.platform import client
+
+Handler = collections.abc.Callable[
+    [aiohttp.web.BaseRequest], collections.abc.Awaitable[aiohttp.web.StreamResponse]
+]
+
+WITHDRAW_PAUSE = 0.5  # seconds for a withdrawal to reach the entries
+LOOPBACK = "127.0.0.1"
+
+
+class Node:
+    """The process beside an upstream.
+
+    :param config: the node's settings.
+    """
+
+    def __init__(self, config: settings.NodeSettings):
+        registry.load_plugins(policies)
+        self.config = config
+        self.log = log.Log("node", config.name)
+        self.counters = metrics.Counters(
+            f"rattanridge.{config.name}", config.statsd.host, config.statsd.port
+        )
+        self.platform = client.Client(config.platform, self.counters)
+        self.state = replica.Replica(config, self.counters)
+        self.control = transport.Server(config)
+        self.member = member.Member(
+            config, self.platform, self.state, self.control, self.counters
+        )
+        self.announcer = roster.Announcer(config, self.state, self.member.incarnation)
+        self.exit = exits.Exit(config, self.counters)
+        self.entry = entry.Entry(config, self.state, self.exit, self.counters)
+        self.hop = hop.Hop(config, self.entry, self.exit, self.counters)
+        self.local = local.Local(config, self.entry, self.exit, self.announcer)
+        self.admin = admin.Server(config, self.platform, self.state, self.counters)
+        self.runners: list[aiohttp.web.ServerRunner] = []
+        self.caller_url = ""
+        self.local_url = ""
+        self.admin_url = ""
+
+    async def start(self) -> None:
+        """Listen on all ports and begin to subscribe."""
+        config = self.config
+        await self.entry.start()
+        await self.control.start()
+        self.caller_url = await self.listen(
+            self.entry.serve, config.address, config.caller_port
+        )
+        hop_url = await self.listen(self.hop.serve, config.address, config.hop_port)
+        self.local_url = await self.listen(
+            self.local.serve, LOOPBACK, config.local_port
+        )
+        self.admin_url = await self.listen(
+            self.admin.serve, config.address, config.admin_port
+        )
+        await self.local.start(hop_url.removeprefix("http://"))
+        await self.member.start()
+        self.log.info(
+            "node-started",
+            zone=config.zone,
+            callers=self.caller_url,
+            local=self.local_url,
+            admin=self.admin_url,
+            control=self.control.address,
+        )
+
+    async def listen(self, handler: Handler, address: str, port: int) -> str:
+        """Serve HTTP; return the URL."""
+        limits = self.config.limits
+        server = aiohttp.web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            auto_decompress=False,
+        )
+        runner = aiohttp.web.ServerRunner(server, shutdown_timeout=1.0)
+        await runner.setup()
+        await aiohttp.web.TCPSite(runner, address, port).start()
+        self.runners.append(runner)
+        bound = runner.addresses[0]
+        return f"http://{bound[0]}:{bound[1]}"
+
+    async def stop(self) -> None:
+        """Graceful shutdown: withdraw, finish what runs, hand over, end."""
+        self.log.info("node-stopping")
+        self.announcer.change("draining")
+        self.entry.stopping = True
+        await asyncio.sleep(WITHDRAW_PAUSE)
+        self.exit.admission.closed = True
+        await self.finish(self.config.control.drain_bound)
+        self.announcer.change("gone")
+        await asyncio.sleep(self.config.control.batch_interval * 2)
+        await self.close()
+        self.log.info("node-stopped")
+
+    async def finish(self, bound: float) -> None:
+        """Wait until no request is in progress, at most ``bound`` seconds."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + bound
+        await self.exit.drained(bound)
+        while self.entry.active and loop.time() < end:
+            await asyncio.sleep(0.02)
+
+    async def close(self) -> None:
+        """End everything at once."""
+        await self.local.stop()
+        await self.member.stop()
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.control.stop()
+        await self.entry.stop()
+        await self.exit.close()
+        await self.platform.close()
--- /dev/null
+++ b/rattanridge/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Policies: plug-ins that register themselves by decorators."""
