--- a/rattanridge/calls/entry.py
+++ b/rattanridge/calls/entry.py
@@ -1,6 +1,7 @@
 """Entry: takes requests, finds their route and endpoint, and answers them."""
 
 import asyncio
+import collections.abc
 
 import aiohttp
 import aiohttp.web
@@ -13,9 +14,28 @@
 HOP_CONNECTIONS = 64  # to each other node
 
 
+Work = collections.abc.Callable[[], collections.abc.Awaitable[types.Answer]]
+Gate = collections.abc.Callable[[types.Call], None]
+Guard = collections.abc.Callable[
+    [types.Call, Work], collections.abc.Awaitable[types.Answer]
+]
+Observer = collections.abc.Callable[
+    [types.Call, balancers.Candidate, types.Answer, float], None
+]
+
+
+async def run_unguarded(call: types.Call, work: Work) -> types.Answer:
+    """Run a call's work without a claim."""
+    return await work()
+
+
 class Entry:
     """Serves callers and the upstream beside the node.
 
+    ``gates`` refuse a call by raising a coded failure before any work,
+    ``guard`` runs calls that must not repeat, and ``observers`` see each
+    attempt with its endpoint, answer and seconds.
+
     :param config: the node's settings.
     :param state: the node's replica.
     :param exit: the node's exit, for endpoints beside it.
@@ -36,6 +56,9 @@
         self.log = log.Log("entry", config.name)
         self.endpoints = endpoints.Endpoints(config, state)
         self.retries = retries.Retries(counters)
+        self.gates: list[Gate] = []
+        self.guard: Guard = run_unguarded
+        self.observers: list[Observer] = []
         self.session = None
         self.stopping = False
         self.active = 0
@@ -80,7 +103,11 @@
         call = await self.read(request)
         if inner:
             self.believe_marks(call, request)
-        return await self.run(call)
+        for gate in self.gates:
+            gate(call)
+        if call.idempotent:
+            return await self.run(call)
+        return await self.guard(call, lambda: self.run(call))
 
     def believe_marks(self, call: types.Call, request: aiohttp.web.BaseRequest) -> None:
         """Take over the deadline and retry mark of the call that caused this one."""
@@ -166,11 +193,14 @@
                 answer = await self.forward(call, chosen)
         finally:
             chosen.in_flight -= 1
+        seconds = loop.time() - began
         chosen.running, chosen.queued = answer.load
         if answer.code is None and answer.status < 500:
-            chosen.succeed(loop.time() - began)
+            chosen.succeed(seconds)
         else:
             chosen.fail(loop.time())
+        for observer in self.observers:
+            observer(call, chosen, answer, seconds)
         return answer
 
     async def forward(
--- a/rattanridge/cli/demo.py
+++ b/rattanridge/cli/demo.py
@@ -46,6 +46,7 @@
         self.generations: dict[str, int] = {}
         self.dead: list[upstreams.Upstream] = []
         self.began = time.monotonic()
+        self.ending = False
 
     def say(self, text: str) -> None:
         click.echo(f"{time.monotonic() - self.began:5.1f}s  {text}")
@@ -59,7 +60,7 @@
             try:
                 await self.act()
             finally:
-                calling.cancel()
+                self.ending = True
                 watching.cancel()
                 await asyncio.gather(calling, watching, return_exceptions=True)
             self.check_runs()
@@ -126,7 +127,7 @@
         async with aiohttp.ClientSession() as session:
             tasks: set[asyncio.Task] = set()
             number = 0
-            while True:
+            while not self.ending:
                 number += 1
                 host = self.random.choice(list(self.fleet.hosts.values()))
                 method, service = ("GET", "registry")
@@ -144,6 +145,7 @@
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
                 await asyncio.sleep(PACE)
+            await asyncio.gather(*tasks)
 
     async def call(
         self,
--- a/rattanridge/cli/remote.py
+++ b/rattanridge/cli/remote.py
@@ -1,6 +1,8 @@
 """Client of the administration API, for commands."""
 
 import asyncio
+import collections.abc
+import functools
 import typing
 
 import aiohttp
@@ -58,26 +60,24 @@
     return codes.Failure(code, error.detail, where=error.where)
 
 
-def options(command: typing.Any) -> typing.Any:
+def options(command: collections.abc.Callable) -> collections.abc.Callable:
     """Add the options that tell which node to call, and pass a ``Remote``."""
 
-    def make(context: click.Context, parameter: click.Parameter, token: str) -> Remote:
-        return Remote(context.params["admin"], token)
-
-    command = click.option(
-        "--token",
-        "remote",
-        envvar="RATTANRIDGE_TOKEN",
-        required=True,
-        callback=make,
-        help="Bearer token; or set RATTANRIDGE_TOKEN.",
-    )(command)
-    return click.option(
+    @click.option(
         "--admin",
         envvar="RATTANRIDGE_ADMIN",
         default="http://127.0.0.1:7404",
         show_default=True,
-        expose_value=False,
-        is_eager=True,
-        help="Administration URL of a node.",
-    )(command)
+        help="Administration URL of a node; or set RATTANRIDGE_ADMIN.",
+    )
+    @click.option(
+        "--token",
+        envvar="RATTANRIDGE_TOKEN",
+        required=True,
+        help="Bearer token; or set RATTANRIDGE_TOKEN.",
+    )
+    @functools.wraps(command)
+    def wrapper(*args: object, admin: str, token: str, **more: object) -> object:
+        return command(*args, remote=Remote(admin, token), **more)
+
+    return wrapper
--- a/rattanridge/control/relay.py
+++ b/rattanridge/control/relay.py
@@ -1,6 +1,7 @@
 """The relay's side of subscriptions: fan out to nodes and collect reports."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import random
 
@@ -25,9 +26,14 @@
     config_sent: str = ""
 
 
+Handler = collections.abc.Callable[[Member, messages.Message], None]
+
+
 class Relay:
     """Serves subscriptions from the node's replica.
 
+    ``handlers`` takes further kinds of messages from subscribers, by type.
+
     :param config: the node's settings.
     :param state: the node's replica.
     :param counters: counts messages by kind.
@@ -53,6 +59,7 @@
         self.former: dict[str, snapshot.Snapshot] = {}
         self.batch: list[messages.Record] = []
         self.flushing: asyncio.Task | None = None
+        self.handlers: dict[type, Handler] = {}
         state.table.listeners.append(self.collect)
         state.listeners.append(self.spread)
 
@@ -135,7 +142,8 @@
         while True:
             message = await context.read()
             if message is grpc.aio.EOF:
-                context.cancel() if hasattr(context, "cancel") else None
+                member.heard = float("-inf")
+                member.outbox.put_nowait(messages.Beat(self.state.generation))
                 return
             member.heard = self.time.monotonic()
             self.handle(member, message)
@@ -153,6 +161,10 @@
             case messages.Want():
                 if self.state.snapshot is not None:
                     member.outbox.put_nowait(self.state.full())
+            case _:
+                handler = self.handlers.get(type(message))
+                if handler is not None:
+                    handler(member, message)
 
     def collect(self, record: messages.Record) -> None:
         """Gather accepted records for a short time, then send them as one."""
--- a/rattanridge/control/transport.py
+++ b/rattanridge/control/transport.py
@@ -6,8 +6,13 @@
 import collections.abc
 import hashlib
 import hmac
+import os
 import typing
 
+# Read once when the library is imported: its own lines would break the rule of
+# one line of key=value pairs for each event.
+os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+
 import grpc
 import grpc.aio
 
--- a/rattanridge/standin/platform.py
+++ b/rattanridge/standin/platform.py
@@ -12,6 +12,7 @@
 from rattanridge.standin import store as stores
 
 SECOND = 1.0
+SHUTDOWN = 0.1  # seconds given to calls in progress, watches among them
 
 
 class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -52,7 +53,8 @@
     async def start(self, address: str = "127.0.0.1", port: int = 0) -> str:
         """Listen; return the base URL."""
         self.runner = aiohttp.web.ServerRunner(
-            aiohttp.web.Server(self.handle, access_log=None)
+            aiohttp.web.Server(self.handle, access_log=None),
+            shutdown_timeout=SHUTDOWN,
         )
         await self.runner.setup()
         site = aiohttp.web.TCPSite(self.runner, address, port)
--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -241,7 +241,7 @@
             if connection.transport is not None:
                 connection.transport.abort()
         self.stopping = asyncio.create_task(self.stop())
-        raise ConnectionResetError("crashed")
+        raise asyncio.CancelledError
 
     async def answer(
         self, request: aiohttp.web.BaseRequest, run: Run, hit: bool
@@ -263,4 +263,4 @@
         await response.prepare(request)
         await response.write(b"." * 500)
         request.transport.abort()
-        raise ConnectionResetError("cut")
+        raise asyncio.CancelledError
