Move traffic to new versions by shares, and take bad ones back

The coordinator (lease leases/coordinator, tried by relay holders only) lets shares grow by conditional writes; nodes count their calls by stage and route, relays pool and judge, and any relay may take a version back without platform.

Found on the way: relays told each other the sum of braked nodes, peers' sums included, which doubled with each report until it did not fit an integer; they now tell their own nodes only. Times of calls were compared at the entry, where a version one zone away looks slow; the exit now tells the upstream's time.

--- a/rattanridge/calls/endpoints.py
+++ b/rattanridge/calls/endpoints.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from rattanridge.calls import versions
 from rattanridge.control import messages, replica
 from rattanridge.kernel import codes, presets, settings
 from rattanridge.policies import balancers
@@ -24,6 +25,7 @@
         self.config = config
         self.state = state
         self.random = rng or random.Random()
+        self.versions = versions.Versions(state, self.random)
         self.services: dict[str, dict[str, balancers.Candidate]] = {}
         self.balancers: dict[str, tuple[presets.Service, balancers.Balancer]] = {}
         state.table.listeners.append(self.see)
@@ -57,33 +59,13 @@
         self, service: str, idempotent: bool, avoid: frozenset[str] = frozenset()
     ) -> balancers.Candidate:
         """Choose an endpoint: first the version, then the least loaded of two."""
-        found = [
-            item
-            for item in self.services.get(service, {}).values()
-            if item.name not in avoid
-        ]
-        found = self.by_version(service, found, idempotent)
+        found = list(self.services.get(service, {}).values())
+        found = self.versions.keep(service, found, idempotent, avoid)
         if not found:
             raise codes.Failure(codes.NO_ENDPOINT, service, retry_after=1.0)
         now = asyncio.get_running_loop().time()
         return self.balancer(service).choose(found, now)
 
-    def by_version(
-        self, service: str, found: list[balancers.Candidate], idempotent: bool
-    ) -> list[balancers.Candidate]:
-        """Keep the endpoints of one version, drawn by the rollout's share."""
-        stage = self.state.table.records.get(("stage", service))
-        if stage is None:
-            return found
-        share = stage.share
-        if stage.state == "taken-back" or (stage.idempotent_only and not idempotent):
-            share = 0.0
-        wanted = stage.new if self.random.random() < share else stage.old
-        kept = [item for item in found if item.version == wanted]
-        if kept or stage.state != "done":
-            return kept or [item for item in found if item.version == stage.old]
-        return found
-
     def balancer(self, service: str) -> balancers.Balancer:
         """Return the service's balancer; a changed preset makes a new one."""
         snapshot = self.state.snapshot
--- a/rattanridge/calls/entry.py
+++ b/rattanridge/calls/entry.py
@@ -259,4 +259,5 @@
         answer.code = codes.TABLE.get(int(number), codes.PEER_FAILED)
     running, _, queued = response.headers.get(headers.LOAD, "0/0").partition("/")
     answer.load = (int(running), int(queued))
+    answer.spent = int(response.headers.get(headers.SPENT, "0")) / 1e6
     return answer
--- a/rattanridge/calls/exit.py
+++ b/rattanridge/calls/exit.py
@@ -81,6 +81,7 @@
         finally:
             gate.leave(loop.time() - began)
         answer.load = gate.load()
+        answer.spent = loop.time() - began
         return answer
 
     async def send(self, upstream: Upstream, call: types.Call) -> types.Answer:
--- a/rattanridge/calls/headers.py
+++ b/rattanridge/calls/headers.py
@@ -10,6 +10,7 @@
 TOKEN = "Rattanridge-Token"
 NODE = "Rattanridge-Node"
 LOAD = "Rattanridge-Load"  # running/queued at the exit
+SPENT = "Rattanridge-Spent"  # microseconds that the upstream took
 PRIORITY = "Rattanridge-Priority"
 TARGET = "Rattanridge-Target"  # endpoint that the entry chose
 ONCE = "Rattanridge-Once"  # 1: the work must not run more than once
--- a/rattanridge/calls/hop.py
+++ b/rattanridge/calls/hop.py
@@ -79,6 +79,7 @@
         """Build the response with the marks that the entry reads."""
         answer.headers[headers.RAN] = answer.ran.value
         answer.headers[headers.LOAD] = f"{answer.load[0]}/{answer.load[1]}"
+        answer.headers[headers.SPENT] = f"{answer.spent * 1e6:.0f}"
         if answer.code is not None:
             answer.headers[headers.CODE] = str(answer.code.number)
         return aiohttp.web.Response(
--- a/rattanridge/calls/types.py
+++ b/rattanridge/calls/types.py
@@ -37,6 +37,7 @@
     :param code: set when the system itself answers instead of the upstream.
     :param ran: what is known of the work.
     :param load: running and queued requests at the exit.
+    :param spent: seconds that the upstream took; 0 if it gave no answer.
     """
 
     status: int
@@ -45,6 +46,7 @@
     ran: codes.Ran
     code: codes.Code | None = None
     load: tuple[int, int] = (0, 0)
+    spent: float = 0.0
 
 
 def refuse(failure: codes.Failure) -> Answer:
--- /dev/null
+++ b/rattanridge/calls/versions.py
@@ -0,0 +1,89 @@
+"""Which version of a service a call goes to, by the rollout's stage."""
+
+import collections
+import collections.abc
+import hashlib
+import random
+
+from rattanridge.control import messages, replica
+from rattanridge.policies import balancers
+
+Found = list[balancers.Candidate]
+
+
+class Versions:
+    """Draws the version for each call.
+
+    While a rollout runs and one version has no endpoints left, calls go to the
+    other one; only those that must not run twice keep to the share of the new
+    version and are refused beyond it.
+
+    :param state: the node's replica; its table carries the stages.
+    :param rng: draws by the share.
+    """
+
+    def __init__(self, state: replica.Replica, rng: random.Random):
+        self.state = state
+        self.random = rng
+        self.braked: collections.abc.Callable[[str], bool] = lambda service: False
+
+    def keep(
+        self,
+        service: str,
+        found: Found,
+        idempotent: bool,
+        avoid: frozenset[str] = frozenset(),
+    ) -> Found:
+        """Keep the endpoints of the version that this call goes to.
+
+        :param found: all usable endpoints of the service.
+        :param avoid: names of endpoints that the call was sent to already; a
+            call that failed on the new version goes to the old one next.
+        """
+        stage = self.state.table.records.get(("stage", service))
+        if stage is None:
+            return without(keep_major(found), avoid)
+        new = [item for item in found if item.version == stage.new]
+        if stage.state == "done":
+            return without(new or found, avoid)
+        old = [item for item in found if item.version == stage.old]
+        share = self.share(stage, idempotent)
+        if new and share >= 1.0:
+            return without(self.spread(stage, new), avoid)
+        if new and not old and idempotent and share > 0.0:
+            return without(new, avoid)
+        tried = any(item.name in avoid for item in new)
+        if new and not tried and self.random.random() < share:
+            return self.spread(stage, new)
+        return without(old, avoid)
+
+    def share(self, stage: messages.Stage, idempotent: bool) -> float:
+        """Return the fraction of such calls that may go to the new version."""
+        if stage.state == "taken-back" or self.braked(stage.service):
+            return 0.0
+        return stage.share if idempotent else stage.once_share
+
+    def spread(self, stage: messages.Stage, new: Found) -> Found:
+        """Keep the few endpoints that the stage uses; the same at every node."""
+        if not stage.spread or stage.spread >= len(new):
+            return new
+        return sorted(new, key=rank)[: stage.spread]
+
+
+def rank(item: balancers.Candidate) -> bytes:
+    return hashlib.blake2b(item.name.encode(), digest_size=8).digest()
+
+
+def without(found: Found, avoid: frozenset[str]) -> Found:
+    if not avoid:
+        return found
+    return [item for item in found if item.name not in avoid]
+
+
+def keep_major(found: Found) -> Found:
+    """Keep the version with most endpoints: a new one waits for its rollout."""
+    if not found or all(item.version == found[0].version for item in found):
+        return found
+    counts = collections.Counter(item.version for item in found)
+    major = min(counts, key=lambda version: (-counts[version], version))
+    return [item for item in found if item.version == major]
--- a/rattanridge/cli/status.py
+++ b/rattanridge/cli/status.py
@@ -50,5 +50,6 @@
         lines.append(
             f"rollout    {stage['service']} {stage['old']} -> {stage['new']} "
             f"{stage['state']} share {stage['share']:.0%}"
+            + (f": {stage['reason']}" if stage["reason"] else "")
         )
     return lines
--- a/rattanridge/control/member.py
+++ b/rattanridge/control/member.py
@@ -61,6 +61,7 @@
         self.tasks: list[asyncio.Task] = []
         self.role_tasks: list[asyncio.Task] = []
         self.on_relay = []
+        self.on_subscribe = []
         server.add_stream("Subscribe", self.relay.subscribe)
         server.add_unary("Ask", self.answer_ask)
 
@@ -120,6 +121,8 @@
             self.time,
         )
         subscription.candidate = self.become_candidate
+        for note in self.on_subscribe:
+            note(subscription)
         return subscription
 
     async def find_relays(self) -> list[str]:
--- a/rattanridge/control/messages.py
+++ b/rattanridge/control/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from rattanridge.kernel import codes, snapshot
+from rattanridge.policies import samples
 
 PROTOCOL = 1
 
@@ -66,13 +67,20 @@
 class Stage(Message, tag="stage", frozen=True):
     """The stage of a service's newest rollout.
 
+    A share grows only by the platform: with a higher ``version``. It shrinks
+    also without: ``cut`` and ``taken-back`` outrank the same version, and
+    ``taken-back`` is final for the number.
+
     :param number: the rollout's id; a later rollout has a higher one.
-    :param version: platform version of the object; grows with each step.
+    :param version: number of changes that the platform's object saw.
     :param old: name of the version that traffic leaves.
     :param new: name of the version that traffic goes to.
-    :param share: fraction of calls that may go to ``new``.
-    :param idempotent_only: whether only idempotent calls may go to ``new``.
-    :param state: ``running``, ``done`` or ``taken-back``; the last is final.
+    :param share: fraction of idempotent calls that may go to ``new``.
+    :param once_share: the same for calls that must not run twice.
+    :param spread: number of endpoints of ``new`` in use; 0: all.
+    :param state: ``running``, ``done`` or ``taken-back``.
+    :param reason: why it was taken back.
+    :param cut: whether the share was cut for a trial, ahead of the platform.
     """
 
     service: str
@@ -81,8 +89,11 @@
     old: str
     new: str
     share: float
-    idempotent_only: bool = False
+    once_share: float = 0.0
+    spread: int = 0
     state: str = "running"
+    reason: str = ""
+    cut: bool = False
 
     @property
     def key(self) -> tuple[str, str]:
@@ -90,7 +101,12 @@
 
     @property
     def rank(self) -> tuple:
-        return (self.number, self.state == "taken-back", self.version)
+        return (self.number, self.state == "taken-back", self.version, self.cut)
+
+    @property
+    def phase(self) -> tuple[int, bool]:
+        """What counts must share to be compared: the share is constant in it."""
+        return (self.version, self.cut)
 
 
 class Quarantine(Message, tag="quarantine", frozen=True):
@@ -207,6 +223,25 @@
     roles: list[Role]
 
 
+class Evidence(Message, tag="evidence"):
+    """Counts of a running rollout, from one node or pooled by one relay.
+
+    Counts are cumulative for the origin and the stage, so a report that is
+    late, doubled or crossed adds nothing.
+
+    :param origin: who counted, unique for each subscription.
+    :param phase: the stage's phase that the calls were made under.
+    :param braked: nodes that stopped sending to the new version by themselves.
+    """
+
+    origin: str
+    service: str
+    number: int
+    phase: tuple[int, bool]
+    items: list[samples.RouteCounts]
+    braked: int = 0
+
+
 Any = (
     Hello
     | Welcome
@@ -219,6 +254,7 @@
     | Candidate
     | Ask
     | Known
+    | Evidence
 )
 
 encoder = msgspec.msgpack.Encoder()
--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -62,6 +62,19 @@
     answer_bytes: Count = 4_000_000
 
 
+class RolloutSettings(Struct):
+    """Times of rollouts, in seconds.
+
+    :param least_hold: no step of a rollout is held for less.
+    :param warmup: a new endpoint's calls are not timed for so long.
+    :param keep_progress: least time between two writes of a step's progress.
+    """
+
+    least_hold: Seconds = 10.0
+    warmup: Seconds = 30.0
+    keep_progress: Seconds = 5.0
+
+
 class StatsdSettings(Struct):
     """Where counters go; an empty host keeps them in memory."""
 
@@ -117,6 +130,7 @@
     limits: Limits = msgspec.field(default_factory=Limits)
     control: ControlSettings = msgspec.field(default_factory=ControlSettings)
     claims: ClaimSettings = msgspec.field(default_factory=ClaimSettings)
+    rollouts: RolloutSettings = msgspec.field(default_factory=RolloutSettings)
     statsd: StatsdSettings = msgspec.field(default_factory=StatsdSettings)
 
 
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -5,10 +5,17 @@
 
 import aiohttp.web
 
-from rattanridge import policies
+from rattanridge import admin as operations, policies
 from rattanridge.admin import server as admin
-from rattanridge.calls import entry, exit as exits, hop, local
-from rattanridge.control import member, replica, roster, transport
+from rattanridge.calls import entry, exit as exits, hop, local, observer
+from rattanridge.control import (
+    coordinator,
+    evidence,
+    member,
+    replica,
+    roster,
+    transport,
+)
 from rattanridge.kernel import log, metrics, registry, settings
 from rattanridge.platform import client
 
@@ -28,6 +35,7 @@
 
     def __init__(self, config: settings.NodeSettings):
         registry.load_plugins(policies)
+        registry.load_plugins(operations)
         self.config = config
         self.log = log.Log("node", config.name)
         self.counters = metrics.Counters(
@@ -42,6 +50,13 @@
         self.announcer = roster.Announcer(config, self.state, self.member.incarnation)
         self.exit = exits.Exit(config, self.counters)
         self.entry = entry.Entry(config, self.state, self.exit, self.counters)
+        self.collector = evidence.Collector(config, self.state, self.counters)
+        self.observer = observer.Observer(config, self.entry, self.collector)
+        self.pool = evidence.Pool(config, self.state, self.counters)
+        self.reporter = evidence.Reporter(
+            config, self.member, self.collector, self.pool
+        )
+        self.coordinator = coordinator.Coordinator(self.member, self.pool)
         self.hop = hop.Hop(config, self.entry, self.exit, self.counters)
         self.local = local.Local(config, self.entry, self.exit, self.announcer)
         self.admin = admin.Server(config, self.platform, self.state, self.counters)
@@ -67,6 +82,7 @@
         )
         await self.local.start(hop_url.removeprefix("http://"))
         await self.member.start()
+        self.reporter.start()
         self.log.info(
             "node-started",
             zone=config.zone,
@@ -118,6 +134,7 @@
     async def close(self) -> None:
         """End everything at once."""
         await self.local.stop()
+        await self.reporter.stop()
         await self.member.stop()
         for runner in self.runners:
             await runner.cleanup()
