Give rare routes their own share, bound what one burst adds; test versions

A cut made from a stage below the trial share raised it (found by the property that a share grows only by a platform write); a cut now takes the lower one.

--- a/rattanridge/calls/endpoints.py
+++ b/rattanridge/calls/endpoints.py
@@ -56,11 +56,15 @@
         )
 
     def choose(
-        self, service: str, idempotent: bool, avoid: frozenset[str] = frozenset()
+        self,
+        service: str,
+        idempotent: bool,
+        avoid: frozenset[str] = frozenset(),
+        route: presets.Route | None = None,
     ) -> balancers.Candidate:
         """Choose an endpoint: first the version, then the least loaded of two."""
         found = list(self.services.get(service, {}).values())
-        found = self.versions.keep(service, found, idempotent, avoid)
+        found = self.versions.keep(service, found, idempotent, avoid, route)
         if not found:
             raise codes.Failure(codes.NO_ENDPOINT, service, retry_after=1.0)
         now = asyncio.get_running_loop().time()
--- a/rattanridge/calls/entry.py
+++ b/rattanridge/calls/entry.py
@@ -168,14 +168,16 @@
         """Run a call, again on another endpoint where that is allowed."""
         tried: frozenset[str] = frozenset()
         while True:
-            chosen = self.endpoints.choose(call.service, call.idempotent, tried)
+            chosen = self.endpoints.choose(
+                call.service, call.idempotent, tried, call.route
+            )
             answer = await self.attempt(call, chosen)
             if not self.retries.allowed(call, answer):
                 return answer
             tried |= {chosen.name}
             call.retried = True
             try:
-                self.endpoints.choose(call.service, call.idempotent, tried)
+                self.endpoints.choose(call.service, call.idempotent, tried, call.route)
             except codes.Failure:
                 return answer
 
--- a/rattanridge/calls/observer.py
+++ b/rattanridge/calls/observer.py
@@ -56,11 +56,10 @@
         failed = answer.code is not None or answer.status >= 500
         if answer.code is codes.UPSTREAM_FAILED and self.broke_just_now(chosen, now):
             return
-        route = call.route
         self.collector.add(
             call.service,
             chosen.version,
-            f"{','.join(route.methods)} {route.host}{route.prefix}",
+            call.route.label(),
             not call.idempotent,
             failed,
             answer.spent if self.comparable(chosen, answer, now) else None,
--- a/rattanridge/calls/versions.py
+++ b/rattanridge/calls/versions.py
@@ -6,6 +6,7 @@
 import random
 
 from rattanridge.control import messages, replica
+from rattanridge.kernel import presets
 from rattanridge.policies import balancers
 
 Found = list[balancers.Candidate]
@@ -33,6 +34,7 @@
         found: Found,
         idempotent: bool,
         avoid: frozenset[str] = frozenset(),
+        route: presets.Route | None = None,
     ) -> Found:
         """Keep the endpoints of the version that this call goes to.
 
@@ -47,7 +49,7 @@
         if stage.state == "done":
             return without(new or found, avoid)
         old = [item for item in found if item.version == stage.old]
-        share = self.share(stage, idempotent)
+        share = self.share(stage, idempotent, route)
         if new and share >= 1.0:
             return without(self.spread(stage, new), avoid)
         if new and not old and idempotent and share > 0.0:
@@ -57,11 +59,14 @@
             return self.spread(stage, new)
         return without(old, avoid)
 
-    def share(self, stage: messages.Stage, idempotent: bool) -> float:
+    def share(
+        self, stage: messages.Stage, idempotent: bool, route: presets.Route | None
+    ) -> float:
         """Return the fraction of such calls that may go to the new version."""
         if stage.state == "taken-back" or self.braked(stage.service):
             return 0.0
-        return stage.share if idempotent else stage.once_share
+        name = route.label() if route is not None and stage.boosts else ""
+        return stage.share_for(idempotent, name)
 
     def spread(self, stage: messages.Stage, new: Found) -> Found:
         """Keep the few endpoints that the stage uses; the same at every node."""
--- a/rattanridge/control/coordinator.py
+++ b/rattanridge/control/coordinator.py
@@ -217,7 +217,7 @@
         schedule = schedules.SCHEDULES.get(rollout.schedule)()
         progress = self.progress(running)
         if schedule.ready(rollout.plan, rollout.window(), progress):
-            await self.write(running, rollouts.advance(rollout))
+            await self.write(running, rollouts.advance(rollout, progress.routes))
         elif self.is_late(rollout, progress) and not rollout.late:
             self.counters.add("rollout.late")
             self.log.warn(
@@ -243,7 +243,7 @@
         suspicious = False
         if case is not None:
             routes = [
-                schedules.Route(item.once, item.old.calls, item.new.calls)
+                schedules.Route(item.route, item.once, item.old.calls, item.new.calls)
                 for item in case.total.values()
             ]
             suspicious = case.verdict.suspicious() or any(case.braked.values())
--- a/rattanridge/control/messages.py
+++ b/rattanridge/control/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from rattanridge.kernel import codes, snapshot
-from rattanridge.policies import samples
+from rattanridge.policies import samples, schedules
 
 PROTOCOL = 1
 
@@ -80,6 +80,7 @@
     :param spread: number of endpoints of ``new`` in use; 0: all.
     :param state: ``running``, ``done`` or ``taken-back``.
     :param reason: why it was taken back.
+    :param boosts: shares of rare routes, in place of the stage's.
     :param cut: whether the share was cut for a trial, ahead of the platform.
     """
 
@@ -93,6 +94,7 @@
     spread: int = 0
     state: str = "running"
     reason: str = ""
+    boosts: tuple[schedules.RouteShare, ...] = ()
     cut: bool = False
 
     @property
@@ -108,6 +110,13 @@
         """What counts must share to be compared: the share is constant in it."""
         return (self.version, self.cut)
 
+    def share_for(self, idempotent: bool, route: str) -> float:
+        """Return the fraction of a route's calls that may go to ``new``."""
+        for item in self.boosts:
+            if item.route == route:
+                return item.share
+        return self.share if idempotent else self.once_share
+
 
 class Quarantine(Message, tag="quarantine", frozen=True):
     """A request that crashed upstreams and is held back everywhere.
--- a/rattanridge/control/rollouts.py
+++ b/rattanridge/control/rollouts.py
@@ -6,6 +6,8 @@
 neither a new coordinator nor a stepped wall clock can skip a hold.
 """
 
+import collections.abc
+
 import msgspec
 
 from rattanridge.control import messages
@@ -32,6 +34,7 @@
     :param trial: whether part of the calls returned to the old version to
         compare both during the bake.
     :param plan: the steps, as the schedule made them at the start.
+    :param boosts: shares of rare routes in the step in force.
     :param held: seconds for which the step in force was held.
     :param left: seconds to the deadline, as the last writer saw them.
     :param deadline: seconds since the epoch.
@@ -56,6 +59,7 @@
     state: str = RUNNING
     step: int = 0
     trial: bool = False
+    boosts: list[schedules.RouteShare] = []
     held: float = 0.0
     epoch: int = 0
     late: bool = False
@@ -118,14 +122,23 @@
         spread,
         rollout.state,
         rollout.reason,
+        tuple(rollout.boosts) if rollout.running and not rollout.trial else (),
     )
 
 
-def advance(rollout: Rollout) -> Rollout:
-    """Return the rollout after its step: the next step, or done."""
+def advance(
+    rollout: Rollout, routes: collections.abc.Sequence[schedules.Route] = ()
+) -> Rollout:
+    """Return the rollout after its step: the next step, or done.
+
+    :param routes: calls seen in the step that ends, to find rare routes.
+    """
     if rollout.baking:
         return change(rollout, state=DONE)
-    return change(rollout, step=rollout.step + 1, held=0.0)
+    step = rollout.step + 1
+    schedule = schedules.SCHEDULES.get(rollout.schedule)()
+    boosts = schedule.boosts(rollout.plan[step], routes)
+    return change(rollout, step=step, boosts=boosts, held=0.0)
 
 
 def take_back(rollout: Rollout, reason: str) -> Rollout:
@@ -147,12 +160,22 @@
 def recall(stage: messages.Stage, reason: str) -> messages.Stage:
     """Return the stage that takes a version back, also without the platform."""
     return msgspec.structs.replace(
-        stage, share=0.0, once_share=0.0, spread=0, state=TAKEN_BACK, reason=reason
+        stage,
+        share=0.0,
+        once_share=0.0,
+        spread=0,
+        boosts=(),
+        state=TAKEN_BACK,
+        reason=reason,
     )
 
 
 def cut(stage: messages.Stage) -> messages.Stage:
     """Return the stage that returns part of the calls to the old version."""
     return msgspec.structs.replace(
-        stage, share=TRIAL_SHARE, once_share=TRIAL_SHARE, cut=True
+        stage,
+        share=min(stage.share, TRIAL_SHARE),
+        once_share=min(stage.once_share, TRIAL_SHARE),
+        boosts=(),
+        cut=True,
     )
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -66,6 +66,10 @@
     key: KeySource = msgspec.field(default_factory=KeySource)
     hedge: typing.Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
 
+    def label(self) -> str:
+        """Return what the route matches; the same under every preset."""
+        return f"{','.join(self.methods)} {self.host}{self.prefix}"
+
 
 class Preset(settings.Struct, kw_only=True):
     """One preset's content; revisions of it never change."""
--- a/rattanridge/policies/schedules.py
+++ b/rattanridge/policies/schedules.py
@@ -17,9 +17,17 @@
 SCHEDULES: registry.Registry[type["Schedule"]] = registry.Registry("schedule")
 
 ENOUGH_CALLS = 1500  # calls to the new version on each route that end a hold early
+BOOST_LIMIT = 0.2  # share that a rare route gets at most
 IDLE_FRACTION = 0.1  # part of a hold that a step without any calls to send waits
 
 
+class RouteShare(msgspec.Struct, frozen=True):
+    """A share of its own for a route that is too rare for the step's."""
+
+    route: str
+    share: float
+
+
 class Step(msgspec.Struct, frozen=True):
     """One step of a plan.
 
@@ -34,6 +42,9 @@
     hold: float
     spread: int = 0
 
+    def share_of(self, once: bool) -> float:
+        return self.once_share if once else self.share
+
 
 @dataclasses.dataclass(slots=True)
 class Window:
@@ -55,10 +66,15 @@
 class Route:
     """Calls seen on one route during the step in force."""
 
+    name: str
     once: bool
     old_calls: int
     new_calls: int
 
+    @property
+    def calls(self) -> int:
+        return self.old_calls + self.new_calls
+
 
 @dataclasses.dataclass(slots=True)
 class Progress:
@@ -89,6 +105,12 @@
     def ready(self, steps: list[Step], window: Window, progress: Progress) -> bool:
         """Whether the next step may begin."""
 
+    def boosts(
+        self, step: Step, routes: collections.abc.Sequence[Route]
+    ) -> list[RouteShare]:
+        """Return shares of rare routes in a step; none by default."""
+        return []
+
 
 @SCHEDULES.register("staged")
 class Staged(Schedule):
@@ -98,15 +120,26 @@
     planned hold only if every route has plenty of samples. If time was lost,
     the holds that are left shrink, never below the least hold. Suspicion
     extends a hold by the slack that the plan leaves, so a silent version
-    always makes its deadline.
+    always makes its deadline. A rare route gets a share of its own, so that
+    samples come from it while the service's calls hardly notice.
     """
 
-    fractions = (0.24, 0.18, 0.06, 0.10, 0.10, 0.08, 0.06)
-    smallest = 0.01
+    # Fraction of the time, share of idempotent calls, of others. The third
+    # step sends to few endpoints as much as they get at 100%.
+    steps = (
+        (0.26, 0.01, 0.0),
+        (0.22, 0.02, 0.0),
+        (0.03, 0.0, 0.0),
+        (0.13, 0.02, 0.05),
+        (0.09, 0.05, 0.2),
+        (0.07, 0.25, 0.5),
+        (0.05, 0.75, 0.75),
+    )
+    load_step = 2
 
     def plan(self, window: Window) -> list[Step]:
         available = window.seconds - window.bake
-        least = window.least_hold * (len(self.fractions) + 1)
+        least = window.least_hold * (len(self.steps) + 1)
         if available < least:
             detail = (
                 f"{window.seconds:.0f} s are left; the steps need {least:.0f} s "
@@ -115,27 +148,36 @@
             raise codes.Failure(codes.ROLLOUT_DEADLINE, detail)
         spread = max(1, math.ceil(window.endpoints / 20))
         load = max(0.05, min(spread / max(window.endpoints, 1), 0.5))
-        shares = [
-            (self.smallest, 0.0, 0),
-            (2 * self.smallest, 0.0, 0),
-            (load, 0.0, spread),
-            (0.1, self.smallest, 0),
-            (0.25, 0.05, 0),
-            (0.5, 0.25, 0),
-            (0.75, 0.6, 0),
-        ]
-        steps = [
-            Step(share, once, max(fraction * available, window.least_hold), spread)
-            for fraction, (share, once, spread) in zip(
-                self.fractions, shares, strict=True
-            )
-        ]
+        steps = []
+        for index, (fraction, share, once_share) in enumerate(self.steps):
+            hold = max(fraction * available, window.least_hold)
+            if index == self.load_step:
+                steps.append(Step(load, 0.0, hold, spread))
+            else:
+                steps.append(Step(share, once_share, hold))
         return [*steps, Step(1.0, 1.0, window.bake)]
 
+    def boosts(
+        self, step: Step, routes: collections.abc.Sequence[Route]
+    ) -> list[RouteShare]:
+        """Give each exposed route the mean number of samples, within a limit."""
+        exposed = [(route, step.share_of(route.once)) for route in routes]
+        exposed = [(route, share) for route, share in exposed if 0.0 < share < 1.0]
+        if not exposed or step.spread:
+            return []
+        samples = sum(route.calls * share for route, share in exposed)
+        mean = samples / len(exposed)
+        found = []
+        for route, share in exposed:
+            wanted = min(mean / max(route.calls, 1), BOOST_LIMIT)
+            if wanted > share:
+                found.append(RouteShare(route.name, round(wanted, 3)))
+        return found
+
     def ready(self, steps: list[Step], window: Window, progress: Progress) -> bool:
         step = steps[progress.step]
         if progress.step == len(steps) - 1:
-            return progress.held >= step.hold and not progress.suspicious
+            return progress.held >= step.hold
         hold = self.hold(steps, window, progress)
         if progress.held < window.least_hold:
             return False
@@ -157,11 +199,7 @@
 
     def satisfied(self, step: Step, hold: float, progress: Progress) -> bool:
         """Whether every route that the step exposes has plenty of samples."""
-        exposed = [
-            route
-            for route in progress.routes
-            if (step.once_share if route.once else step.share) > 0
-        ]
+        exposed = [r for r in progress.routes if step.share_of(r.once) > 0.0]
         if not exposed:
             seen = any(route.old_calls for route in progress.routes)
             return seen and progress.held >= IDLE_FRACTION * hold
--- a/rattanridge/policies/verdicts.py
+++ b/rattanridge/policies/verdicts.py
@@ -22,9 +22,10 @@
 MEMORY = 0.98  # factor on the remembered counts of the old version for each block
 RATE_FLOOR = 0.0005
 RATE_CEILING = 0.9
-FALSE_ALARM = 0.0005  # bound on the probability to blame a version that is alike
+FALSE_ALARM = 0.003  # bound on the probability to blame a version that is alike
 BAKE_ALARM = 4.0  # nats of a cumulative sum that starts a trial
 BAKE_FACTOR = 4.0  # rise of the rate that the cumulative sum looks for
+BLOCK_LIMITS = {"errors": 6.0, "slow": 3.0}  # nats that one block adds at most
 FLOOR = -6.0  # nats; the least that earlier innocence leaves
 ALL_ROUTES = "all routes"
 KEPT_BLOCKS = 60  # blocks that pooled verdicts sum over
@@ -128,6 +129,10 @@
     return min(max(rate, RATE_FLOOR), RATE_CEILING)
 
 
+Stratum = tuple[str, str]  # route and kind
+Blocks = collections.abc.Sequence[tuple[Memory, samples.RouteCounts]]
+
+
 class Verdict(abc.ABC):
     """Judges one rollout from counts that arrive in pieces.
 
@@ -159,13 +164,23 @@
 
     def close_blocks(self, now: float, every: bool = False) -> None:
         """Close full blocks; at a change of the share, all of them."""
-        for route, block in list(self.blocks.items()):
-            if every or block.full(now):
-                del self.blocks[route]
-                memory = self.memories.setdefault(route, Memory())
-                if block.counts.old.calls:
-                    self.close(memory, block.counts)
-                memory.learn(block.counts.old)
+        closed = [
+            (route, block)
+            for route, block in self.blocks.items()
+            if every or block.full(now)
+        ]
+        if not closed:
+            return
+        compared = []
+        for route, block in closed:
+            del self.blocks[route]
+            memory = self.memories.setdefault(route, Memory())
+            if block.counts.old.calls:
+                compared.append((memory, block.counts))
+        if compared:
+            self.close(compared)
+        for route, block in closed:
+            self.memories[route].learn(block.counts.old)
 
     def turn(self, now: float) -> None:
         """Begin another share: nothing counted before is mixed with it."""
@@ -173,8 +188,8 @@
         self.sums.clear()
 
     @abc.abstractmethod
-    def close(self, memory: Memory, counts: samples.RouteCounts) -> None:
-        """Take over one closed block."""
+    def close(self, blocks: Blocks) -> None:
+        """Take over the blocks that were closed at one time."""
 
     @abc.abstractmethod
     def judge(self, now: float) -> Finding | None:
@@ -231,7 +246,8 @@
     def __init__(self, false_alarm: float = FALSE_ALARM):
         super().__init__(false_alarm)
         self.limit = math.log(1 / false_alarm)
-        self.closed: dict[tuple[str, str], list[float]] = {}
+        self.nothing = [0.0] * len(self.ratios)
+        self.closed: dict[Stratum, list[float]] = {}
         self.highest = 0.0
 
     def weigh(
@@ -240,35 +256,46 @@
         """Return the log-likelihood ratio of a block for each odds ratio."""
         table = memory.table(kind, counts)
         if not table.new_calls or not table.old_calls:
-            return [0.0] * len(self.ratios)
+            return self.nothing
         rate = memory.rate(kind)
         return [block_ratio(table, rate, ratio) for ratio in self.ratios]
 
-    def close(self, memory: Memory, counts: samples.RouteCounts) -> None:
+    def close(self, blocks: Blocks) -> None:
+        self.add_blocks(self.closed, blocks, FLOOR)
+
+    def add_blocks(
+        self, sums: dict[Stratum, list[float]], blocks: Blocks, floor: float
+    ) -> None:
+        """Add blocks of one time to the sums of their routes and of all routes."""
         for kind in self.kinds:
-            steps = self.weigh(memory, kind, counts)
-            for route in (counts.route, ALL_ROUTES):
-                self.closed[route, kind] = add_floored(
-                    self.closed.get((route, kind)), steps
-                )
+            limit = BLOCK_LIMITS[kind]
+            total = self.nothing
+            for memory, counts in blocks:
+                steps = self.weigh(memory, kind, counts)
+                if steps is self.nothing:
+                    continue
+                total = add(total, steps)
+                key = (counts.route, kind)
+                sums[key] = add_within(sums.get(key), steps, limit, floor)
+            if total is not self.nothing:
+                key = (ALL_ROUTES, kind)
+                sums[key] = add_within(sums.get(key), total, limit, floor)
 
     def judge(self, now: float) -> Finding | None:
         """Weigh closed blocks and, tentatively, the open ones."""
         self.close_blocks(now)
         current = dict(self.closed)
-        for route, block in self.blocks.items():
-            memory = self.memories.setdefault(route, Memory())
-            if not block.counts.new.calls:
-                continue
-            for kind in self.kinds:
-                steps = self.weigh(memory, kind, block.counts)
-                for name in (route, ALL_ROUTES):
-                    current[name, kind] = add(current.get((name, kind)), steps)
+        opened = [
+            (self.memories.setdefault(route, Memory()), block.counts)
+            for route, block in self.blocks.items()
+            if block.counts.new.calls
+        ]
+        self.add_blocks(current, opened, -math.inf)
         found = self.strongest(current)
         self.highest = found.weight if found else 0.0
         return found if found and found.weight >= self.limit else None
 
-    def strongest(self, current: dict[tuple[str, str], list[float]]) -> Finding | None:
+    def strongest(self, current: dict[Stratum, list[float]]) -> Finding | None:
         """Return the weightiest hypothesis, less the price of its weight."""
         if not current:
             return None
@@ -288,19 +315,26 @@
         return self.highest >= SUSPICION * self.limit
 
 
-def add(known: list[float] | None, steps: list[float]) -> list[float]:
-    if known is None:
-        return steps
-    return [old + step for old, step in zip(known, steps, strict=True)]
+def add(sums: list[float], steps: list[float]) -> list[float]:
+    return [old + step for old, step in zip(sums, steps, strict=True)]
 
 
-def add_floored(known: list[float] | None, steps: list[float]) -> list[float]:
-    """Add evidence; long innocence must not hide a fault that shows later.
+def add_within(
+    known: list[float] | None, steps: list[float], limit: float, floor: float
+) -> list[float]:
+    """Add the evidence of one time.
 
-    Each block lifts the mixture by at most ``exp(FLOOR)``, which bounds what
-    the floor adds to the false alarms.
+    One burst, as of a pause of one endpoint, must not decide alone: ``limit``
+    bounds what it adds. Long innocence must not hide a fault that shows later:
+    nothing is kept below ``floor``. Each block lifts the mixture by at most
+    ``exp(floor)``, which bounds what the floor adds to the false alarms.
     """
-    return [max(value, FLOOR) for value in add(known, steps)]
+    if known is None:
+        known = [0.0] * len(steps)
+    return [
+        max(old + min(step, limit), floor)
+        for old, step in zip(known, steps, strict=True)
+    ]
 
 
 def block_ratio(table: Table, rate: float, ratio: float) -> float:
@@ -319,7 +353,7 @@
 
     ratios = (10.0,)
 
-    def strongest(self, current: dict[tuple[str, str], list[float]]) -> Finding | None:
+    def strongest(self, current: dict[Stratum, list[float]]) -> Finding | None:
         found = [
             Finding(kind, route, values[0])
             for (route, kind), values in current.items()
@@ -335,10 +369,10 @@
         super().__init__(false_alarm)
         self.recent: dict[str, collections.deque[Table]] = {}
 
-    def close(self, memory: Memory, counts: samples.RouteCounts) -> None:
+    def close(self, blocks: Blocks) -> None:
         for kind in self.kinds:
             kept = self.recent.setdefault(kind, collections.deque(maxlen=KEPT_BLOCKS))
-            kept.append(memory.table(kind, counts))
+            kept.extend(memory.table(kind, counts) for memory, counts in blocks)
 
     def judge(self, now: float) -> Finding | None:
         self.close_blocks(now)
