Rework relays, membership and roles: bounded streams, learnt generations, judged losses

Cause: the thin path kept batches on nodes that do not serve, wrote the roster from both relays with a read before each write, turned a draining endpoint up again when it refuted a loss, never dropped tombstones, and let a restarted node take any generation.

Now a restarted node holds configurations back until the platform, or a relay in contact with it or with another relay, told the generation; records flood between relays one way and never back to their sender; streams have bounded outboxes and write timeouts; a zone's relay judges endpoints without a stream and writes conditionally on its own last write; lost lease writes are known again by write id; status names every node that is behind.

--- a/rattanridge/admin/presets.py
+++ b/rattanridge/admin/presets.py
@@ -9,8 +9,8 @@
 from rattanridge.platform import client, objects
 
 HISTORY_KEPT = 200
-POINTER = "in-force"
-HISTORY = "history"
+POINTER = source.POINTER
+HISTORY = source.HISTORY
 
 
 class Revision(msgspec.Struct):
--- a/rattanridge/cli/preset.py
+++ b/rattanridge/cli/preset.py
@@ -10,6 +10,7 @@
 from rattanridge.kernel import codes, documents, presets
 
 POLL = 0.1  # seconds
+SHOWN = 5  # nodes that are named
 
 
 @main.COMMANDS.register("preset")
@@ -76,14 +77,37 @@
 
 
 def wait_until_applied(remote: remote.Remote, generation: int, end: float) -> int:
-    """Return the number of nodes once all of them apply a generation."""
-    while time.monotonic() < end:
-        applied = remote.call("GET", "/status")["applied"]
+    """Return the number of nodes once all known ones apply a generation.
+
+    Nodes that were lost lately count: nobody knows what they apply.
+    """
+    while True:
+        report = remote.call("GET", "/status")
+        applied = report["applied"]
         behind = sum(n for key, n in applied.items() if int(key) < generation)
         if applied and not behind:
-            return sum(applied.values())
+            return report["nodes"]
+        refused = [
+            why
+            for why in report["rejected"].values()
+            if why["generation"] >= generation
+        ]
+        if refused or time.monotonic() >= end:
+            raise codes.Failure(codes.NOT_IN_FORCE, describe(report, generation))
         time.sleep(POLL)
-    raise codes.Failure(codes.NOT_IN_FORCE, f"generation {generation}: {applied}")
+
+
+def describe(report: dict, generation: int) -> str:
+    """Say how many nodes lack a generation, and why the first ones do."""
+    behind = report["behind"]
+    named = [
+        f"{item['node']} ({item['code'] or '-'} {item['reason']})"
+        for item in behind[:SHOWN]
+    ]
+    return (
+        f"generation {generation} is not applied by {len(behind)} of "
+        f"{report['nodes']} nodes: {', '.join(named)}"
+    )
 
 
 @preset.command()
--- a/rattanridge/cli/status.py
+++ b/rattanridge/cli/status.py
@@ -1,5 +1,6 @@
 """Command that shows the system's state."""
 
+import collections
 import json
 import typing
 
@@ -7,6 +8,8 @@
 
 from rattanridge.cli import main, remote
 
+SHOWN = 10  # nodes that are named
+
 
 @main.COMMANDS.register("status")
 @click.command()
@@ -22,6 +25,17 @@
         click.echo(line)
 
 
+def format_rejected(rejected: dict[str, typing.Any]) -> list[str]:
+    """Return a line for each reason, with the number of nodes that tell it."""
+    counts = collections.Counter(
+        (why["generation"], why["reason"]) for why in rejected.values()
+    )
+    return [
+        f"rejected   generation {generation} by {count} nodes: {reason}"
+        for (generation, reason), count in sorted(counts.items())
+    ]
+
+
 def format_report(report: dict[str, typing.Any]) -> list[str]:
     """Return a status report as lines for people."""
     lines = [
@@ -37,11 +51,19 @@
         lines.append(
             f"chosen     generation {pointer['generation']} by {pointer['operator']}"
         )
-    total = sum(report["applied"].values())
-    for generation, count in sorted(report["applied"].items()):
+    total = report["nodes"]
+    applied = sorted(report["applied"].items(), key=lambda item: -int(item[0]))
+    for generation, count in applied:
         lines.append(f"nodes      {count} of {total} apply generation {generation}")
-    for node, why in sorted(report["rejected"].items()):
-        lines.append(f"rejected   {node}: {why['reason']}")
+    lines += format_rejected(report["rejected"])
+    for item in report["behind"][:SHOWN]:
+        if not item["code"] or item["node"] not in report["rejected"]:
+            lines.append(
+                f"behind     {item['node']} at generation {item['generation']}: "
+                f"{item['code'] or '-'} {item['reason']}"
+            )
+    if len(report["behind"]) > SHOWN:
+        lines.append(f"behind     and {len(report['behind']) - SHOWN} more nodes")
     for role, holder in sorted(report["roles"].items()):
         lines.append(f"role       {role}: {holder or '-'}")
     for endpoint, count in sorted(report["endpoints"].items()):
--- a/rattanridge/control/member.py
+++ b/rattanridge/control/member.py
@@ -9,24 +9,33 @@
 import random
 
 from rattanridge.control import (
+    learning,
     messages,
+    peers,
     relay as relays,
     replica,
-    roster,
     source as sources,
     subscriber as subscribers,
     transport,
+    zone as zones,
 )
 from rattanridge.kernel import clock, codes, log, metrics, settings
-from rattanridge.platform import client, leases, objects
+from rattanridge.platform import client, leases
 
-RELAYS_IN_ZONE = 2
-PEERS_INTERVAL = 5.0  # seconds between looks for relays of other zones
+LOOK_INTERVAL = 1.0  # seconds between reads of the zone's leases, on average
+CANDIDATE_SPREAD = 0.5  # seconds over which nodes try a vacant role
+AVOID = 3.0  # seconds for which a relay that failed is the last choice
+RETURN_INTERVAL = 5.0  # seconds between looks for a relay of the own zone
+TIDY_INTERVAL = 30.0  # seconds between drops of ended records
+LEAVE_PAUSE = 0.05  # seconds for a farewell to be written
 
 
 class Member:
     """Runs the control path of one node.
 
+    ``on_relay`` takes functions ``start(lease)`` of further work that runs
+    while this node is a relay.
+
     :param config: the node's settings.
     :param platform: the platform's client.
     :param state: the node's replica.
@@ -52,32 +61,66 @@
         self.log = log.Log("member", config.name)
         self.incarnation = int(self.time.wall() * 1000)
         self.channels = transport.Channels(config)
+        self.learner = learning.Learner(config, platform, state, self.channels)
         self.relay = relays.Relay(config, state, counters, self.time)
         self.source = sources.Source(config, platform, state, self.time)
-        self.roster = roster.Roster(config, platform, state, self.relay, self.time)
+        self.peers = peers.Peers(
+            config,
+            platform,
+            state,
+            self.relay,
+            lambda: self.server.address,
+            self.make_subscriber,
+            self.time,
+        )
+        self.zone = zones.Zone(config, platform, state, self.relay, self.time)
+        self.zone.presences = self.peers.presences
+        self.zone.zone_alive = self.peers.zone_alive
         self.lease: leases.Lease | None = None
+        self.won = asyncio.Event()
         self.candidates: dict[str, leases.Lease] = {}
-        self.upstream_streams: dict[str, asyncio.Task] = {}
+        self.failed: dict[str, float] = {}
+        self.next_look = float("-inf")
+        self.subscription: subscribers.Subscriber | None = None
         self.tasks: list[asyncio.Task] = []
         self.role_tasks: list[asyncio.Task] = []
+        self.trying: asyncio.Task | None = None
         self.on_relay = []
         server.add_stream("Subscribe", self.relay.subscribe)
         server.add_unary("Ask", self.answer_ask)
 
     async def start(self) -> None:
         """Start the tasks; the control server must listen already."""
+        self.state.hold()
         self.tasks.append(asyncio.create_task(self.run()))
+        self.tasks.append(asyncio.create_task(self.tidy()))
+
+    async def leave(self) -> None:
+        """Tell the relay of a planned stop, so that it forgets this node."""
+        if self.subscription is not None and self.subscription.relay:
+            await self.subscription.leave()
+            await self.time.sleep(LEAVE_PAUSE)
 
     async def stop(self) -> None:
         """Give roles back and end all tasks."""
-        await self.leave_role(release=True)
-        for task in [*self.tasks, *self.upstream_streams.values()]:
+        lease = self.lease
+        tasks = [*self.tasks]
+        if self.trying is not None:
+            tasks.append(self.trying)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(
-            *self.tasks, *self.upstream_streams.values(), return_exceptions=True
-        )
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if lease is not None:
+            await lease.release()
         await self.channels.close()
 
+    async def tidy(self) -> None:
+        """Drop records that ended, now and then."""
+        while True:
+            await self.time.sleep(TIDY_INTERVAL)
+            keep = self.config.control.keep_dead
+            self.state.table.tidy(self.time.monotonic(), self.time.wall(), keep)
+
     async def run(self) -> None:
         """Stay subscribed; between tries wait with jitter that grows."""
         pause = self.config.control.backoff_first
@@ -99,19 +142,48 @@
 
     async def attend(self) -> None:
         """Serve as relay if a lease is held, else subscribe to a relay."""
+        if self.lease is None:
+            address = await self.find_relay()
         if self.lease is not None:
             await self.serve_role(self.lease)
             return
-        addresses = await self.find_relays()
-        if self.lease is not None:
-            return
-        if not addresses:
+        if not address:
             raise codes.Failure(codes.NO_RELAY, "none known")
-        subscription = self.make_subscriber()
-        await subscription.run(random.choice(addresses))
+        await self.subscribe(address)
+
+    async def subscribe(self, address: str) -> None:
+        """Stay with a relay until it fails or this node has a reason to leave it."""
+        self.won.clear()
+        self.subscription = self.make_subscriber()
+        self.subscription.handlers[messages.Candidate] = self.become_candidate
+        stream = asyncio.create_task(self.subscription.run(address))
+        leaving = asyncio.create_task(self.reason_to_leave(address))
+        try:
+            await asyncio.wait({stream, leaving}, return_when=asyncio.FIRST_COMPLETED)
+            if stream.done():
+                stream.result()
+        except codes.Failure as failure:
+            if failure.code is not codes.RELAY_BUSY:
+                self.failed[address] = self.time.monotonic()
+                await self.channels.drop(address)
+            raise
+        finally:
+            leaving.cancel()
+            stream.cancel()
+            await asyncio.gather(stream, leaving, return_exceptions=True)
+            self.subscription = None
+
+    async def reason_to_leave(self, address: str) -> None:
+        """Return when a role was won, or a relay of the own zone is back."""
+        while True:
+            pause = RETURN_INTERVAL * random.uniform(0.5, 1.5)
+            if await clock.wait_event(self.time, self.won, pause):
+                return
+            if address not in self.zone_addresses() and self.zone_relays():
+                return
 
     def make_subscriber(self) -> subscribers.Subscriber:
-        subscription = subscribers.Subscriber(
+        return subscribers.Subscriber(
             self.config,
             self.state,
             self.channels,
@@ -119,57 +191,75 @@
             self.incarnation,
             self.time,
         )
-        subscription.candidate = self.become_candidate
-        return subscription
 
-    async def find_relays(self) -> list[str]:
-        """Return addresses of the zone's relays, from records, leases or peers.
+    async def find_relay(self) -> str:
+        """Return a relay's address, or none; a vacant lease is tried on the way.
 
-        A lease that is vacant is tried on the way.
+        Relays of other zones come last: they serve while the own zone has none
+        and the platform can't name one.
         """
-        known = self.known_relays()
-        if known and not self.relays_failed(known):
-            return known
+        if self.state.floor is not None and (known := self.zone_relays()):
+            return random.choice(known)
         try:
             await self.look_at_leases()
         except codes.Failure:
-            await self.ask_peers()
-        return self.known_relays()
-
-    def known_relays(self) -> list[str]:
-        names = set(self.relay_roles())
+            await self.learner.ask(self.all_relays())
+        if self.state.floor is None or self.lease is not None:
+            return ""
+        found = self.zone_relays() or self.sound(self.all_relays())
+        return random.choice(found or self.all_relays() or [""])
+
+    def zone_relays(self) -> list[str]:
+        """Return addresses of the zone's relays that did not fail lately."""
+        return self.sound(self.zone_addresses())
+
+    def zone_addresses(self) -> list[str]:
+        names = peers.relay_roles(self.config.zone)
+        return [r.address for r in self.peers.roles() if r.role in names]
+
+    def all_relays(self) -> list[str]:
+        return [record.address for record in self.peers.roles()]
+
+    def sound(self, addresses: list[str]) -> list[str]:
+        """Drop this node's own address and those that failed lately."""
+        now = self.time.monotonic()
         return [
-            record.address
-            for record in self.state.table.all(messages.Role)
-            if record.role in names and record.address
+            address
+            for address in addresses
+            if address != self.server.address
+            and now - self.failed.get(address, float("-inf")) > AVOID
         ]
 
-    def relays_failed(self, known: list[str]) -> bool:
-        """Whether to look again: after the first failure, always."""
-        return self.counters.get("control.retry.no-relay") > 0
-
-    def relay_roles(self) -> list[str]:
-        return [f"relay-{self.config.zone}-{n}" for n in range(RELAYS_IN_ZONE)]
-
     async def look_at_leases(self) -> None:
-        """Read the zone's relay leases; try the first that is vacant."""
-        listing = await self.platform.list(f"leases/relay-{self.config.zone}-")
-        found = {item.key: item for item in listing.objects}
-        for role in self.relay_roles():
-            stored = found.get(f"leases/{role}")
-            if stored is not None:
-                value = client.value_of(stored, objects.LeaseValue)
-                self.state.table.merge(sources.role_record(role, value))
+        """Read the zone's relay leases now and then; try one that is vacant."""
+        now = self.time.monotonic()
+        if now < self.next_look:
+            return
+        self.next_look = now + LOOK_INTERVAL * random.uniform(0.5, 1.5)
+        found = {stored.key: stored for stored in await self.learner.look()}
         if not self.config.relay:
             return
-        for role in self.relay_roles():
+        for role in peers.relay_roles(self.config.zone):
             lease = self.candidate(role)
+            stored = found.get(lease.key)
+            if stored is not None:
+                lease.observe(stored)
+            if not lease.vacant():
+                continue
+            # The nodes of a zone see the vacancy at once; few shall try at once.
+            await self.time.sleep(random.uniform(0, CANDIDATE_SPREAD))
             if await lease.step():
                 self.lease = lease
                 return
-            if f"leases/{role}" not in found:
+            self.merge_role(lease)
+            if not lease.vacant():
                 return
 
+    def merge_role(self, lease: leases.Lease) -> None:
+        if lease.seen is not None:
+            record = sources.role_record(lease.role, lease.seen.value)
+            self.state.table.merge(record)
+
     def candidate(self, role: str) -> leases.Lease:
         if role not in self.candidates:
             self.candidates[role] = leases.Lease(
@@ -182,12 +272,11 @@
             )
         return self.candidates[role]
 
-    def become_candidate(self, role: str) -> None:
+    def become_candidate(self, message: messages.Candidate) -> None:
         """A relay asks this node to take a vacant role."""
-        if not self.config.relay or self.lease is not None:
-            return
-        self.tasks = [task for task in self.tasks if not task.done()]
-        self.tasks.append(asyncio.create_task(self.try_role(role)))
+        busy = self.trying is not None and not self.trying.done()
+        if self.config.relay and self.lease is None and not busy:
+            self.trying = asyncio.create_task(self.try_role(message.role))
 
     async def try_role(self, role: str) -> None:
         """Try for a bit longer than a term; take up the role if it is won."""
@@ -196,24 +285,21 @@
         while self.time.monotonic() < end and self.lease is None:
             if await lease.step():
                 self.lease = lease
-                self.tasks[0].cancel()
-                self.tasks[0] = asyncio.create_task(self.run())
+                self.won.set()
                 return
             await self.time.sleep(lease.pause())
 
-    async def ask_peers(self) -> None:
-        """Learn the relays from peers of the settings, while the platform is down."""
-        for address in self.config.peers:
-            try:
-                known = await self.channels.call(address, "Ask", messages.Ask(), 1.0)
-            except codes.Failure:
-                continue
-            for role in known.roles:
-                self.state.table.merge(role)
-
     async def answer_ask(self, node: str, message: messages.Ask) -> messages.Known:
-        roles = self.state.table.all(messages.Role)
-        return messages.Known(self.state.generation, roles)
+        """Tell a node without configuration what is known of its generation."""
+        known = [self.relay.nodes.get(node)]
+        known += [told.nodes.get(node) for told in self.peers.presences()]
+        generations = [item.generation for item in known if item is not None]
+        contact = self.source.reachable or self.peers.any_heard()
+        return messages.Known(
+            max([self.state.generation, *generations]),
+            self.state.table.all(messages.Role),
+            self.relay.serving and self.state.floor is not None and contact,
+        )
 
     async def serve_role(self, lease: leases.Lease) -> None:
         """Serve as relay until the lease is lost to another node.
@@ -223,31 +309,39 @@
         """
         self.log.info("relay-begins", role=lease.role, epoch=lease.epoch)
         self.announce_role(lease)
+        self.zone.is_writer = lambda: self.peers.is_writer(lease.role)
+        starts = [self.zone.run, *self.on_relay]
         self.role_tasks = [
             asyncio.create_task(self.source.run()),
-            asyncio.create_task(self.roster.run(lease)),
-            asyncio.create_task(self.follow_relays()),
-        ]
-        self.role_tasks += [
-            asyncio.create_task(start(lease)) for start in self.on_relay
+            asyncio.create_task(self.peers.run()),
+            *[asyncio.create_task(start(lease)) for start in starts],
         ]
+        for task in self.role_tasks:
+            task.add_done_callback(self.note_end)
         try:
-            await sources.reach(self.state, self.config.control.lease_term)
-            self.relay.serving = True
+            await self.source.tried.wait()
+            self.relay.begin()
             while not self.superseded(lease):
                 await self.time.sleep(lease.pause())
-                await lease.step()
+                if await lease.step():
+                    self.announce_role(lease)
         finally:
-            self.relay.serving = False
-            await self.leave_role(release=False)
+            await self.leave_role()
+
+    def note_end(self, task: asyncio.Task) -> None:
+        """Log a role's task that ended by an error."""
+        if not task.cancelled() and task.exception() is not None:
+            self.counters.add("control.role-failed")
+            self.log.error("role-failed", why=repr(task.exception()))
 
     def superseded(self, lease: leases.Lease) -> bool:
         """Whether another node is known to hold the role."""
-        seen = lease.seen
-        if seen is not None and seen.value.holder not in ("", self.config.name):
+        if lease.taken():
             return True
         record = self.state.table.records.get(("role", lease.role))
-        return record is not None and record.epoch > max(lease.epoch, 1)
+        if record is None or record.holder in ("", self.config.name):
+            return False
+        return record.epoch > lease.epoch
 
     def announce_role(self, lease: leases.Lease) -> None:
         role = messages.Role(
@@ -255,63 +349,14 @@
         )
         self.state.table.merge(role)
 
-    async def leave_role(self, release: bool) -> None:
-        """Stop the role's tasks; give the lease back on a planned stop."""
-        lease, self.lease = self.lease, None
-        tasks = [*self.role_tasks, *self.upstream_streams.values()]
-        self.role_tasks = []
-        self.upstream_streams = {}
+    async def leave_role(self) -> None:
+        """Stop the role's tasks and send the subscribers away."""
+        if self.lease is not None:
+            self.log.info("relay-ends", role=self.lease.role, epoch=self.lease.epoch)
+        self.lease = None
+        self.relay.end()
+        tasks, self.role_tasks = self.role_tasks, []
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        if lease is not None and release:
-            await lease.release()
-
-    async def follow_relays(self) -> None:
-        """Keep one stream to every other relay, and fill vacant relay roles."""
-        while True:
-            try:
-                listing = await self.platform.list("leases/relay-")
-                for stored in listing.objects:
-                    role = stored.key.removeprefix("leases/")
-                    value = client.value_of(stored, objects.LeaseValue)
-                    self.state.table.merge(sources.role_record(role, value))
-            except codes.Failure:
-                pass
-            self.open_streams()
-            self.appoint()
-            await self.time.sleep(PEERS_INTERVAL * random.uniform(0.5, 1.0))
-
-    def open_streams(self) -> None:
-        for record in self.state.table.all(messages.Role):
-            other = record.address and record.address != self.server.address
-            if not record.role.startswith("relay-") or not other:
-                continue
-            task = self.upstream_streams.get(record.address)
-            if task is None or task.done():
-                self.upstream_streams[record.address] = asyncio.create_task(
-                    self.follow_relay(record.address)
-                )
-
-    async def follow_relay(self, address: str) -> None:
-        """Subscribe to another relay until the stream ends."""
-        subscription = self.make_subscriber()
-        subscription.is_relay = True
-        try:
-            await subscription.run(address)
-        except codes.Failure as failure:
-            self.log.info("peer-lost", address=address, code=failure.code.number)
-        await self.channels.drop(address)
-
-    def appoint(self) -> None:
-        """Ask a subscriber of the zone to take a relay role that has no stream."""
-        nodes = [m for m in self.relay.members.values() if not m.hello.relay]
-        if not nodes:
-            return
-        for role in self.relay_roles():
-            record = self.state.table.records.get(("role", role))
-            if record is not None and record.address == self.server.address:
-                continue
-            task = self.upstream_streams.get(record.address) if record else None
-            if task is None or task.done():
-                random.choice(nodes).outbox.put_nowait(messages.Candidate(role))
+        self.source.reachable = False
--- a/rattanridge/control/messages.py
+++ b/rattanridge/control/messages.py
@@ -13,7 +13,19 @@
     """Base of all messages; the tag names the kind on the wire."""
 
 
-class Endpoint(Message, tag="endpoint", frozen=True):
+class Row(Message, frozen=True, array_like=True):
+    """Base of replicated records; an array on the wire, for they are many.
+
+    ``key`` names the record, ``rank`` orders its successive contents, and a
+    dead one is a tombstone that is kept for a while and then dropped.
+    """
+
+    @property
+    def dead(self) -> bool:
+        return False
+
+
+class Endpoint(Row, tag="endpoint", frozen=True):
     """One endpoint as its node announces it.
 
     :param name: the node's name; one endpoint stands beside each node.
@@ -45,8 +57,12 @@
     def rank(self) -> tuple:
         return (self.incarnation, self.sequence, self.state == "lost")
 
+    @property
+    def dead(self) -> bool:
+        return self.state in ("gone", "lost")
 
-class Role(Message, tag="role", frozen=True):
+
+class Role(Row, tag="role", frozen=True):
     """Who holds a role, as far as its holder or a taker-over told."""
 
     role: str
@@ -63,7 +79,7 @@
         return (self.epoch, not self.holder)
 
 
-class Stage(Message, tag="stage", frozen=True):
+class Stage(Row, tag="stage", frozen=True):
     """The stage of a service's newest rollout.
 
     :param number: the rollout's id; a later rollout has a higher one.
@@ -93,7 +109,7 @@
         return (self.number, self.state == "taken-back", self.version)
 
 
-class Quarantine(Message, tag="quarantine", frozen=True):
+class Quarantine(Row, tag="quarantine", frozen=True):
     """A request that crashed upstreams and is held back everywhere.
 
     :param fingerprint: hash over method, path and body.
@@ -177,11 +193,41 @@
 
 
 class Report(Message, tag="report"):
-    """What a node has in force; also its heartbeat."""
+    """What a node has in force; also its heartbeat.
+
+    :param leaving: whether the node stops as planned and is to be forgotten.
+    """
 
     generation: int
     digest: str
     rejection: Rejection | None = None
+    leaving: bool = False
+
+
+class NodeState(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a relay knows of one node.
+
+    :param generation: generation in force at the node, as far as known.
+    :param rejection: why it does not apply a higher one.
+    :param lost_at: wall-clock seconds at which its stream broke; 0: it stands.
+    """
+
+    generation: int
+    rejection: Rejection | None = None
+    lost_at: float = 0.0
+
+
+class Presence(Message, tag="presence"):
+    """The nodes of one relay, told to other relays when they change."""
+
+    relay: str
+    nodes: dict[str, NodeState]
+
+
+class Rejected(Message, tag="rejected"):
+    """The relay found a chosen configuration invalid."""
+
+    rejection: Rejection
 
 
 class Beat(Message, tag="beat"):
@@ -201,10 +247,17 @@
 
 
 class Known(Message, tag="known"):
-    """Answer to ``Ask``."""
+    """Answer to ``Ask``.
+
+    :param generation: the highest that the answering node knows of, its own and
+        the one that the asking node had when it was last heard.
+    :param in_contact: whether the answering node hears the platform or a relay,
+        so that its answer may be relied on.
+    """
 
     generation: int
     roles: list[Role]
+    in_contact: bool = False
 
 
 Any = (
@@ -216,6 +269,8 @@
     | Records
     | Report
     | Beat
+    | Presence
+    | Rejected
     | Candidate
     | Ask
     | Known
@@ -226,7 +281,8 @@
 
 
 def encode(message: typing.Any) -> bytes:
-    return encoder.encode(message)
+    """Encode a message; one that is encoded already is returned as it is."""
+    return message if type(message) is bytes else encoder.encode(message)
 
 
 def decode(data: bytes) -> typing.Any:
--- a/rattanridge/control/relay.py
+++ b/rattanridge/control/relay.py
@@ -4,26 +4,36 @@
 import collections.abc
 import dataclasses
 import random
+import typing
 
 import grpc
 import grpc.aio
+import msgspec
 
-from rattanridge.control import messages, replica
-from rattanridge.kernel import clock, log, metrics, settings, snapshot
+from rattanridge.control import messages, outbox, replica
+from rattanridge.kernel import clock, codes, log, metrics, settings, snapshot
 
 BUSY_SPREAD = 2.0  # seconds over which refused subscribers are told to return
+BEGIN_SPREAD = 0.5  # the same while the relay does not serve (yet)
 CONFIGS_KEPT = 4  # former snapshots that deltas can start from
+OUTBOX_LIMIT = 256  # messages that may wait for one subscriber
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Member:
-    """One subscriber of this relay."""
+    """One subscriber of this relay.
+
+    :param heard: monotonic seconds of its last message.
+    :param config_sent: hash of the snapshot that was sent to it last.
+    :param presence_sent: what it was told of this relay's nodes.
+    """
 
     hello: messages.Hello
-    outbox: asyncio.Queue
+    outbox: outbox.Outbox
     report: messages.Report
     heard: float
     config_sent: str = ""
+    presence_sent: bytes = b""
 
 
 Handler = collections.abc.Callable[[Member, messages.Message], None]
@@ -52,147 +62,276 @@
         self.time = time or clock.Clock()
         self.log = log.Log("relay", config.name)
         self.members: dict[str, Member] = {}
-        self.reports: dict[str, messages.Report] = {}
+        self.nodes: dict[str, messages.NodeState] = {}
         self.lost_at: dict[str, float] = {}
         self.admitting = 0
         self.serving = False
+        self.changed = asyncio.Event()
         self.former: dict[str, snapshot.Snapshot] = {}
-        self.batch: list[messages.Record] = []
+        self.batch: list[tuple[messages.Record, str]] = []
+        self.origin = ""
         self.flushing: asyncio.Task | None = None
         self.handlers: dict[type, Handler] = {}
         state.table.listeners.append(self.collect)
         state.listeners.append(self.spread)
 
+    def begin(self) -> None:
+        """Admit subscribers from now on."""
+        self.serving = True
+
+    def end(self) -> None:
+        """Send every subscriber away and forget what was known of them."""
+        self.serving = False
+        for member in self.members.values():
+            member.outbox.close()
+        self.nodes.clear()
+        self.lost_at.clear()
+        self.batch.clear()
+
     async def subscribe(self, node: str, context: grpc.aio.ServicerContext) -> None:
         """Serve one subscriber until its stream ends."""
         hello = await context.read()
         if not isinstance(hello, messages.Hello) or hello.node != node:
+            self.counters.add("control.refused.bad-message")
             return
         if not self.serving or self.admitting >= self.config.control.admissions:
             self.counters.add("control.refused.relay-busy")
-            wait = random.uniform(0.1, BUSY_SPREAD)
+            spread = BUSY_SPREAD if self.serving else BEGIN_SPREAD
+            wait = random.uniform(0.1, spread)
             await context.write(messages.Busy(wait))
             return
-        member = Member(
-            hello,
-            asyncio.Queue(),
-            messages.Report(hello.generation, hello.digest),
-            self.time.monotonic(),
-        )
-        self.members[node] = member
-        self.reports[node] = member.report
-        self.lost_at.pop(node, None)
-        self.admitting += 1
+        member = self.add(hello)
         reader = asyncio.create_task(self.read(member, context))
         try:
-            await self.admit(member, context)
-        finally:
-            self.admitting -= 1
-        try:
+            self.admitting += 1
+            try:
+                await self.admit(member, context)
+            finally:
+                self.admitting -= 1
             await self.write_all(member, context)
+        except TimeoutError:
+            self.counters.add("control.dropped.slow-subscriber")
         finally:
             reader.cancel()
-            if self.members.get(node) is member:
-                del self.members[node]
-                self.lost_at[node] = self.time.monotonic()
+            self.remove(member)
+
+    def add(self, hello: messages.Hello) -> Member:
+        """Enter a subscriber; an older stream of the same node is closed."""
+        former = self.members.get(hello.node)
+        if former is not None:
+            former.outbox.close()
+        member = Member(
+            hello,
+            outbox.Outbox(OUTBOX_LIMIT),
+            messages.Report(hello.generation, hello.digest),
+            self.time.monotonic(),
+        )
+        self.members[hello.node] = member
+        self.lost_at.pop(hello.node, None)
+        if not hello.relay:
+            known = self.nodes.get(hello.node)
+            # A restarted node says 0; what it applied before is remembered.
+            highest = max(hello.generation, known.generation if known else 0)
+            self.nodes[hello.node] = messages.NodeState(highest)
+            self.changed.set()
+        return member
+
+    def remove(self, member: Member) -> None:
+        """Note that a subscriber's stream ended, unless it has a newer one."""
+        name = member.hello.node
+        if self.members.get(name) is not member:
+            return
+        del self.members[name]
+        if member.hello.relay or not self.serving:
+            return
+        if member.report.leaving:
+            self.nodes.pop(name, None)
+        else:
+            self.lost_at[name] = self.time.monotonic()
+            known = self.nodes[name]
+            self.nodes[name] = msgspec.structs.replace(known, lost_at=self.time.wall())
+        self.changed.set()
+
+    def forget(self, name: str) -> None:
+        """Drop a node that was lost long ago or has another relay."""
+        if self.lost_at.pop(name, None) is not None:
+            self.nodes.pop(name, None)
+            self.changed.set()
 
     async def admit(self, member: Member, context: grpc.aio.ServicerContext) -> None:
         """Send the welcome and what the subscriber lacks, and no more."""
+        hello = member.hello
         generation = self.state.generation
+        member.config_sent = hello.digest
         welcome = messages.Welcome(self.config.name, self.config.zone, generation)
         await self.write(context, welcome)
-        if member.hello.generation > generation:
+        if hello.generation > generation:
             await self.write(context, messages.Want())
-        elif member.hello.digest != self.state.digest:
-            await self.write(context, self.change_for(member.hello.digest))
-        member.config_sent = self.state.digest
-        if member.hello.table != self.state.table.digest():
+        else:
+            change = self.next_change(member)
+            if change is not None:
+                await self.write(context, change)
+        if self.state.rejection is not None:
+            await self.write(context, messages.Rejected(self.state.rejection))
+        if hello.table != self.state.table.digest():
             await self.write(context, messages.Records(self.state.table.all()))
 
-    def change_for(self, digest: str) -> messages.Config:
-        """Return a delta from the named snapshot, or the full one."""
-        base = self.former.get(digest)
-        return messages.Config(snapshot.diff(base, self.state.snapshot))
+    def next_change(self, member: Member) -> messages.Config | None:
+        """Return the delta from what the subscriber has, if it lacks anything."""
+        current = self.state.snapshot
+        if current is None or member.config_sent == current.digest:
+            return None
+        base = self.former.get(member.config_sent)
+        member.config_sent = current.digest
+        return messages.Config(snapshot.diff(base, current))
 
     async def write_all(
         self, member: Member, context: grpc.aio.ServicerContext
     ) -> None:
         """Write what waits for the subscriber, and heartbeats."""
         limit = self.config.control.stream_timeout
-        while self.serving:
+        while True:
             try:
-                message = await asyncio.wait_for(
-                    member.outbox.get(), self.config.control.report_interval
-                )
+                message = await member.outbox.get(self.config.control.report_interval)
             except TimeoutError:
                 message = messages.Beat(self.state.generation)
+            if message is None:
+                return
             if self.time.monotonic() - member.heard > limit:
+                self.counters.add("control.dropped.silent-subscriber")
                 self.log.info("member-silent", member=member.hello.node)
                 return
             await self.write(context, message)
 
-    async def write(
-        self, context: grpc.aio.ServicerContext, message: messages.Message
-    ) -> None:
-        self.counters.add(f"control.sent.{type(message).__name__.lower()}")
-        await context.write(message)
+    async def write(self, context: grpc.aio.ServicerContext, message: object) -> None:
+        """Write one message; a subscriber that does not take it is sent away."""
+        kind = "records" if type(message) is bytes else type(message).__name__.lower()
+        data = messages.encode(message)
+        self.counters.add(f"control.sent.{kind}")
+        self.counters.add(f"control.sent-bytes.{kind}", len(data))
+        async with asyncio.timeout(self.config.control.stream_timeout):
+            await context.write(data)
 
     async def read(self, member: Member, context: grpc.aio.ServicerContext) -> None:
-        """Read what the subscriber sends."""
-        while True:
-            message = await context.read()
-            if message is grpc.aio.EOF:
-                member.heard = float("-inf")
-                member.outbox.put_nowait(messages.Beat(self.state.generation))
-                return
-            member.heard = self.time.monotonic()
-            self.handle(member, message)
+        """Read what the subscriber sends, until its stream ends."""
+        try:
+            while True:
+                message = await context.read()
+                if message is grpc.aio.EOF:
+                    return
+                member.heard = self.time.monotonic()
+                self.handle(member, message)
+        except codes.Failure as failure:
+            self.counters.add(f"control.refused.{failure.code.name}")
+        finally:
+            member.outbox.close()
 
     def handle(self, member: Member, message: messages.Message) -> None:
         match message:
             case messages.Report():
-                member.report = message
-                self.reports[member.hello.node] = message
+                self.take_report(member, message)
             case messages.Records():
-                for record in message.items:
-                    self.state.table.merge(record)
+                self.merge(message.items, member.hello.node)
             case messages.Config():
-                self.state.apply(message.delta)
+                self.configure(member, message)
             case messages.Want():
                 if self.state.snapshot is not None:
-                    member.outbox.put_nowait(self.state.full())
+                    member.outbox.put(self.state.full())
             case _:
                 handler = self.handlers.get(type(message))
                 if handler is not None:
                     handler(member, message)
 
+    def take_report(self, member: Member, report: messages.Report) -> None:
+        changed = report != member.report
+        member.report = report
+        name = member.hello.node
+        if not changed or name not in self.nodes:
+            return
+        highest = max(report.generation, self.nodes[name].generation)
+        self.nodes[name] = messages.NodeState(highest, report.rejection)
+        self.changed.set()
+
+    def merge(self, items: list[messages.Record], origin: str) -> None:
+        """Merge records; they are not sent back to where they came from."""
+        self.origin = origin
+        try:
+            for record in items:
+                self.state.table.merge(record)
+        finally:
+            self.origin = ""
+
+    def configure(self, member: Member, message: messages.Config) -> None:
+        """Take a configuration that a subscriber has and this relay lacks."""
+        try:
+            if self.state.apply(message.delta):
+                member.config_sent = message.delta.digest
+        except codes.Failure:
+            member.outbox.put(messages.Want(self.state.digest))
+
     def collect(self, record: messages.Record) -> None:
         """Gather accepted records for a short time, then send them as one."""
-        self.batch.append(record)
-        if self.flushing is None and self.serving:
+        if not self.serving:
+            return
+        self.batch.append((record, self.origin))
+        if self.flushing is None:
             self.flushing = asyncio.create_task(self.flush())
 
     async def flush(self) -> None:
+        """Send the gathered records; encoded once for all but their senders."""
         await self.time.sleep(self.config.control.batch_interval)
         self.flushing = None
         batch, self.batch = self.batch, []
-        for member in self.members.values():
-            member.outbox.put_nowait(messages.Records(batch))
+        if not batch:
+            return
+        senders = {origin for _, origin in batch}
+        shared = encode_records(record for record, _ in batch)
+        for name, member in self.members.items():
+            if name not in senders:
+                member.outbox.put(shared)
+                continue
+            others = [record for record, origin in batch if origin != name]
+            if others:
+                member.outbox.put(encode_records(others))
 
     def spread(self) -> None:
-        """Send a new configuration to every subscriber, as deltas."""
+        """Send a new configuration or rejection to every subscriber."""
         current = self.state.snapshot
+        if self.serving and self.state.rejection is not None:
+            rejected = messages.Rejected(self.state.rejection)
+            for member in self.members.values():
+                member.outbox.put(rejected)
         if current is None or current.digest in self.former:
             return
         self.former[current.digest] = current
         while len(self.former) > CONFIGS_KEPT:
             del self.former[next(iter(self.former))]
-        if not self.serving:
-            return
+        if self.serving:
+            self.spread_config(current)
+
+    def spread_config(self, current: snapshot.Snapshot) -> None:
+        """Send deltas, made once for each base that subscribers have."""
         shared: dict[str, messages.Config] = {}
         for member in self.members.values():
-            base = member.report.digest
+            base = member.config_sent
+            if member.report.generation >= current.generation:
+                member.config_sent = member.report.digest
+                continue
             if base not in shared:
-                shared[base] = self.change_for(base)
-            member.outbox.put_nowait(shared[base])
+                shared[base] = self.next_change(member)
+            if shared[base] is not None:
+                member.outbox.put(shared[base])
             member.config_sent = current.digest
+
+    def tell_presence(self) -> None:
+        """Tell other relays of this one's nodes if that changed."""
+        presence = messages.Presence(self.config.name, dict(self.nodes))
+        data = messages.encode(presence)
+        for member in self.members.values():
+            if member.hello.relay and member.presence_sent != data:
+                member.presence_sent = data
+                member.outbox.put(presence)
+
+
+def encode_records(records: typing.Iterable[messages.Record]) -> bytes:
+    return messages.encode(messages.Records(list(records)))
--- a/rattanridge/control/replica.py
+++ b/rattanridge/control/replica.py
@@ -13,6 +13,10 @@
     The snapshot changes by one assignment, after the new one was decoded,
     checked and hashed. Its generation never falls.
 
+    A restarted node has forgotten which generation it had. ``hold`` keeps
+    configurations back until ``learn`` tells the lowest one that may be in
+    force.
+
     :param config: the node's settings.
     :param counters: counts applied and rejected configurations.
     """
@@ -26,6 +30,8 @@
         self.rejection: messages.Rejection | None = None
         self.listeners: list[collections.abc.Callable[[], None]] = []
         self.applied = asyncio.Event()
+        self.floor: int | None = 0
+        self.waiting: snapshot.Snapshot | None = None
 
     @property
     def generation(self) -> int:
@@ -53,12 +59,31 @@
             return False
         return self.swap(new)
 
+    def hold(self) -> None:
+        """Put nothing in force until ``learn`` was called."""
+        self.floor = None
+
+    def learn(self, floor: int) -> None:
+        """Take the lowest generation that may be in force; it never falls."""
+        if self.floor is None:
+            self.log.info("generation-learnt", floor=floor)
+        self.floor = max(floor, self.floor or 0)
+        waiting, self.waiting = self.waiting, None
+        if waiting is not None:
+            self.swap(waiting)
+
     def swap(self, new: snapshot.Snapshot) -> bool:
         """Put a checked snapshot in force if its generation is higher."""
         if new.generation <= self.generation:
             return False
+        if self.floor is None or new.generation < self.floor:
+            if self.waiting is None or new.generation > self.waiting.generation:
+                self.waiting = new
+            self.counters.add("config.held-back")
+            return False
         self.snapshot = new
-        self.rejection = None
+        if self.rejection and self.rejection.generation <= new.generation:
+            self.rejection = None
         self.counters.add("config.applied")
         self.log.info(
             "config-applied",
@@ -73,18 +98,28 @@
 
     def reject(self, generation: int, failure: codes.Failure) -> None:
         """Remember why a configuration was not applied, to report it."""
-        rejection = messages.Rejection(
-            generation, failure.code.number, failure.format()
+        self.note_rejection(
+            messages.Rejection(generation, failure.code.number, failure.format())
         )
-        if rejection != self.rejection:
-            self.rejection = rejection
-            self.log.warn(
-                "config-rejected",
-                generation=generation,
-                code=failure.code.number,
-                why=failure.format(),
-            )
-            self.notify()
+
+    def note_rejection(self, rejection: messages.Rejection) -> None:
+        """Take a rejection, found here or told by a relay."""
+        known = self.rejection.generation if self.rejection else self.generation
+        if rejection.generation <= known:
+            return
+        self.rejection = rejection
+        self.counters.add("config.rejections")
+        if self.snapshot is None and rejection.generation <= (self.floor or 0):
+            # It can never come in force: what the relay has instead may.
+            self.floor = 0
+            self.learn(0)
+        self.log.warn(
+            "config-rejected",
+            generation=rejection.generation,
+            code=rejection.code,
+            why=rejection.reason,
+        )
+        self.notify()
 
     def notify(self) -> None:
         for listener in list(self.listeners):
--- a/rattanridge/control/source.py
+++ b/rattanridge/control/source.py
@@ -9,7 +9,10 @@
 from rattanridge.kernel import clock, codes, log, presets, settings, snapshot
 from rattanridge.platform import client, objects
 
-PREFIXES = ("in-force", "rollouts/")
+POINTER = "in-force"
+HISTORY = "history"
+PREFIXES = (POINTER, "rollouts/")
+UNREACHABLE = (codes.PLATFORM_DOWN, codes.PLATFORM_BUSY, codes.PLATFORM_REFUSED)
 PAUSE = 0.05  # seconds between watches, so that changes come in batches
 RETRY_FIRST = 0.1  # seconds
 RETRY_LIMIT = 2.0  # seconds
@@ -37,6 +40,7 @@
         self.log = log.Log("source", config.name)
         self.revision = 0
         self.reachable = False
+        self.tried = asyncio.Event()
         self.rollout_seen: typing.Callable[[objects.Stored], None] = lambda item: None
 
     async def run(self) -> None:
@@ -45,6 +49,7 @@
         while True:
             try:
                 await self.load()
+                self.tried.set()
                 retry = RETRY_FIRST
                 while True:
                     await self.follow()
@@ -53,6 +58,7 @@
                 lost = failure.code is codes.WATCH_LOST
                 self.reachable = self.reachable and lost
                 self.log.info("platform-failed", code=failure.code.number)
+                self.tried.set()
                 await self.time.sleep(retry)
                 retry = min(retry * 2, RETRY_LIMIT)
 
@@ -60,6 +66,8 @@
         """Read all watched objects once."""
         listing = await self.platform.list(*PREFIXES)
         self.reachable = True
+        if not any(stored.key == POINTER for stored in listing.objects):
+            self.state.learn(0)
         await self.take(listing)
 
     async def follow(self) -> None:
@@ -71,27 +79,34 @@
 
     async def take(self, listing: objects.Listing) -> None:
         for stored in listing.objects:
-            if stored.key == "in-force":
+            if stored.key == POINTER:
                 await self.choose(stored)
             else:
                 self.rollout_seen(stored)
         self.revision = listing.revision
 
     async def choose(self, stored: objects.Stored) -> None:
-        """Apply the preset that the pointer names, if its generation is new."""
+        """Apply the preset that the pointer names, if its generation is new.
+
+        An invalid one is rejected; the newest valid choice before it stays, or
+        comes, in force.
+        """
         if stored.value == b"null":
             return
         pointer = client.value_of(stored, objects.InForce)
         if pointer.generation <= self.state.generation:
+            self.state.learn(pointer.generation)
             return
         try:
             new = await self.fetch(pointer)
         except codes.Failure as failure:
-            if failure.code in (codes.PLATFORM_DOWN, codes.PLATFORM_BUSY):
+            if failure.code in UNREACHABLE:
                 raise
             self.state.reject(pointer.generation, failure)
-            return
-        self.state.swap(new)
+            new = await self.fetch_former(pointer.generation)
+        self.state.learn(new.generation if new is not None else 0)
+        if new is not None:
+            self.state.swap(new)
 
     async def fetch(self, pointer: objects.InForce) -> snapshot.Snapshot:
         """Read and check the preset's revision."""
@@ -99,20 +114,28 @@
         stored = await self.platform.get(key)
         try:
             preset = msgspec.json.decode(stored.value, type=presets.Preset)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise codes.Failure(codes.BAD_FIELD, str(error), where=key)
         presets.check(preset, key)
         resources = snapshot.split(preset, pointer.revision)
         return snapshot.build(pointer.generation, resources)
 
-
-async def reach(state: replica.Replica, seconds: float) -> bool:
-    """Wait until a replica has a configuration; return whether it has."""
-    try:
-        await asyncio.wait_for(state.applied.wait(), seconds)
-    except TimeoutError:
-        return False
-    return True
+    async def fetch_former(self, generation: int) -> snapshot.Snapshot | None:
+        """Return the newest valid choice below a generation that is not known."""
+        stored = await self.platform.find(HISTORY)
+        choices = client.value_of(stored, list[objects.InForce]) if stored else []
+        choices.sort(key=lambda choice: choice.generation, reverse=True)
+        for choice in choices:
+            if choice.generation <= self.state.generation:
+                break
+            if choice.generation >= generation:
+                continue
+            try:
+                return await self.fetch(choice)
+            except codes.Failure as failure:
+                if failure.code in UNREACHABLE:
+                    raise
+        return None
 
 
 def preset_key(name: str, revision: int) -> str:
--- a/rattanridge/control/subscriber.py
+++ b/rattanridge/control/subscriber.py
@@ -1,17 +1,24 @@
 """A node's subscription to one relay: one task, one stream."""
 
 import asyncio
+import collections.abc
 
 import grpc
 import grpc.aio
 
-from rattanridge.control import messages, replica, transport
+from rattanridge.control import messages, outbox, replica, transport
 from rattanridge.kernel import clock, codes, log, metrics, settings
 
+OUTBOX_LIMIT = 10_000  # messages that may wait for the relay
+
+Handler = collections.abc.Callable[[messages.Message], None]
+
 
 class Subscriber:
     """Keeps the replica up to date from one relay's stream.
 
+    ``handlers`` takes further kinds of messages from the relay, by type.
+
     :param config: the node's settings.
     :param state: the replica to keep.
     :param channels: connections to other nodes.
@@ -36,13 +43,15 @@
         self.log = log.Log("subscriber", config.name)
         self.relay = ""
         self.is_relay = False
-        self.outbox: asyncio.Queue = asyncio.Queue()
-        self.candidate = lambda role: None
+        self.receiving = False
+        self.heard = float("-inf")
+        self.outbox = outbox.Outbox(OUTBOX_LIMIT)
+        self.handlers: dict[type, Handler] = {}
 
     async def run(self, address: str) -> None:
         """Subscribe and stay until the stream ends; raise a coded failure then."""
         call = self.channels.stream(address, "Subscribe")
-        self.outbox = asyncio.Queue()
+        self.outbox = outbox.Outbox(OUTBOX_LIMIT)
         sender = asyncio.create_task(self.send(call))
         self.state.table.listeners.append(self.offer)
         self.state.listeners.append(self.report)
@@ -54,11 +63,18 @@
             raise codes.Failure(codes.NO_RELAY, "stream closed")
         finally:
             self.relay = ""
+            self.heard = float("-inf")
             self.state.table.listeners.remove(self.offer)
             self.state.listeners.remove(self.report)
             sender.cancel()
             call.cancel()
 
+    async def leave(self) -> None:
+        """Tell the relay that this node stops as planned."""
+        report = self.state.report()
+        report.leaving = True
+        self.outbox.put(report)
+
     def hello(self) -> messages.Hello:
         return messages.Hello(
             node=self.config.name,
@@ -75,35 +91,42 @@
         try:
             await self.write(call, self.hello())
             while True:
-                await self.write(call, await self.next_message())
-        except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
-            call.cancel()
-
-    async def next_message(self) -> messages.Message:
+                message = await self.next_message()
+                if message is None:
+                    self.counters.add("control.dropped.slow-relay")
+                    break
+                await self.write(call, message)
+        except (TimeoutError, grpc.aio.AioRpcError, asyncio.InvalidStateError):
+            pass
+        call.cancel()
+
+    async def next_message(self) -> messages.Message | None:
         try:
-            return await asyncio.wait_for(
-                self.outbox.get(), self.config.control.report_interval
-            )
+            return await self.outbox.get(self.config.control.report_interval)
         except TimeoutError:
             return self.state.report()
 
     async def write(
         self, call: grpc.aio.StreamStreamCall, message: messages.Message
     ) -> None:
-        self.counters.add(f"control.sent.{type(message).__name__.lower()}")
-        await call.write(message)
+        kind = type(message).__name__.lower()
+        data = messages.encode(message)
+        self.counters.add(f"control.sent.{kind}")
+        self.counters.add(f"control.sent-bytes.{kind}", len(data))
+        async with asyncio.timeout(self.config.control.stream_timeout):
+            await call.write(data)
 
     async def receive(self, call: grpc.aio.StreamStreamCall) -> None:
         """Read until the stream ends or is silent for too long."""
         while True:
             try:
-                message = await asyncio.wait_for(
-                    call.read(), self.config.control.stream_timeout
-                )
+                async with asyncio.timeout(self.config.control.stream_timeout):
+                    message = await call.read()
             except TimeoutError:
                 raise codes.Failure(codes.NO_RELAY, "silent")
             if message is grpc.aio.EOF:
                 raise codes.Failure(codes.NO_RELAY, "stream ended")
+            self.heard = self.time.monotonic()
             self.counters.add(f"control.received.{type(message).__name__.lower()}")
             self.handle(message)
 
@@ -117,13 +140,16 @@
             case messages.Config():
                 self.configure(message)
             case messages.Records():
-                for record in message.items:
-                    self.state.table.merge(record)
+                self.merge(message.items)
+            case messages.Rejected():
+                self.state.note_rejection(message.rejection)
             case messages.Want():
                 if self.state.snapshot is not None:
-                    self.outbox.put_nowait(self.state.full())
-            case messages.Candidate():
-                self.candidate(message.role)
+                    self.outbox.put(self.state.full())
+            case _:
+                handler = self.handlers.get(type(message))
+                if handler is not None:
+                    handler(message)
 
     def welcome(self, message: messages.Welcome) -> None:
         self.relay = message.relay
@@ -131,26 +157,35 @@
         # All that is known here goes up once: the relay may have lost it.
         records = self.state.table.all() if self.is_relay else self.own_records()
         if records:
-            self.outbox.put_nowait(messages.Records(records))
+            self.outbox.put(messages.Records(records))
 
     def own_records(self) -> list[messages.Record]:
-        return [
-            record
-            for record in self.state.table.all(messages.Endpoint)
-            if record.name == self.config.name
-        ]
+        """Return the node's endpoint, and the quarantines, which any node may add."""
+        endpoint = self.state.table.records.get(("endpoint", self.config.name))
+        quarantines = self.state.table.all(messages.Quarantine)
+        return quarantines if endpoint is None else [endpoint, *quarantines]
 
     def configure(self, message: messages.Config) -> None:
         try:
             self.state.apply(message.delta)
         except codes.Failure:
-            self.outbox.put_nowait(messages.Want(self.state.digest))
+            self.outbox.put(messages.Want(self.state.digest))
+
+    def merge(self, items: list[messages.Record]) -> None:
+        self.receiving = True
+        try:
+            for record in items:
+                self.state.table.merge(record)
+        finally:
+            self.receiving = False
 
     def offer(self, record: messages.Record) -> None:
-        """Send a new record up; the relay drops what it knows already."""
-        own = getattr(record, "name", "") == self.config.name
-        if self.is_relay or own or isinstance(record, messages.Quarantine):
-            self.outbox.put_nowait(messages.Records([record]))
+        """Send up what was merged here and did not come from the relay.
+
+        A relay sends nothing up: the other relay subscribes to it as well.
+        """
+        if not self.is_relay and not self.receiving:
+            self.outbox.put(messages.Records([record]))
 
     def report(self) -> None:
-        self.outbox.put_nowait(self.state.report())
+        self.outbox.put(self.state.report())
--- a/rattanridge/kernel/clock.py
+++ b/rattanridge/kernel/clock.py
@@ -51,6 +51,18 @@
         self.now = end
 
 
+async def wait_event(time: Clock, event: asyncio.Event, seconds: float) -> bool:
+    """Wait until an event is set or the time is over; return whether it is set."""
+    waits = asyncio.create_task(event.wait())
+    sleeps = asyncio.create_task(time.sleep(seconds))
+    try:
+        await asyncio.wait({waits, sleeps}, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        waits.cancel()
+        sleeps.cancel()
+    return event.is_set()
+
+
 async def settle(rounds: int = 10) -> None:
     """Give tasks that are ready a number of turns of the event loop."""
     for _ in range(rounds):
--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -157,6 +157,9 @@
 OLD_GENERATION = define(
     3007, "old-generation", 409, "The generation is not above the one in force"
 )
+NODE_LOST = define(
+    3008, "node-lost", 503, "No relay hears the node, so nothing is known of it"
+)
 
 # 4xxx: requests that callers send wrongly, refused before any work.
 NO_ROUTE = define(4001, "no-route", 404, "No route of the preset matches the request")
--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -31,14 +31,24 @@
 
 
 class ControlSettings(Struct):
-    """Times of the control path, in seconds, and its bounds."""
+    """Times of the control path, in seconds, and its bounds.
+
+    :param stream_timeout: silence after which either end leaves a stream.
+    :param lost_after: from a broken stream until the endpoint counts as lost.
+    :param orphan_after: the same for an endpoint without any known stream.
+    :param forget_after: from a broken stream until a node is no longer counted.
+    :param keep_dead: how long records of dead endpoints are kept.
+    """
 
     lease_term: Seconds = 3.0
     report_interval: Seconds = 1.0
     batch_interval: Seconds = 0.05
     watch_wait: Seconds = 20.0
-    stream_timeout: Seconds = 3.0
+    stream_timeout: Seconds = 2.5
     lost_after: Seconds = 2.0
+    orphan_after: Seconds = 8.0
+    forget_after: Seconds = 60.0
+    keep_dead: Seconds = 600.0
     backoff_first: Seconds = 0.1
     backoff_limit: Seconds = 3.0
     admissions: Count = 32
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -104,6 +104,7 @@
         await self.finish(self.config.control.drain_bound)
         self.announcer.change("gone")
         await asyncio.sleep(self.config.control.batch_interval * 2)
+        await self.member.leave()
         await self.close()
         self.log.info("node-stopped")
 
--- a/rattanridge/platform/client.py
+++ b/rattanridge/platform/client.py
@@ -15,7 +15,6 @@
 
 CALL_TIMEOUT = 2.0  # seconds
 WATCH_MARGIN = 5.0  # seconds beyond the wait asked for
-READ_BACK_TRIES = 3
 
 STATUS_CODES = {
     404: codes.PLATFORM_MISSING,
