--- a/rattanridge/measure/base.py
+++ b/rattanridge/measure/base.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import math
+import pathlib
 import sys
 
 import msgspec
@@ -51,6 +52,14 @@
     return ordered[min(math.ceil(part * len(ordered)), len(ordered)) - 1]
 
 
+def private_memory() -> float:
+    """Return this process's private memory in MB."""
+    for line in pathlib.Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
 def progress(text: str) -> None:
     """Tell a person on standard error how far an experiment is."""
     print(text, file=sys.stderr, flush=True)
--- a/rattanridge/standin/platform.py
+++ b/rattanridge/standin/platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import random
+import time
 
 import aiohttp.web
 import msgspec
@@ -46,6 +47,7 @@
         self.faults = Faults()
         self.random = random.Random(seed)
         self.counts: collections.Counter[str] = collections.Counter()
+        self.accepted: dict[str, float] = {}
         self.windows: dict[str, list[float]] = {"read": [0.0, 0], "write": [0.0, 0]}
         self.runner: aiohttp.web.ServerRunner | None = None
         self.url = ""
@@ -143,6 +145,7 @@
     ) -> aiohttp.web.Response:
         write = msgspec.json.decode(await request.read(), type=objects.Write)
         stored = self.store.put(key, write)
+        self.accepted[key] = time.monotonic()
         if self.random.random() < self.faults.lose_answers and request.transport:
             self.counts["answers-lost"] += 1
             request.transport.abort()
