Answer unreadable requests with codes; forward targets unchanged

Cause: the HTTP library refused unreadable requests, and answered for failed handlers, without a code and with its own name in the Server header; its log lines went past the key=value log. Targets were quoted anew on the way to the upstream (%41 became A), an absolute-form target became a bad URL, and a dot segment could match one route and run as another. No limit on connections.

--- a/rattanridge/calls/forward.py
+++ b/rattanridge/calls/forward.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import multidict
+import yarl
 
 from rattanridge.calls import headers, types
 from rattanridge.kernel import codes
@@ -60,7 +61,8 @@
         async with asyncio.timeout(left):
             async with session.request(
                 call.method,
-                url,
+                # Taken as it came: quoted anew, it would be another target.
+                yarl.URL(url, encoded=True),
                 headers=wanted,
                 data=call.body or None,
                 allow_redirects=False,
--- a/rattanridge/calls/local.py
+++ b/rattanridge/calls/local.py
@@ -6,7 +6,7 @@
 import aiohttp.web
 import msgspec
 
-from rattanridge.calls import entry as entries, exit as exits, headers, types
+from rattanridge.calls import entry as entries, exit as exits, server
 from rattanridge.control import roster
 from rattanridge.kernel import codes, log, settings
 
@@ -73,11 +73,7 @@
                 raise codes.Failure(codes.BODY_TOO_LARGE)
             await self.announce(await request.read())
         except codes.Failure as failure:
-            refused = types.refuse(failure)
-            refused.headers[headers.CODE] = str(failure.code.number)
-            return aiohttp.web.Response(
-                status=refused.status, headers=refused.headers, body=refused.body
-            )
+            return server.refuse(failure)
         return aiohttp.web.Response(body=b"{}", content_type="application/json")
 
     async def announce(self, body: bytes) -> None:
--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -239,3 +239,8 @@
 PRESET_IN_FORCE = define(
     7008, "preset-in-force", 409, "The preset is already the one in force"
 )
+
+# 8xxx: faults of the system itself.
+INTERNAL = define(
+    8001, "internal", 500, "A fault of the system itself; its log line tells more"
+)
--- a/rattanridge/kernel/log.py
+++ b/rattanridge/kernel/log.py
@@ -38,6 +38,11 @@
         self.logger = logbook.Logger(part)
         self.fixed = {"part": part, "node": node} if node else {"part": part}
 
+    def log(self, level: str, event: str, **fields: object) -> None:
+        """Write an event at the level of that name."""
+        number = logbook.lookup_level(level.upper())
+        self.logger.log(number, pairs(event, self.fixed | fields))
+
     def debug(self, event: str, **fields: object) -> None:
         if self.logger.level <= logbook.DEBUG:
             self.logger.debug(pairs(event, self.fixed | fields))
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -1,21 +1,16 @@
 """One node: all parts on one host, put together."""
 
 import asyncio
-import collections.abc
 
 import aiohttp.web
 
 from rattanridge import policies
 from rattanridge.admin import server as admin
-from rattanridge.calls import entry, exit as exits, hop, local
+from rattanridge.calls import entry, exit as exits, hop, local, server
 from rattanridge.control import member, replica, roster, transport
 from rattanridge.kernel import log, metrics, registry, settings
 from rattanridge.platform import client
 
-Handler = collections.abc.Callable[
-    [aiohttp.web.BaseRequest], collections.abc.Awaitable[aiohttp.web.StreamResponse]
-]
-
 WITHDRAW_PAUSE = 0.5  # seconds for a withdrawal to reach the entries
 LOOPBACK = "127.0.0.1"
 
@@ -76,18 +71,10 @@
             control=self.control.address,
         )
 
-    async def listen(self, handler: Handler, address: str, port: int) -> str:
+    async def listen(self, handler: server.Handler, address: str, port: int) -> str:
         """Serve HTTP; return the URL."""
-        limits = self.config.limits
-        server = aiohttp.web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            auto_decompress=False,
-        )
-        runner = aiohttp.web.ServerRunner(server, shutdown_timeout=1.0)
+        served = server.Server(handler, self.config, self.counters)
+        runner = aiohttp.web.ServerRunner(served, shutdown_timeout=1.0)
         await runner.setup()
         await aiohttp.web.TCPSite(runner, address, port).start()
         self.runners.append(runner)
--- /dev/null
+++ b/tests/bench.py
@@ -0,0 +1,79 @@
+"""What several tests share: a fleet that outlives one test, and raw HTTP."""
+
+import asyncio
+import contextlib
+
+from rattanridge.measure import fleet
+from rattanridge.standin import upstream as upstreams
+
+ANSWER_LIMIT = 20.0  # seconds after which a port counts as hanging
+
+
+class Bench:
+    """A fleet of one host with the service ``workshop``, on a loop of its own.
+
+    :param runner: runs coroutines on the fleet's loop, one at a time.
+    """
+
+    def __init__(self, runner: asyncio.Runner):
+        self.runner = runner
+        self.fleet = fleet.Fleet()
+        self.run = runner.run
+
+    @property
+    def host(self) -> fleet.Host:
+        return self.fleet.hosts["one"]
+
+    async def start(self) -> None:
+        await self.fleet.__aenter__()
+        shape = upstreams.Shape("workshop", work=0.0)
+        await self.fleet.add("one", "zone-a", shape)
+        preset = fleet.make_preset("day", ["workshop"])
+        await self.fleet.wait_applied(await self.fleet.put_preset(preset))
+        await self.fleet.wait_endpoints()
+
+
+@contextlib.contextmanager
+def running():
+    """Give a bench that runs, and stop it at the end."""
+    with asyncio.Runner() as runner:
+        bench = Bench(runner)
+        runner.run(bench.start())
+        try:
+            yield bench
+        finally:
+            runner.run(bench.fleet.stop())
+
+
+async def exchange(url: str, data: bytes, end: bool = False) -> bytes:
+    """Send raw bytes to a port; return all that it answers until it closes.
+
+    :param end: close the sending side, as a caller that breaks off does.
+    """
+    host, _, port = url.removeprefix("http://").rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        async with asyncio.timeout(ANSWER_LIMIT):
+            writer.write(data)
+            if end:
+                writer.write_eof()
+            return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+def status_of(answer: bytes) -> int:
+    """Return the status of a raw answer; 0 for none."""
+    parts = answer.split(b" ", 2)
+    return int(parts[1]) if len(parts) == 3 else 0
+
+
+def header_of(answer: bytes, name: str) -> str:
+    """Return a header of a raw answer; empty if it has none."""
+    for line in answer.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
+        found, _, value = line.partition(b":")
+        if found.decode("latin-1").lower() == name.lower():
+            return value.decode("latin-1").strip()
+    return ""
