--- a/rattanridge/cli/check.py
+++ b/rattanridge/cli/check.py
@@ -1,9 +1,12 @@
 """Commands that check files and print the table of codes."""
 
+import typing
+
 import click
 
+from rattanridge import policies
 from rattanridge.cli import main
-from rattanridge.kernel import codes, documents, presets, settings
+from rattanridge.kernel import codes, documents, presets, registry, settings
 
 
 @main.COMMANDS.register("check")
@@ -11,6 +14,7 @@
 @click.argument("file")
 def check(file: str) -> None:
     """Check a settings or preset FILE; exit 2 with code and line on an error."""
+    registry.load_plugins(policies)
     text = documents.read(file)
     if "routes" in top_keys(text, file):
         preset = presets.parse(text, file)
@@ -22,7 +26,7 @@
 
 def top_keys(text: str, file: str) -> set[str]:
     """Return the document's top keys, to tell presets from settings."""
-    value = documents.decode(text, dict, file)
+    value = documents.decode(text, dict[str, typing.Any], file)
     return set(map(str, value))
 
 
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes, documents, settings
+from rattanridge.kernel import codes, documents, registry, settings
 
 Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 Prefix = typing.Annotated[str, msgspec.Meta(pattern=r"^/", max_length=512)]
@@ -12,6 +12,10 @@
 
 PRIORITIES = ("high", "normal", "low")
 
+# Registries by the field of ``Service`` that names one of their plug-ins; the
+# modules of ``policies`` fill it.
+PLUGINS: registry.Registry[registry.Registry] = registry.Registry("kind of plug-in")
+
 
 class KeySource(settings.Struct):
     """Where a request's idempotency key comes from.
@@ -83,12 +87,21 @@
 def parse(text: str, where: str = "preset") -> Preset:
     """Decode and check a preset given as YAML text."""
     preset = documents.decode(text, Preset, where)
-    check(preset, where)
+    try:
+        check(preset, where)
+    except codes.Failure as failure:
+        raise documents.point(failure, text, where)
     return preset
 
 
 def check(preset: Preset, where: str = "preset") -> None:
-    """Refuse routes to missing services and routes that match the same requests."""
+    """Refuse what types can't say.
+
+    These are unknown plug-ins, routes to missing services, and two routes that
+    match the same requests.
+    """
+    for name, service in preset.services.items():
+        check_plugins(service, f"{where}: services.{name}")
     seen: set[tuple[str, str, str]] = set()
     for index, route in enumerate(preset.routes):
         place = f"{where}: routes[{index}]"
@@ -100,3 +113,12 @@
                 detail = f"{method} {route.host}{route.prefix}"
                 raise codes.Failure(codes.DUPLICATE_ROUTE, detail, where=place)
             seen.add(match)
+
+
+def check_plugins(service: Service, place: str) -> None:
+    """Refuse a service that names a plug-in which is not registered."""
+    for field in PLUGINS.names():
+        try:
+            PLUGINS.get(field).get(getattr(service, field))
+        except KeyError as error:
+            raise codes.Failure(codes.BAD_FIELD, str(error.args[0]), where=place)
--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -1,15 +1,21 @@
 """Settings of a node, from YAML. One object, passed whole to what needs it."""
 
 import ipaddress
+import re
 import typing
 
 import msgspec
 
 from rattanridge.kernel import codes, documents
 
+URL = re.compile(r"https?://[^/\s?#@]+(/[^\s?#]*)?")
+HOST_PORT = re.compile(r"[0-9a-fA-F.:\[\]]+:\d{1,5}")
+PORTS = ("caller_port", "hop_port", "control_port", "local_port", "admin_port")
+
 Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Bytes = typing.Annotated[int, msgspec.Meta(ge=1024, le=100_000_000)]
 Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Secret = typing.Annotated[str, msgspec.Meta(min_length=8)]
 
@@ -24,9 +30,9 @@
     Sizes are bytes, times are seconds.
     """
 
-    header_bytes: Count = 16_384
-    body_bytes: Count = 10_000_000
-    answer_bytes: Count = 10_000_000
+    header_bytes: typing.Annotated[int, msgspec.Meta(ge=1024, le=1_000_000)] = 16_384
+    body_bytes: Bytes = 10_000_000
+    answer_bytes: Bytes = 10_000_000
     connections: Count = 10_000
 
 
@@ -58,8 +64,8 @@
 
     slices: Count = 64
     keep: Seconds = 900.0
-    slice_bytes: Count = 500_000
-    answer_bytes: Count = 4_000_000
+    slice_bytes: typing.Annotated[int, msgspec.Meta(ge=1024, le=900_000)] = 500_000
+    answer_bytes: Bytes = 4_000_000
 
 
 class StatsdSettings(Struct):
@@ -128,20 +134,54 @@
 def parse(text: str, where: str = "settings") -> NodeSettings:
     """Decode and check settings given as YAML text."""
     settings = documents.decode(text, NodeSettings, where)
-    check(settings, where)
+    try:
+        check(settings, where)
+    except codes.Failure as failure:
+        raise documents.point(failure, text, where)
     return settings
 
 
 def check(settings: NodeSettings, where: str = "settings") -> None:
-    """Check what types can't say: IP numbers, URLs and distinct token names."""
+    """Check what types can't say: IP numbers, URLs, tokens, ports and times."""
     try:
         ipaddress.ip_address(settings.address)
     except ValueError:
-        detail = f"address {settings.address!r} is not an IP number"
-        raise codes.Failure(codes.BAD_FIELD, detail, where=where)
-    for url in settings.platform:
-        if not url.startswith(("http://", "https://")):
-            detail = f"platform {url!r} is not an HTTP URL"
-            raise codes.Failure(codes.BAD_FIELD, detail, where=where)
-    if len({token.secret for token in settings.tokens}) != len(settings.tokens):
-        raise codes.Failure(codes.BAD_FIELD, "two tokens are equal", where=where)
+        refuse(where, "address", f"{settings.address!r} is not an IP number")
+    for index, url in enumerate(settings.platform):
+        if not URL.fullmatch(url):
+            refuse(where, f"platform[{index}]", f"{url!r} is not an HTTP URL")
+    for index, peer in enumerate(settings.peers):
+        if not HOST_PORT.fullmatch(peer):
+            refuse(where, f"peers[{index}]", f"{peer!r} is not host:port")
+    check_tokens(settings.tokens, where)
+    check_ports(settings, where)
+    control = settings.control
+    if control.report_interval >= control.stream_timeout:
+        refuse(where, "control.stream_timeout", "not above report_interval")
+    if control.backoff_first > control.backoff_limit:
+        refuse(where, "control.backoff_limit", "below backoff_first")
+
+
+def check_tokens(tokens: list[Token], where: str) -> None:
+    """Refuse tokens with one name or one secret."""
+    names: set[str] = set()
+    secrets: set[str] = set()
+    for index, token in enumerate(tokens):
+        if token.name in names or token.secret in secrets:
+            refuse(where, f"tokens[{index}]", "a name or secret stands twice")
+        names.add(token.name)
+        secrets.add(token.secret)
+
+
+def check_ports(settings: NodeSettings, where: str) -> None:
+    """Refuse two uses of one port."""
+    seen: set[int] = set()
+    for field in PORTS:
+        port = getattr(settings, field)
+        if port and port in seen:
+            refuse(where, field, f"port {port} has another use already")
+        seen.add(port)
+
+
+def refuse(where: str, path: str, detail: str) -> typing.NoReturn:
+    raise codes.Failure(codes.BAD_FIELD, detail, where=f"{where}: {path}")
--- a/rattanridge/policies/balancers.py
+++ b/rattanridge/policies/balancers.py
@@ -6,9 +6,10 @@
 import math
 import random
 
-from rattanridge.kernel import registry
+from rattanridge.kernel import presets, registry
 
 BALANCERS: registry.Registry[type["Balancer"]] = registry.Registry("balancer")
+presets.PLUGINS.register("balancer")(BALANCERS)
 
 EWMA_WEIGHT = 0.2
 EJECT_AFTER = 3  # failures in a row
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,212 @@
+"""Wrong settings and presets: refused with a code, the line and the path."""
+
+import pathlib
+
+import click.testing
+import hypothesis
+import pytest
+import yaml
+from hypothesis import strategies
+
+from rattanridge.cli import main
+from rattanridge.kernel import codes, documents, presets, settings
+from rattanridge.policies import balancers
+
+ROOT = pathlib.Path(__file__).parent.parent
+NODE = """name: one
+zone: a
+platform:
+- http://127.0.0.1:7400
+key: shared-secret
+caller_port: 7401
+control:
+  report_interval: 1.0
+tokens:
+- {name: olga, secret: olga-secret}
+- {name: oscar, secret: oscar-secret}
+"""
+PRESET = """name: day
+services:
+  payments: {}
+routes:
+- prefix: /pay
+  service: payments
+"""
+
+
+def check(path):
+    return click.testing.CliRunner().invoke(main.main, ["check", str(path)])
+
+
+class TestExamples:
+    @pytest.mark.parametrize("path", sorted((ROOT / "examples").rglob("*.yaml")))
+    def test_check(self, path):
+        result = check(path)
+        assert result.exit_code == 0, result.output
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("old", "new", "code", "line"),
+        [
+            ("name: one", "name: one\nname: two", codes.DUPLICATE_KEY, 2),
+            ("zone: a", "zon: a", codes.BAD_FIELD, 2),
+            ("zone: a", "zone: [a", codes.BAD_YAML, 3),
+            ("zone: a", "zone: a b", codes.BAD_FIELD, 2),
+            ("zone: a", "zone: a\naddress: localhost", codes.BAD_FIELD, 3),
+            ("http://127", "ftp://127", codes.BAD_FIELD, 4),
+            ("7400", "7400/?a=1", codes.BAD_FIELD, 4),
+            ("http://127.0.0.1", "http://olga@127.0.0.1", codes.BAD_FIELD, 4),
+            ("key: shared-secret", "key: short", codes.BAD_FIELD, 5),
+            ("7401", "70000", codes.BAD_FIELD, 6),
+            ("7401", "7401\nadmin_port: 7401", codes.BAD_FIELD, 7),
+            ("7401", "7401\npeers: [here]", codes.BAD_FIELD, 7),
+            ("7401", "7401\nlimits: {body_bytes: 5}", codes.BAD_FIELD, 7),
+            ("7401", "7401\nlimits: {connections: 0}", codes.BAD_FIELD, 7),
+            ("7401", "7401\nclaims: {slice_bytes: 1000000}", codes.BAD_FIELD, 7),
+            ("7401", "7401\nstatsd: {host: a, prot: 1}", codes.BAD_FIELD, 7),
+            ("interval: 1.0", "interval: .nan", codes.BAD_FIELD, 8),
+            ("interval: 1.0", "interval: .inf", codes.BAD_FIELD, 8),
+            ("interval: 1.0", "interval: -1", codes.BAD_FIELD, 8),
+            ("interval: 1.0", "interval: 1 s", codes.BAD_FIELD, 8),
+            ("report_interval: 1.0", "stream_timeout: 0.5", codes.BAD_FIELD, 8),
+            ("report_interval: 1.0", "backoff_first: 50.0", codes.BAD_FIELD, 8),
+            ("name: oscar", "name: olga", codes.BAD_FIELD, 11),
+            ("oscar-secret", "olga-secret", codes.BAD_FIELD, 11),
+            ("oscar-secret}", "oscar-secret, role: root}", codes.BAD_FIELD, 11),
+        ],
+    )
+    def test_settings(self, tmp_path, old, new, code, line):
+        self.assert_refused(tmp_path, NODE.replace(old, new, 1), code, line)
+
+    @pytest.mark.parametrize(
+        ("old", "new", "code", "line"),
+        [
+            ("services:\n  payments: {}", "services: {}", codes.BAD_FIELD, 2),
+            ("{}", "{queue: 0}", codes.BAD_FIELD, 3),
+            ("{}", "{warmup: 1e9}", codes.BAD_FIELD, 3),
+            ("{}", "{balancer: none-such}", codes.BAD_FIELD, 3),
+            ("service: payments", "service: other", codes.MISSING_SERVICE, 5),
+            ("service: payments", "service: payments\n  timeout: 0", None, 7),
+            ("service: payments", "service: payments\n  methods: []", None, 7),
+            ("service: payments", "service: payments\n  methods: [get]", None, 7),
+            ("service: payments", "service: payments\n  priority: urgent", None, 7),
+            ("service: payments", "service: payments\n  retry_budget: 2", None, 7),
+            ("service: payments", "service: payments\n  idempotent: 1", None, 7),
+            ("prefix: /pay", "prefix: pay", codes.BAD_FIELD, 5),
+            ("prefix: /pay", "prefix: /p\n  prefix: /q", codes.DUPLICATE_KEY, 6),
+            ("- prefix: /pay", "- &a\n  prefix: /pay\n- *a", codes.BAD_YAML, None),
+        ],
+    )
+    def test_preset(self, tmp_path, old, new, code, line):
+        text = PRESET.replace(old, new, 1)
+        self.assert_refused(tmp_path, text, code or codes.BAD_FIELD, line)
+
+    def assert_refused(self, tmp_path, text, code, line):
+        path = tmp_path / "file.yaml"
+        path.write_text(text)
+        result = check(path)
+        assert result.exit_code == 2
+        assert f"error {code.number} {code.name}" in result.output
+        if line is not None:
+            assert result.output.startswith(f"{path}:{line}:")
+
+    def test_no_file(self, tmp_path):
+        result = check(tmp_path / "none.yaml")
+        assert result.exit_code == 2
+        assert str(codes.NO_FILE.number) in result.output
+
+    def test_binary_file(self, tmp_path):
+        path = tmp_path / "file.yaml"
+        path.write_bytes(b"\xff\xfe\x00")
+        assert check(path).exit_code == 2
+
+    def test_known_balancers_pass(self):
+        for name in balancers.BALANCERS.names():
+            presets.parse(PRESET.replace("{}", f"{{balancer: {name}}}"))
+
+
+class TestBounds:
+    def test_aliases_of_aliases_cost_nothing(self):
+        lines = ["a0: &a0 [x, x]"]
+        lines += [f"a{n}: &a{n} [*a{n - 1}, *a{n - 1}]" for n in range(1, 60)]
+        with pytest.raises(codes.Failure) as caught:
+            settings.parse("\n".join(lines))
+        assert caught.value.code is codes.BAD_YAML
+
+    @pytest.mark.parametrize(
+        "text",
+        [
+            "[" * 500_000,
+            "a: " + "[" * 900 + "]" * 900,
+            "- " * 300_000,
+            "{" * 400_000,
+            "&a [*a]",
+            "a: !!timestamp x",
+            "a: !!bool x",
+            "a: !!int ''",
+            "a: !!python/object/apply:os.getcwd []",
+            "a: " + "1" * 900_000,
+            "? [a]\n: b",
+            "a: 2001-01-01T00:00:00+99:99",
+            "<<: 3",
+            "--- a\n--- b",
+            "",
+            "null",
+            "[]",
+        ],
+    )
+    def test_hostile(self, text):
+        with pytest.raises(codes.Failure):
+            presets.parse(text)
+
+
+class TestFuzz:
+    names = strategies.sampled_from(
+        ["name", "zone", "platform", "key", "tokens", "limits", "services", "routes"]
+    )
+    values = strategies.recursive(
+        strategies.none()
+        | strategies.booleans()
+        | strategies.integers()
+        | strategies.floats()
+        | strategies.text(max_size=9),
+        lambda part: (
+            strategies.lists(part, max_size=3)
+            | strategies.dictionaries(strategies.text(max_size=9), part, max_size=3)
+        ),
+        max_leaves=9,
+    )
+
+    @hypothesis.given(strategies.dictionaries(names, values))
+    def test_any_value(self, value):
+        self.assert_coded(yaml.safe_dump(value))
+
+    @hypothesis.given(
+        strategies.text(strategies.sampled_from("ab:-[]{}&*!'\"#|>? \n\t"), max_size=60)
+    )
+    def test_any_yaml(self, text):
+        self.assert_coded(text)
+
+    @hypothesis.given(strategies.data())
+    def test_one_change_of_a_good_document(self, data):
+        text = data.draw(strategies.sampled_from([NODE, PRESET]))
+        place = data.draw(strategies.integers(0, len(text)))
+        end = data.draw(strategies.integers(place, min(place + 8, len(text))))
+        new = data.draw(strategies.text(max_size=4))
+        self.assert_coded(text[:place] + new + text[end:])
+
+    def assert_coded(self, text):
+        for parse in (settings.parse, presets.parse):
+            try:
+                assert parse(text).name
+            except codes.Failure as failure:
+                assert failure.exit_code == 2
+
+
+class TestPoint:
+    def test_adds_the_line(self):
+        failure = codes.Failure(codes.BAD_FIELD, where="file: routes[0].service")
+        assert documents.point(failure, PRESET, "file").where == (
+            "file:6: routes[0].service"
+        )
