Harden the administration API: lost answers, races, outages, odd requests

A write whose outcome is not known is sent again with its write id. A lost put names its winner, kept in the write id. Unknown paths, wrong methods and too many requests at once have codes of their own. The stand-in answered a rate limit 503 (down) instead of 429 (busy).

--- a/rattanridge/admin/server.py
+++ b/rattanridge/admin/server.py
@@ -1,9 +1,11 @@
 """HTTP server of the administration API on each node."""
 
+import asyncio
 import hmac
 import re
 import typing
 
+import aiohttp
 import aiohttp.web
 import msgspec
 
@@ -13,6 +15,10 @@
 from rattanridge.platform import client
 
 BODY_BYTES = 1_000_000
+BODY_SECONDS = 10.0  # within which a body must have come
+ACTIVE_MOST = 32  # requests at once, so that none pile up on a slow platform
+NAME = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
+NUMBER = re.compile(r"[0-9]{1,9}")
 ROLES = ("viewer", "operator")
 
 
@@ -37,6 +43,15 @@
     query: dict[str, str]
     body: bytes
 
+    def number(self, name: str) -> int | None:
+        """Return a whole number of the query; ``None`` if it is not there."""
+        text = self.query.get(name, "")
+        if not text:
+            return None
+        if not NUMBER.fullmatch(text):
+            raise codes.Failure(codes.ADMIN_BAD_REQUEST, f"{name} is not a number")
+        return int(text)
+
 
 class Operation(msgspec.Struct):
     """A handler with its method, path pattern and the role that it needs."""
@@ -55,7 +70,7 @@
 
     :param path: pattern in which ``<name>`` stands for one part of the path.
     """
-    pattern = re.compile(re.sub(r"<(\w+)>", r"(?P<\1>[A-Za-z0-9._-]{1,64})", path))
+    pattern = re.compile(re.sub(r"<(\w+)>", rf"(?P<\1>{NAME})", path))
 
     def decorator(handler: typing.Any) -> typing.Any:
         item = Operation(method, pattern, role, handler)
@@ -87,59 +102,93 @@
         self.presets = preset_store.Presets(platform)
         self.status = status.Status(config, platform, state)
         self.log = log.Log("admin", config.name)
+        self.active = 0
 
     async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
         """Answer one request with JSON."""
+        self.active += 1
         try:
             result = await self.dispatch(request)
         except codes.Failure as failure:
-            self.counters.add(f"admin.refused.{failure.code.name}")
-            self.log.info(
-                "admin-refused",
-                code=failure.code.number,
-                method=request.method,
-                path=request.path,
-            )
-            code = failure.code
-            body = Error(code.number, code.name, failure.detail, failure.where)
-            return respond(body, code.status)
+            return self.refuse(request, failure)
+        finally:
+            self.active -= 1
         return respond(result)
 
+    def refuse(
+        self, request: aiohttp.web.BaseRequest, failure: codes.Failure
+    ) -> aiohttp.web.Response:
+        """Count and log a refusal; return the answer that tells it."""
+        code = failure.code
+        self.counters.add(f"admin.refused.{code.name}")
+        self.log.info(
+            "admin-refused", code=code.number, method=request.method, path=request.path
+        )
+        body = Error(code.number, code.name, failure.detail, failure.where)
+        return respond(body, code.status)
+
     async def dispatch(self, request: aiohttp.web.BaseRequest) -> object:
+        """Check token, path and role, then run the operation."""
         token = self.authenticate(request)
         found, arguments = self.find(request.method, request.path)
         if ROLES.index(token.role) < ROLES.index(found.role):
             raise codes.Failure(codes.WRONG_ROLE, f"{token.name} is {token.role}")
+        if self.active > ACTIVE_MOST:
+            raise codes.Failure(codes.ADMIN_BUSY)
         body = await self.read_body(request)
         asked = Request(token.name, arguments, dict(request.query), body)
-        return await found.handler(self, asked)
+        result = await found.handler(self, asked)
+        self.counters.add("admin.done")
+        if found.method != "GET":
+            self.log.info(
+                "admin-done",
+                operator=token.name,
+                method=request.method,
+                path=request.path,
+            )
+        return result
 
     def authenticate(self, request: aiohttp.web.BaseRequest) -> settings.Token:
         """Return the token that was sent; every token is compared in full."""
         kind, _, secret = request.headers.get("Authorization", "").partition(" ")
+        sent = secret.encode(errors="surrogateescape")
         found = None
         for token in self.config.tokens:
-            if hmac.compare_digest(token.secret.encode(), secret.encode()):
+            if hmac.compare_digest(token.secret.encode(), sent):
                 found = token
         if found is None or kind.lower() != "bearer":
             raise codes.Failure(codes.NO_TOKEN)
         return found
 
     def find(self, method: str, path: str) -> tuple[Operation, dict[str, str]]:
-        for item in OPERATIONS.items.values():
-            match = item.pattern.fullmatch(path)
-            if match and item.method == method:
-                return item, match.groupdict()
-        raise codes.Failure(codes.ADMIN_BAD_REQUEST, f"{method} {path}")
+        """Return the operation of a path, and the parts that its pattern names."""
+        fitting = [
+            (item, match.groupdict())
+            for item in OPERATIONS.items.values()
+            if (match := item.pattern.fullmatch(path))
+        ]
+        if not fitting:
+            raise codes.Failure(codes.NO_OPERATION, path)
+        for item, arguments in fitting:
+            if item.method == method:
+                return item, arguments
+        raise codes.Failure(codes.WRONG_METHOD, f"{method} {path}")
 
     async def read_body(self, request: aiohttp.web.BaseRequest) -> bytes:
-        """Read the body within its bound."""
-        body = b""
-        async for chunk in request.content.iter_any():
-            body += chunk
-            if len(body) > BODY_BYTES:
-                raise codes.Failure(codes.TOO_LARGE, f"over {BODY_BYTES} bytes")
-        return body
+        """Read the body whole, within its bounds of size and time."""
+        body = bytearray()
+        try:
+            async with asyncio.timeout(BODY_SECONDS):
+                async for chunk in request.content.iter_any():
+                    body += chunk
+                    if len(body) > BODY_BYTES:
+                        detail = f"over {BODY_BYTES} bytes"
+                        raise codes.Failure(codes.TOO_LARGE, detail)
+        except TimeoutError:
+            raise codes.Failure(codes.ADMIN_BAD_REQUEST, "the body came too slowly")
+        except (aiohttp.ClientError, aiohttp.web.RequestPayloadError, OSError):
+            raise codes.Failure(codes.ADMIN_BAD_REQUEST, "the body was cut")
+        return bytes(body)
 
 
 def respond(body: object, status: int = 200) -> aiohttp.web.Response:
@@ -162,21 +211,17 @@
 
 @operation("GET", "/presets/<name>", "viewer")
 async def show_preset(server: Server, request: Request) -> object:
-    revision = request.query.get("revision", "0")
-    if not revision.isdigit():
-        raise codes.Failure(codes.ADMIN_BAD_REQUEST, "revision")
-    return await server.presets.show(request.arguments["name"], int(revision))
+    revision = request.number("revision") or 0
+    return await server.presets.show(request.arguments["name"], revision)
 
 
 @operation("POST", "/presets/<name>/use", "operator")
 async def use_preset(server: Server, request: Request) -> object:
-    expected = request.query.get("generation", "")
-    if expected and not expected.isdigit():
-        raise codes.Failure(codes.ADMIN_BAD_REQUEST, "generation")
     return await server.presets.use(
         request.arguments["name"],
         request.operator,
-        int(expected) if expected else None,
+        request.number("generation"),
+        request.number("revision") or 0,
     )
 
 
--- a/rattanridge/admin/status.py
+++ b/rattanridge/admin/status.py
@@ -63,6 +63,7 @@
         for stored in listing.objects:
             if stored.key == "in-force":
                 report.in_force = client.value_of(stored, objects.InForce)
+                report.in_force.past = []
             else:
                 self.add_zone(report, client.value_of(stored, roster.ZoneStatus))
         return report
--- a/rattanridge/calls/hop.py
+++ b/rattanridge/calls/hop.py
@@ -48,12 +48,11 @@
         """Refuse a peer that does not prove the shared key."""
         node = request.headers.get(headers.NODE, "")
         token = request.headers.get(headers.TOKEN, "")
-        if self.tokens.get(node) == token and token:
-            return
-        wanted = transport.sign(self.config.key, "hop", node)
-        if not hmac.compare_digest(token.encode(), wanted.encode()):
+        wanted = self.tokens.get(node) or transport.sign(self.config.key, "hop", node)
+        sent = token.encode(errors="surrogateescape")
+        if not hmac.compare_digest(sent, wanted.encode()):
             raise codes.Failure(codes.HOP_REFUSED)
-        self.tokens[node] = token
+        self.tokens[node] = wanted
 
     async def read(self, request: aiohttp.web.BaseRequest) -> types.Call:
         """Read a forwarded call with the marks that the entry set."""
--- a/rattanridge/cli/preset.py
+++ b/rattanridge/cli/preset.py
@@ -58,16 +58,24 @@
 @preset.command()
 @click.argument("name")
 @click.option("--generation", default=-1, help="Refuse if another one is in force.")
+@click.option("--revision", default=0, help="Revision; the newest by default.")
 @click.option("--wait", is_flag=True, help="Return when it is in force everywhere.")
 @click.option("--timeout", default=30.0, show_default=True, help="Seconds to wait.")
 @remote.options
 def use(
-    name: str, generation: int, wait: bool, timeout: float, remote: remote.Remote
+    name: str,
+    generation: int,
+    revision: int,
+    wait: bool,
+    timeout: float,
+    remote: remote.Remote,
 ) -> None:
-    """Put the newest revision of preset NAME in force."""
+    """Put a revision of preset NAME in force."""
     began = time.monotonic()
-    query = f"?generation={generation}" if generation >= 0 else ""
-    answer = remote.call("POST", f"/presets/{name}/use{query}")
+    query = {"revision": str(revision)}
+    if generation >= 0:
+        query["generation"] = str(generation)
+    answer = remote.call("POST", f"/presets/{name}/use?{urllib.parse.urlencode(query)}")
     chosen = answer["generation"]
     click.echo(f"generation {chosen}: preset {name} revision {answer['revision']}")
     if wait:
--- a/rattanridge/control/source.py
+++ b/rattanridge/control/source.py
@@ -9,7 +9,9 @@
 from rattanridge.kernel import clock, codes, log, presets, settings, snapshot
 from rattanridge.platform import client, objects
 
-PREFIXES = ("in-force", "rollouts/")
+POINTER = "in-force"
+HISTORY = "history"
+PREFIXES = (POINTER, "rollouts/")
 PAUSE = 0.05  # seconds between watches, so that changes come in batches
 RETRY_FIRST = 0.1  # seconds
 RETRY_LIMIT = 2.0  # seconds
--- a/rattanridge/control/transport.py
+++ b/rattanridge/control/transport.py
@@ -39,7 +39,7 @@
 
 def sign(key: str, purpose: str, node: str) -> str:
     """Return the token by which a node proves that it knows the shared key."""
-    text = f"{purpose}/{node}".encode()
+    text = f"{purpose}/{node}".encode(errors="surrogateescape")
     return hmac.new(key.encode(), text, hashlib.sha256).hexdigest()
 
 
--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -208,6 +208,7 @@
 )
 CLAIMS_FULL = define(5018, "claims-full", 503, "The claims of the slice are full")
 CANCELLED = define(5019, "cancelled", 499, "The caller went away")
+INTERNAL = define(5034, "internal", 500, "The node itself failed; see its log")
 
 # 6xxx: rollouts.
 ROLLOUT_RUNNING = define(
@@ -239,8 +240,12 @@
 PRESET_IN_FORCE = define(
     7008, "preset-in-force", 409, "The preset is already the one in force"
 )
-
-# 8xxx: faults of the system itself.
-INTERNAL = define(
-    8001, "internal", 500, "A fault of the system itself; its log line tells more"
+NO_OPERATION = define(
+    7009, "no-operation", 404, "The administration API has no such path"
+)
+WRONG_METHOD = define(
+    7010, "wrong-method", 405, "The administration path does not take this method"
+)
+ADMIN_BUSY = define(
+    7011, "admin-busy", 503, "Too many administration requests run at this node"
 )
--- a/rattanridge/platform/client.py
+++ b/rattanridge/platform/client.py
@@ -55,7 +55,7 @@
     async def get(self, key: str) -> objects.Stored:
         """Return an object; ``platform-missing`` if there is none."""
         data = await self.call("GET", f"/v1/objects/{quote(key)}")
-        return msgspec.json.decode(data, type=objects.Stored)
+        return decode(data, objects.Stored)
 
     async def find(self, key: str) -> objects.Stored | None:
         """Return an object, or ``None`` if there is none."""
@@ -70,7 +70,13 @@
         """Return all objects whose keys begin with one of the prefixes."""
         query = urllib.parse.urlencode([("prefix", prefix) for prefix in prefixes])
         data = await self.call("GET", f"/v1/objects?{query}")
-        return msgspec.json.decode(data, type=objects.Listing)
+        return decode(data, objects.Listing)
+
+    async def list_keys(self, *prefixes: str) -> objects.Listing:
+        """Return all objects under the prefixes without their values."""
+        pairs = [("prefix", prefix) for prefix in prefixes] + [("values", "0")]
+        data = await self.call("GET", f"/v1/objects?{urllib.parse.urlencode(pairs)}")
+        return decode(data, objects.Listing)
 
     async def watch(
         self, prefixes: typing.Sequence[str], after: int, wait: float
@@ -84,7 +90,7 @@
         query = urllib.parse.urlencode(pairs)
         timeout = wait + WATCH_MARGIN
         data = await self.call("GET", f"/v1/watch?{query}", timeout=timeout)
-        return msgspec.json.decode(data, type=objects.Listing)
+        return decode(data, objects.Listing)
 
     async def put(
         self, key: str, value: object, if_version: int, write_id: str = ""
@@ -102,7 +108,7 @@
         body = msgspec.json.encode(objects.Write(raw, if_version, write_id))
         try:
             data = await self.call("PUT", f"/v1/objects/{quote(key)}", body)
-            return msgspec.json.decode(data, type=objects.Stored)
+            return decode(data, objects.Stored)
         except codes.Failure as failure:
             if failure.code not in (codes.PLATFORM_DOWN, codes.PLATFORM_CONFLICT):
                 raise
@@ -159,6 +165,14 @@
         raise codes.Failure(code, detail)
 
 
+def decode(data: bytes, kind: type[T]) -> T:
+    """Decode an answer of the platform."""
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise codes.Failure(codes.PLATFORM_REFUSED, f"unreadable answer: {error}")
+
+
 def quote(key: str) -> str:
     """Return a key as part of a URL path."""
     return urllib.parse.quote(key, safe="/")
@@ -168,5 +182,5 @@
     """Decode an object's value."""
     try:
         return msgspec.json.decode(stored.value, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise codes.Failure(codes.BAD_FIELD, str(error), where=stored.key)
--- a/rattanridge/platform/objects.py
+++ b/rattanridge/platform/objects.py
@@ -35,8 +35,8 @@
     write_id: str
 
 
-class InForce(msgspec.Struct):
-    """The one pointer ``in-force``.
+class Choice(msgspec.Struct):
+    """One choice of a preset.
 
     :param generation: grows by one with each choice.
     :param preset: name of the preset.
@@ -52,6 +52,17 @@
     at: float = 0.0
 
 
+class InForce(Choice, omit_defaults=True):
+    """The one pointer ``in-force``.
+
+    :param past: the last choices before it, the oldest first; so that a writer
+        whose answer was lost can tell a choice that was followed by another
+        from one that never took effect.
+    """
+
+    past: list[Choice] = []
+
+
 class LeaseValue(msgspec.Struct):
     """Content of ``leases/<role>``.
 
--- a/rattanridge/standin/platform.py
+++ b/rattanridge/standin/platform.py
@@ -23,8 +23,8 @@
     :param lose_answers: fraction of writes that take effect but whose
         connection closes before the answer.
     :param cut_watches: watches are closed with 410.
-    :param writes_per_second: writes admitted; 0 admits all.
-    :param reads_per_second: reads admitted; 0 admits all.
+    :param writes_per_second: writes admitted; 0 admits all, -1 none.
+    :param reads_per_second: reads admitted; 0 admits all, -1 none.
     """
 
     down: bool = False
@@ -77,7 +77,7 @@
             await self.disturb(request)
             return await self.dispatch(request)
         except codes.Failure as failure:
-            return answer(failure.format().encode(), failure.code.status)
+            return answer(failure.format().encode(), status_of(failure.code))
         except (ValueError, KeyError, msgspec.MsgspecError) as error:
             return answer(str(error).encode(), 400)
 
@@ -124,7 +124,10 @@
         if request.path == "/v1/objects" and request.method == "GET":
             self.counts["list"] += 1
             prefixes = request.query.getall("prefix", [""])
-            return answer(msgspec.json.encode(self.store.list(prefixes)))
+            listing = self.store.list(prefixes)
+            if request.query.get("values") == "0":
+                listing = stores.without_values(listing)
+            return answer(msgspec.json.encode(listing))
         key = request.path.removeprefix("/v1/objects/")
         if key == request.path or not key:
             raise codes.Failure(codes.PLATFORM_MISSING, request.path)
@@ -170,6 +173,11 @@
                 pass
 
 
+def status_of(code: codes.Code) -> int:
+    """Return the status that the object API has for a code."""
+    return 429 if code is codes.PLATFORM_BUSY else code.status
+
+
 def answer(body: bytes, status: int = 200) -> aiohttp.web.Response:
     return aiohttp.web.Response(
         body=body, status=status, content_type="application/json"
--- a/rattanridge/standin/store.py
+++ b/rattanridge/standin/store.py
@@ -75,3 +75,12 @@
                 latest.setdefault(event.key, event)
         found = sorted(latest.values(), key=lambda event: event.version)
         return objects.Listing(self.revision, found)
+
+
+def without_values(listing: objects.Listing) -> objects.Listing:
+    """Return a listing with every value null."""
+    items = [
+        objects.Stored(item.key, item.version, write_id=item.write_id)
+        for item in listing.objects
+    ]
+    return objects.Listing(listing.revision, items)
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,418 @@
+"""Administration: lost answers, outages, races, tokens, roles and odd requests."""
+
+import asyncio
+import contextlib
+import io
+import sys
+
+import aiohttp
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies
+
+from rattanridge.admin import presets as store, server
+from rattanridge.calls import headers
+from rattanridge.kernel import codes, log
+from rattanridge.measure import fleet
+from rattanridge.platform import client, objects
+from rattanridge.standin import platform as platforms
+from tests import bench as benches
+
+OLGA, VICTOR = fleet.TOKENS
+DAY = fleet.preset_text(fleet.make_preset("day", ["workshop"]))
+PEAK = fleet.preset_text(fleet.make_preset("peak", ["workshop"], timeout=2.0))
+
+
+@contextlib.asynccontextmanager
+async def presets_on(**faults):
+    """Give the presets of a platform stand-in, and the stand-in."""
+    platform = platforms.Platform(seed=1)
+    reached = client.Client([await platform.start()], timeout=1.0)
+    try:
+        yield store.Presets(reached), platform
+    finally:
+        await reached.close()
+        await platform.stop()
+
+
+async def refused(awaitable):
+    with pytest.raises(codes.Failure) as caught:
+        await awaitable
+    return caught.value
+
+
+class TestPut:
+    async def test_same_content_is_the_same_revision(self):
+        async with presets_on() as (presets, platform):
+            first = await presets.put("day", DAY, "olga")
+            again = await presets.put("day", "# told again\n" + DAY, "oscar")
+            assert (first.revision, again.revision, again.operator) == (1, 1, "olga")
+            assert platform.counts["put"] == 1
+
+    async def test_former_content_is_a_new_revision(self):
+        async with presets_on() as (presets, _):
+            other = DAY.replace("5.0", "4.0")
+            for text in (DAY, other, DAY):
+                last = await presets.put("day", text, "olga")
+            assert last.revision == 3
+
+    async def test_race_names_the_winner(self):
+        async with presets_on() as (presets, _):
+            other = DAY.replace("5.0", "4.0")
+            both = await asyncio.gather(
+                presets.put("day", DAY, "olga"),
+                presets.put("day", other, "oscar"),
+                return_exceptions=True,
+            )
+            won = next(item for item in both if isinstance(item, store.Revision))
+            lost = next(item for item in both if isinstance(item, codes.Failure))
+            assert lost.code is codes.CONFLICT
+            assert won.operator in lost.detail
+            assert (await presets.show("day")).operator == won.operator
+
+    @pytest.mark.parametrize(
+        ("name", "text", "code"),
+        [
+            ("peak", DAY, codes.BAD_FIELD),
+            ("day", DAY.replace('"/workshop"', '"workshop"'), codes.BAD_FIELD),
+            ("day", DAY.replace("two-choices", "none-such"), codes.BAD_FIELD),
+            ("day", "{", codes.BAD_YAML),
+            ("day", DAY + "#" * 2_000_000, codes.TOO_LARGE),
+        ],
+    )
+    async def test_bad_preset_leaves_nothing(self, name, text, code):
+        async with presets_on() as (presets, platform):
+            assert (await refused(presets.put(name, text, "olga"))).code is code
+            assert not platform.store.objects
+
+    async def test_foreign_objects_are_passed_over(self):
+        async with presets_on() as (presets, _):
+            await presets.platform.put("presets/day/notes", "keep", 0)
+            await presets.platform.put("presets/loose", "keep", 0)
+            assert (await presets.put("day", DAY, "olga")).revision == 1
+            assert [item.name for item in await presets.newest()] == ["day"]
+
+
+class TestUse:
+    async def test_the_one_in_force_is_refused(self):
+        async with presets_on() as (presets, _):
+            await presets.put("day", DAY, "olga")
+            await presets.use("day", "olga")
+            failure = await refused(presets.use("day", "oscar"))
+            assert failure.code is codes.PRESET_IN_FORCE
+            assert "olga" in failure.detail
+            assert [item.generation for item in await presets.history()] == [1]
+
+    async def test_older_revision_takes_a_higher_generation(self):
+        async with presets_on() as (presets, _):
+            for text in (DAY, DAY.replace("5.0", "4.0")):
+                await presets.put("day", text, "olga")
+            await presets.use("day", "olga")
+            back = await presets.use("day", "olga", revision=1)
+            assert (back.generation, back.revision) == (2, 1)
+
+    @pytest.mark.parametrize("revision", [0, 7])
+    async def test_missing(self, revision):
+        async with presets_on() as (presets, _):
+            failure = await refused(presets.use("day", "olga", revision=revision))
+            assert failure.code is codes.NO_PRESET
+
+    async def test_expected_generation_that_is_old(self):
+        async with presets_on() as (presets, _):
+            await presets.put("day", DAY, "olga")
+            await presets.put("peak", PEAK, "olga")
+            await presets.use("day", "olga", 0)
+            await presets.use("peak", "olga", 1)
+            failure = await refused(presets.use("day", "oscar", 1))
+            assert failure.code is codes.CONFLICT
+            assert "olga" in failure.detail
+
+    async def test_race_has_one_winner_whom_the_other_learns(self):
+        async with presets_on() as (presets, _):
+            await presets.put("day", DAY, "olga")
+            await presets.put("peak", PEAK, "olga")
+            both = await asyncio.gather(
+                presets.use("day", "olga", 0),
+                presets.use("peak", "oscar", 0),
+                return_exceptions=True,
+            )
+            won = next(item for item in both if isinstance(item, objects.InForce))
+            lost = next(item for item in both if isinstance(item, codes.Failure))
+            assert lost.code is codes.CONFLICT
+            assert won.operator in lost.detail
+            assert [item.operator for item in await presets.history()] == [won.operator]
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["olga", "oscar"]),
+                strategies.sampled_from(["day", "peak"]),
+            ),
+            min_size=2,
+            max_size=6,
+        )
+    )
+    @hypothesis.settings(max_examples=25)
+    def test_generations_tell_every_success_once(self, choices):
+        async def run():
+            async with presets_on() as (presets, _):
+                await presets.put("day", DAY, "olga")
+                await presets.put("peak", PEAK, "olga")
+                ends = await asyncio.gather(
+                    *(presets.use(name, who) for who, name in choices),
+                    return_exceptions=True,
+                )
+                done = [item for item in ends if isinstance(item, objects.InForce)]
+                told = [store.as_choice(item) for item in done]
+                told.sort(key=lambda item: item.generation)
+                assert await presets.history() == told
+                assert [item.generation for item in told] == [
+                    number + 1 for number in range(len(told))
+                ]
+
+        asyncio.run(run())
+
+
+class TestLostAnswers:
+    """The platform takes writes but their answers are lost."""
+
+    @pytest.mark.parametrize("lost", [0.5, 1.0])
+    async def test_no_false_failure_and_nothing_twice(self, lost):
+        async with presets_on() as (presets, platform):
+            platform.faults.lose_answers = lost
+            for number in range(5):
+                text = DAY.replace("5.0", f"{number + 1}.0")
+                assert (await presets.put("day", text, "olga")).revision == number + 1
+                assert (await presets.use("day", "olga")).generation == number + 1
+            platform.faults.lose_answers = 0.0
+            assert platform.counts["answers-lost"] > 0
+            assert [item.revision for item in await presets.history()] == [*range(1, 6)]
+
+    async def test_choice_that_was_followed_by_another_did_win(self, monkeypatch):
+        async with presets_on() as (presets, platform):
+            await presets.put("day", DAY, "olga")
+            await presets.put("peak", PEAK, "olga")
+            real = presets.platform.put
+
+            async def overtaken(key, value, if_version, write_id=""):
+                await real(key, value, if_version, write_id)
+                monkeypatch.setattr(presets.platform, "put", real)
+                if key == store.POINTER:
+                    await store.Presets(presets.platform).use("peak", "oscar")
+                raise codes.Failure(codes.PLATFORM_CONFLICT)
+
+            monkeypatch.setattr(presets.platform, "put", overtaken)
+            assert (await presets.use("day", "olga")).generation == 1
+            assert [item.operator for item in await presets.history()] == [
+                "olga",
+                "oscar",
+            ]
+
+    async def test_history_that_could_not_be_written_is_found_later(self, monkeypatch):
+        async with presets_on() as (presets, platform):
+            await presets.put("day", DAY, "olga")
+            await presets.put("peak", PEAK, "olga")
+
+            async def fail(choices):
+                raise codes.Failure(codes.PLATFORM_DOWN)
+
+            monkeypatch.setattr(presets, "add_to_history", fail)
+            await presets.use("day", "olga")
+            assert store.HISTORY not in platform.store.objects
+            assert [item.operator for item in await presets.history()] == ["olga"]
+            monkeypatch.undo()
+            await presets.use("peak", "oscar")
+            kept = msgspec.json.decode(platform.store.objects[store.HISTORY].value)
+            assert [item["operator"] for item in kept] == ["olga", "oscar"]
+
+
+class TestOutage:
+    @pytest.mark.parametrize(
+        ("faults", "code"),
+        [
+            ({"down": True}, codes.PLATFORM_DOWN),
+            ({"slow": 30.0}, codes.PLATFORM_DOWN),
+            ({"reads_per_second": -1}, codes.PLATFORM_BUSY),
+        ],
+    )
+    async def test_refused_and_nothing_queues(self, faults, code):
+        async with presets_on() as (presets, platform):
+            await presets.put("day", DAY, "olga")
+            before = dict(platform.store.objects)
+            platform.faults = platforms.Faults(**faults)
+            for _ in range(2):
+                ends = await asyncio.gather(
+                    presets.put("peak", PEAK, "olga"),
+                    presets.use("day", "olga"),
+                    return_exceptions=True,
+                )
+            assert all(isinstance(item, codes.Failure) for item in ends)
+            assert {item.code for item in ends} == {code}
+            platform.faults = platforms.Faults()
+            assert platform.store.objects == before
+
+    async def test_unreadable_answers(self, monkeypatch):
+        async with presets_on() as (presets, _):
+
+            async def garbage(*args, **more):
+                return b"[" * 100_000
+
+            monkeypatch.setattr(presets.platform, "call", garbage)
+            failure = await refused(presets.use("day", "olga"))
+            assert failure.code is codes.PLATFORM_REFUSED
+
+
+@pytest.fixture(scope="module")
+def bench():
+    with benches.running() as made:
+        yield made
+
+
+def ask(bench, method, path, token=OLGA.secret, body=b"", url=""):
+    """Send one raw request; return status, code and body."""
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        f"Authorization: Bearer {token}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    url = url or bench.host.node.admin_url
+    raw = bench.run(benches.exchange(url, head.encode("latin-1") + body))
+    content = raw.partition(b"\r\n\r\n")[2]
+    number = 0
+    with contextlib.suppress(msgspec.MsgspecError):
+        number = msgspec.json.decode(content, type=server.Error).code
+    if not number:
+        number = int(benches.header_of(raw, headers.CODE) or 0)
+    return benches.status_of(raw), number
+
+
+class TestServer:
+    @pytest.mark.parametrize(
+        ("method", "path", "token", "code"),
+        [
+            ("GET", "/presets", "", codes.NO_TOKEN),
+            ("GET", "/presets", "x" * 5000, codes.NO_TOKEN),
+            ("GET", "/presets", "\xff\xfe", codes.NO_TOKEN),
+            ("GET", "/presets", OLGA.secret + "x", codes.NO_TOKEN),
+            ("GET", "/presets", OLGA.secret.upper(), codes.NO_TOKEN),
+            ("PUT", "/presets/day", VICTOR.secret, codes.WRONG_ROLE),
+            ("POST", "/presets/day/use", VICTOR.secret, codes.WRONG_ROLE),
+            ("GET", "/nowhere", OLGA.secret, codes.NO_OPERATION),
+            ("GET", "/presets/", OLGA.secret, codes.NO_OPERATION),
+            ("GET", "/presets/day/use/now", OLGA.secret, codes.NO_OPERATION),
+            ("GET", "/presets/day%2Fuse%2Fnow", OLGA.secret, codes.NO_OPERATION),
+            ("GET", "/presets/.day", OLGA.secret, codes.NO_OPERATION),
+            ("GET", "/presets/d%20ay", OLGA.secret, codes.NO_OPERATION),
+            ("GET", "/presets/" + "d" * 64, OLGA.secret, codes.NO_OPERATION),
+            ("GET", "/presets/%2e%2e/status", OLGA.secret, codes.BAD_REQUEST),
+            ("GET", "/presets/day%00", OLGA.secret, codes.BAD_REQUEST),
+            ("GET", "/presets/day?revision=x", OLGA.secret, codes.ADMIN_BAD_REQUEST),
+            ("GET", "/presets/day?revision=-1", OLGA.secret, codes.ADMIN_BAD_REQUEST),
+            ("GET", "/presets/day?revision=%C2%B2", OLGA.secret, None),
+            ("GET", f"/presets/day?revision={'9' * 4500}", OLGA.secret, None),
+            ("GET", "/presets/day?revision=99", OLGA.secret, codes.NO_PRESET),
+            ("DELETE", "/presets/day", OLGA.secret, codes.WRONG_METHOD),
+            ("GET", "/presets/day/use", OLGA.secret, codes.WRONG_METHOD),
+            ("PATCH", "/status", OLGA.secret, codes.WRONG_METHOD),
+        ],
+    )
+    def test_refusals(self, bench, method, path, token, code):
+        code = code or codes.ADMIN_BAD_REQUEST
+        assert ask(bench, method, path, token) == (code.status, code.number)
+
+    def test_percent_encoded_name_is_the_name(self, bench):
+        assert ask(bench, "GET", "/presets/%64ay") == (200, 0)
+
+    @pytest.mark.parametrize(
+        ("body", "code"),
+        [
+            (b"x" * 1_100_000, codes.TOO_LARGE),
+            (b"[" * 900_000, codes.BAD_YAML),
+            (b"\xff\xfe", codes.BAD_YAML),
+            (b"", codes.BAD_FIELD),
+            (b"{}", codes.BAD_FIELD),
+            (PEAK.encode(), codes.BAD_FIELD),
+        ],
+    )
+    def test_bodies(self, bench, body, code):
+        answer = ask(bench, "PUT", "/presets/day", body=body)
+        assert answer == (code.status, code.number)
+
+    @hypothesis.given(
+        strategies.sampled_from(["GET", "PUT", "POST", "DELETE"]),
+        strategies.sampled_from(["/presets", "/presets/x", "/presets/x/use", "/a"]),
+        strategies.text(strategies.characters(max_codepoint=255), max_size=20),
+        strategies.binary(max_size=50),
+    )
+    def test_any_request(self, bench, method, path, query, body):
+        query = "".join(f"%{ord(char):02x}" for char in query)
+        status, code = ask(bench, method, f"{path}?{query}", body=body)
+        assert status < 500
+        assert code or (method, path) == ("GET", "/presets")
+
+    def test_bounded_number_at_once(self, bench, monkeypatch):
+        monkeypatch.setattr(server, "ACTIVE_MOST", 0)
+        code = codes.ADMIN_BUSY
+        assert ask(bench, "GET", "/status") == (code.status, code.number)
+        monkeypatch.undo()
+        assert ask(bench, "GET", "/status") == (200, 0)
+
+    def test_slow_body(self, bench, monkeypatch):
+        monkeypatch.setattr(server, "BODY_SECONDS", 0.01)
+        head = (
+            "PUT /presets/day HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
+            f"Connection: close\r\nAuthorization: Bearer {OLGA.secret}\r\n\r\n"
+        )
+        url = bench.host.node.admin_url
+        raw = bench.run(benches.exchange(url, head.encode()))
+        assert benches.status_of(raw) == codes.ADMIN_BAD_REQUEST.status
+
+    @pytest.mark.parametrize("port", ["caller", "hop", "local"])
+    @pytest.mark.parametrize(
+        "path", ["/presets", "/status", "/presets/day/use", "/counters", "/history"]
+    )
+    def test_no_other_port_reaches_it(self, bench, port, path):
+        node = bench.host.node
+        url = {
+            "caller": node.caller_url,
+            "hop": f"http://{node.local.hop}",
+            "local": node.local_url,
+        }[port]
+        wanted = codes.HOP_REFUSED if port == "hop" else codes.NO_ROUTE
+        for method in ("GET", "POST"):
+            answer = ask(bench, method, path, url=url)
+            assert answer == (wanted.status, wanted.number)
+
+
+class TestTokensInLogs:
+    async def test_never(self, monkeypatch):
+        written = io.StringIO()
+        monkeypatch.setattr(sys, "stderr", written)
+        monkeypatch.setattr(log, "pairs", keep_lines(written, log.pairs))
+        async with fleet.Fleet() as running:
+            host = await running.add("one", "zone-a")
+            async with aiohttp.ClientSession() as session:
+                for secret in (OLGA.secret, VICTOR.secret, "stolen-secret-token"):
+                    for path in ("presets/x/use", "status", f"presets?token={secret}"):
+                        await self.send(session, host.node.admin_url, path, secret)
+            await running.put_preset(fleet.make_preset("day", ["workshop"]))
+        text = written.getvalue()
+        assert "admin-refused" in text
+        for secret in (OLGA.secret, VICTOR.secret, "stolen-secret-token", fleet.KEY):
+            assert secret not in text
+
+    async def send(self, session, url, path, secret):
+        sent = {"Authorization": f"Bearer {secret}"}
+        async with session.post(f"{url}/{path}", headers=sent) as response:
+            assert secret not in await response.text()
+
+
+def keep_lines(target, pairs):
+    """Return ``pairs`` that also writes each line to a target."""
+
+    def kept(event, fields):
+        line = pairs(event, fields)
+        target.write(line + "\n")
+        return line
+
+    return kept
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -165,7 +165,7 @@
         answer = send(bench, start + rest, end=True)
         if answer:
             assert benches.header_of(answer, headers.RAN) in list(codes.Ran)
-            assert benches.header_of(answer, headers.CODE) != "8001"
+            assert benches.header_of(answer, headers.CODE) != str(codes.INTERNAL.number)
         assert all(run.path.startswith("/workshop") for run in upstream.runs)
 
     def test_goes_on_after_all_that(self, bench):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -76,11 +76,3 @@
         sent = {"Authorization": f"Bearer {token}"}
         async with session.post(f"{url}/presets/day/use", headers=sent) as response:
             assert response.status == status
-
-    async def test_racing_operators(self, running):
-        admin = running.hosts["one"].node.admin.presets
-        await admin.use("day", "olga", 1)
-        with pytest.raises(codes.Failure) as caught:
-            await admin.use("day", "oscar", 1)
-        assert caught.value.code is codes.CONFLICT
-        assert "olga" in caught.value.detail
