Stand-ins: deadlines, cancellation, honest health, faults by option, leaving

Checked against the list of faults: the deadline was ignored, a caller that went away did not end the work, the health endpoint always said ok, bodies over 1 MB were refused by the library, and SIGTERM cut what ran.

--- a/rattanridge/cli/standin.py
+++ b/rattanridge/cli/standin.py
@@ -2,13 +2,31 @@
 
 import asyncio
 import collections.abc
+import signal
+import sys
+import typing
 
 import click
+import msgspec
 
 from rattanridge.cli import main
-from rattanridge.kernel import log
+from rattanridge.kernel import codes, log
 from rattanridge.standin import platform as platforms, upstream as upstreams
 
+CRASH_EXIT = 70  # exit status of an upstream that a request crashed
+
+T = typing.TypeVar("T")
+
+Work = collections.abc.Callable[[], collections.abc.Awaitable[object]]
+
+fault_option = click.option(
+    "--fault",
+    "faults",
+    multiple=True,
+    metavar="NAME=VALUE",
+    help="Fault in force from the start; may be given more than once.",
+)
+
 
 @main.COMMANDS.register("standin")
 @click.group()
@@ -19,21 +37,31 @@
 @standin.command()
 @click.option("--address", default="127.0.0.1", show_default=True)
 @click.option("--port", default=7400, show_default=True)
-def platform(address: str, port: int) -> None:
+@click.option("--seed", default=0, show_default=True)
+@fault_option
+def platform(address: str, port: int, seed: int, faults: tuple[str, ...]) -> None:
     """Run a platform stand-in; PUT /faults sets its faults."""
     log.configure()
-    served = platforms.Platform()
-    run_until_stopped(served.start(address, port), f"platform on {address}:{port}")
+    served = platforms.Platform(seed)
+    served.faults = parse_faults(faults, platforms.Faults)
+
+    async def start() -> None:
+        click.echo(f"platform on {await served.start(address, port)}")
+
+    asyncio.run(run_until_signal(start, served.stop))
 
 
 @standin.command()
 @click.option("--service", required=True)
 @click.option("--version", "version", default="v1", show_default=True)
-@click.option("--node", required=True, help="Local URL of the node beside it.")
+@click.option("--node", default="", help="Local URL of the node beside it.")
 @click.option("--port", default=0, help="Port; 0 takes a free one.")
 @click.option("--slots", default=12, show_default=True)
 @click.option("--connections", default=110, show_default=True)
 @click.option("--work", default=0.005, show_default=True, help="Seconds a request.")
+@click.option("--cold-start", default=0.0, help="Seconds of extra work at first.")
+@click.option("--seed", default=0, show_default=True)
+@fault_option
 def upstream(
     service: str,
     version: str,
@@ -42,25 +70,50 @@
     slots: int,
     connections: int,
     work: float,
+    cold_start: float,
+    seed: int,
+    faults: tuple[str, ...],
 ) -> None:
-    """Run an upstream stand-in that announces itself to the node beside it."""
+    """Run an upstream stand-in that announces itself to the node beside it.
+
+    SIGTERM drains it. PUT /-/faults sets its faults; a request that crashes it
+    ends the process with status 70.
+    """
     log.configure()
-    shape = upstreams.Shape(service, version, slots, connections, work)
-    served = upstreams.Upstream(shape, node)
-    run_until_stopped(served.start(port=port), f"upstream {service} {version}")
+    shape = upstreams.Shape(service, version, slots, connections, work, cold_start)
+    served = upstreams.Upstream(shape, node, seed)
+    served.faults = parse_faults(faults, upstreams.Faults)
 
+    async def start() -> None:
+        await served.start(port=port)
+        click.echo(f"upstream {service} {version} on 127.0.0.1:{served.port}")
 
-def run_until_stopped(
-    start: collections.abc.Coroutine[object, object, object], what: str
-) -> None:
-    """Start a server, say so, and run until interrupted."""
+    asyncio.run(run_until_signal(start, served.leave, served.crashed))
+    sys.exit(CRASH_EXIT if served.crashed.is_set() else 0)
 
-    async def run() -> None:
-        await start
-        click.echo(what)
-        await asyncio.Event().wait()
 
+def parse_faults(texts: collections.abc.Iterable[str], kind: type[T]) -> T:
+    """Turn ``name=value`` texts into faults; a wrong one is a coded failure."""
+    values = dict(text.partition("=")[::2] for text in texts)
     try:
-        asyncio.run(run())
-    except KeyboardInterrupt:
-        pass
+        return msgspec.convert(values, kind, strict=False)
+    except msgspec.ValidationError as error:
+        raise codes.Failure(codes.BAD_FIELD, str(error), where="--fault")
+
+
+async def run_until_signal(
+    start: Work, stop: Work, crashed: asyncio.Event | None = None
+) -> None:
+    """Run a server until SIGTERM or SIGINT, then stop it as planned."""
+    ended = crashed or asyncio.Event()
+    signalled = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signalled.set)
+    await start()
+    waits = [asyncio.create_task(event.wait()) for event in (ended, signalled)]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+    if not ended.is_set():
+        await stop()
--- a/rattanridge/standin/platform.py
+++ b/rattanridge/standin/platform.py
@@ -12,6 +12,7 @@
 from rattanridge.standin import store as stores
 
 SECOND = 1.0
+WAIT_MOST = 60.0  # seconds that a watch may wait
 SHUTDOWN = 0.1  # seconds given to calls in progress, watches among them
 
 
@@ -156,7 +157,10 @@
         prefixes = request.query.getall("prefix", [""])
         after = int(request.query["after"])
         loop = asyncio.get_running_loop()
-        end = loop.time() + float(request.query.get("wait", "20"))
+        wait = float(request.query.get("wait", "20"))
+        if not 0 <= wait <= WAIT_MOST:
+            raise ValueError("wait")
+        end = loop.time() + wait
         while True:
             if self.faults.cut_watches:
                 raise codes.Failure(codes.WATCH_LOST, "cut")
--- a/rattanridge/standin/store.py
+++ b/rattanridge/standin/store.py
@@ -33,6 +33,12 @@
         current = self.objects.get(key)
         if len(write.value) > objects.MAX_VALUE_BYTES:
             raise codes.Failure(codes.TOO_LARGE, key)
+        if (
+            current is not None
+            and write.write_id
+            and current.write_id == write.write_id
+        ):
+            return current
         version = current.version if current is not None else 0
         if version != write.if_version:
             raise codes.Failure(codes.PLATFORM_CONFLICT, f"{key}: {version}")
--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import dataclasses
 import random
 
@@ -13,9 +14,12 @@
 import aiohttp.web
 import msgspec
 
+from rattanridge.calls import headers
 from rattanridge.kernel import log
 
-SLOWNESS_STEP = 0.01  # seconds between looks at a deadline
+LEAVE_STEP = 0.02  # seconds between looks at the requests still running
+LEAVE_MOST = 30.0  # seconds that requests in progress get on a planned stop
+SICK_ERROR_RATE = 0.5  # from which an honest health endpoint says so
 
 
 class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -31,6 +35,7 @@
     :param cut: the answer's body ends halfway.
     :param silent: take the request and never answer.
     :param lie: health and load endpoints claim an idle, healthy upstream.
+    :param deaf: neither a caller that went away nor a deadline ends the work.
     """
 
     error_rate: float = 0.0
@@ -43,6 +48,7 @@
     cut: bool = False
     silent: bool = False
     lie: bool = False
+    deaf: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,13 +105,15 @@
         self.runner: aiohttp.web.ServerRunner | None = None
         self.session: aiohttp.ClientSession | None = None
         self.renewing: asyncio.Task | None = None
+        self.draining = False
         self.crashed = asyncio.Event()
         self.log = log.Log("upstream")
 
     async def start(self, address: str = "127.0.0.1", port: int = 0) -> None:
         """Listen and begin to announce."""
         self.runner = aiohttp.web.ServerRunner(
-            aiohttp.web.Server(self.handle, access_log=None), shutdown_timeout=1.0
+            aiohttp.web.Server(self.handle, access_log=None, handler_cancellation=True),
+            shutdown_timeout=1.0,
         )
         await self.runner.setup()
         await aiohttp.web.TCPSite(self.runner, address, port).start()
@@ -154,14 +162,35 @@
 
     async def drain(self) -> None:
         """Announce that no new work is wanted."""
+        self.draining = True
+        await self.tell("draining")
+
+    async def leave(self) -> None:
+        """Planned stop: drain, finish what runs, say goodbye, stop."""
+        self.draining = True
+        if self.announce_url:
+            await self.tell("draining")
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LEAVE_MOST
+        while self.running and loop.time() < end:
+            await asyncio.sleep(LEAVE_STEP)
+        if self.announce_url:
+            await self.tell("gone")
+        await self.stop()
+
+    async def tell(self, state: str) -> None:
+        """Announce a state for the last time, if the node can be reached."""
         if self.renewing is not None:
             self.renewing.cancel()
-        await self.announce("draining")
+        try:
+            await self.announce(state)
+        except (aiohttp.ClientError, OSError) as error:
+            self.log.warn("announcement-failed", why=type(error).__name__)
 
     async def handle(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
         """Answer one request."""
         if request.path == "/-/health":
-            return aiohttp.web.Response(text="ok")
+            return self.health()
         if request.path == "/-/load":
             load = 0 if self.faults.lie else self.running
             return aiohttp.web.json_response({"running": load})
@@ -169,7 +198,7 @@
             return await self.set_faults(request)
         if request.path == "/-/counts":
             return aiohttp.web.json_response(dict(self.counts) | {"peak": self.peak})
-        body = await request.read()
+        body = b"".join([chunk async for chunk in request.content.iter_any()])
         key = request.headers.get("Idempotency-Key", "")
         run = Run(request.method, request.path_qs, key, body)
         if self.hit(run) and self.faults.shed:
@@ -177,6 +206,13 @@
             return aiohttp.web.Response(status=503, headers={"Ran": "not-run"})
         return await self.work(request, run)
 
+    def health(self) -> aiohttp.web.Response:
+        """Tell whether the upstream is well; with the fault ``lie`` always so."""
+        sick = self.draining or self.faults.error_rate >= SICK_ERROR_RATE
+        if (sick or self.faults.silent) and not self.faults.lie:
+            return aiohttp.web.Response(text="sick", status=503)
+        return aiohttp.web.Response(text="ok")
+
     async def set_faults(
         self, request: aiohttp.web.BaseRequest
     ) -> aiohttp.web.Response:
@@ -206,7 +242,11 @@
         self.running += 1
         self.peak = max(self.peak, self.running)
         try:
-            await self.spend(request, run, hit)
+            spending = self.spend(run, hit)
+            if self.faults.deaf:
+                await asyncio.shield(spending)
+            elif not await finish_by(spending, deadline_of(request)):
+                return self.give_up(run)
             return await self.answer(request, run, hit)
         except asyncio.CancelledError:
             run.cancelled = True
@@ -215,9 +255,13 @@
         finally:
             self.running -= 1
 
-    async def spend(
-        self, request: aiohttp.web.BaseRequest, run: Run, hit: bool
-    ) -> None:
+    def give_up(self, run: Run) -> aiohttp.web.Response:
+        """Answer a request whose deadline ended its work."""
+        run.cancelled = True
+        self.counts["deadlines"] += 1
+        return aiohttp.web.Response(status=504, text="deadline")
+
+    async def spend(self, run: Run, hit: bool) -> None:
         """Spend the time of the work and of the faults."""
         if hit and self.faults.crash_on and self.must_crash(run):
             self.crash()
@@ -264,3 +308,21 @@
         await response.write(b"." * 500)
         request.transport.abort()
         raise asyncio.CancelledError
+
+
+def deadline_of(request: aiohttp.web.BaseRequest) -> float | None:
+    """Return the seconds that the caller waits; ``None`` if it does not say."""
+    text = request.headers.get(headers.DEADLINE, "")
+    return int(text) / 1000 if text.isdecimal() else None
+
+
+async def finish_by(
+    work: collections.abc.Awaitable[None], seconds: float | None
+) -> bool:
+    """Return whether some work ended within the seconds; it is cancelled if not."""
+    try:
+        async with asyncio.timeout(seconds):
+            await work
+    except TimeoutError:
+        return False
+    return True
