--- a/rattanridge/admin/server.py
+++ b/rattanridge/admin/server.py
@@ -1,21 +1,19 @@
 """HTTP server of the administration API on each node."""
 
-import asyncio
 import hmac
 import re
 import typing
 
-import aiohttp
 import aiohttp.web
 import msgspec
 
 from rattanridge.admin import presets as preset_store, status
+from rattanridge.calls import server as http
 from rattanridge.control import replica
 from rattanridge.kernel import codes, log, metrics, registry, settings
 from rattanridge.platform import client
 
 BODY_BYTES = 1_000_000
-BODY_SECONDS = 10.0  # within which a body must have come
 ACTIVE_MOST = 32  # requests at once, so that none pile up on a slow platform
 NAME = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
 NUMBER = re.compile(r"[0-9]{1,9}")
@@ -135,7 +133,7 @@
             raise codes.Failure(codes.WRONG_ROLE, f"{token.name} is {token.role}")
         if self.active > ACTIVE_MOST:
             raise codes.Failure(codes.ADMIN_BUSY)
-        body = await self.read_body(request)
+        body = await http.read_body(request, BODY_BYTES)
         asked = Request(token.name, arguments, dict(request.query), body)
         result = await found.handler(self, asked)
         self.counters.add("admin.done")
@@ -174,22 +172,6 @@
                 return item, arguments
         raise codes.Failure(codes.WRONG_METHOD, f"{method} {path}")
 
-    async def read_body(self, request: aiohttp.web.BaseRequest) -> bytes:
-        """Read the body whole, within its bounds of size and time."""
-        body = bytearray()
-        try:
-            async with asyncio.timeout(BODY_SECONDS):
-                async for chunk in request.content.iter_any():
-                    body += chunk
-                    if len(body) > BODY_BYTES:
-                        detail = f"over {BODY_BYTES} bytes"
-                        raise codes.Failure(codes.TOO_LARGE, detail)
-        except TimeoutError:
-            raise codes.Failure(codes.ADMIN_BAD_REQUEST, "the body came too slowly")
-        except (aiohttp.ClientError, aiohttp.web.RequestPayloadError, OSError):
-            raise codes.Failure(codes.ADMIN_BAD_REQUEST, "the body was cut")
-        return bytes(body)
-
 
 def respond(body: object, status: int = 200) -> aiohttp.web.Response:
     return aiohttp.web.Response(
--- a/rattanridge/calls/local.py
+++ b/rattanridge/calls/local.py
@@ -1,6 +1,7 @@
 """The node's local port: announcements of the upstream, and its own calls."""
 
 import asyncio
+import ipaddress
 import typing
 
 import aiohttp.web
@@ -12,6 +13,7 @@
 
 ANNOUNCE_PATH = "/announce"
 ANNOUNCEMENT_TERM = 5.0  # seconds that an announcement holds without renewal
+PORT_MOST = 65535
 ANNOUNCEMENT_BYTES = 4096
 
 
@@ -69,9 +71,8 @@
         if request.path != ANNOUNCE_PATH or request.method != "PUT":
             return await self.entry.serve_upstream(request)
         try:
-            if (request.content_length or 0) > ANNOUNCEMENT_BYTES:
-                raise codes.Failure(codes.BODY_TOO_LARGE)
-            await self.announce(await request.read())
+            body = await server.read_body(request, ANNOUNCEMENT_BYTES)
+            await self.announce(body)
         except codes.Failure as failure:
             return server.refuse(failure)
         return aiohttp.web.Response(body=b"{}", content_type="application/json")
@@ -82,6 +83,7 @@
             said = msgspec.json.decode(body, type=Announcement)
         except (msgspec.MsgspecError, RecursionError) as error:
             raise codes.Failure(codes.BAD_FIELD, str(error), where="announcement")
+        check_address(said.address)
         if self.entry.stopping and said.state == "up":
             raise codes.Failure(codes.STOPPING)
         self.renewed = asyncio.get_running_loop().time()
@@ -110,3 +112,16 @@
             age = asyncio.get_running_loop().time() - self.renewed
             if self.renewed and age > ANNOUNCEMENT_TERM:
                 self.announcer.change("gone")
+
+
+def check_address(address: str) -> None:
+    """Refuse what is not an IP number with a port."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 0 < int(port) <= PORT_MOST
+    except ValueError:
+        valid = False
+    if not valid:
+        detail = f"address {address!r}"
+        raise codes.Failure(codes.BAD_FIELD, detail, where="announcement")
--- a/rattanridge/calls/server.py
+++ b/rattanridge/calls/server.py
@@ -17,6 +17,7 @@
 
 IDLE_SECONDS = 75.0  # that a connection may wait for its next request
 FIRST_REQUEST_SECONDS = 10.0  # within which a new connection sends its first one
+BODY_SECONDS = 10.0  # within which a body must have come
 LINGER_SECONDS = 1.0  # for reading the rest of a refused body
 SCHEMES = ("http", "https")
 DOT_SEGMENTS = frozenset((".", ".."))
@@ -171,6 +172,24 @@
         return failure
 
 
+async def read_body(request: aiohttp.web.BaseRequest, limit: int) -> bytes:
+    """Read a body whole; refuse one that is too large, too slow or cut."""
+    if (request.content_length or 0) > limit:
+        raise codes.Failure(codes.BODY_TOO_LARGE, f"over {limit} bytes")
+    body = bytearray()
+    try:
+        async with asyncio.timeout(BODY_SECONDS):
+            async for chunk in request.content.iter_any():
+                body += chunk
+                if len(body) > limit:
+                    raise codes.Failure(codes.BODY_TOO_LARGE, f"over {limit} bytes")
+    except TimeoutError:
+        raise codes.Failure(codes.BODY_CUT, "it came too slowly")
+    except (aiohttp.ClientError, aiohttp.web.RequestPayloadError, OSError):
+        raise codes.Failure(codes.BODY_CUT)
+    return bytes(body)
+
+
 def to_origin_form(
     message: aiohttp.http.RawRequestMessage,
 ) -> aiohttp.http.RawRequestMessage:
--- a/rattanridge/kernel/log.py
+++ b/rattanridge/kernel/log.py
@@ -51,7 +51,7 @@
         self.logger.info(pairs(event, self.fixed | fields))
 
     def warn(self, event: str, **fields: object) -> None:
-        self.logger.warn(pairs(event, self.fixed | fields))
+        self.logger.warning(pairs(event, self.fixed | fields))
 
     def error(self, event: str, **fields: object) -> None:
         self.logger.error(pairs(event, self.fixed | fields))
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 
 from rattanridge.admin import presets as store, server
-from rattanridge.calls import headers
+from rattanridge.calls import headers, server as http
 from rattanridge.kernel import codes, log
 from rattanridge.measure import fleet
 from rattanridge.platform import client, objects
@@ -57,8 +57,12 @@
                 last = await presets.put("day", text, "olga")
             assert last.revision == 3
 
-    async def test_race_names_the_winner(self):
+    async def test_race_names_the_winner(self, monkeypatch):
+        async def none_yet(name):
+            return 0
+
         async with presets_on() as (presets, _):
+            monkeypatch.setattr(presets, "latest", none_yet)
             other = DAY.replace("5.0", "4.0")
             both = await asyncio.gather(
                 presets.put("day", DAY, "olga"),
@@ -69,7 +73,7 @@
             lost = next(item for item in both if isinstance(item, codes.Failure))
             assert lost.code is codes.CONFLICT
             assert won.operator in lost.detail
-            assert (await presets.show("day")).operator == won.operator
+            assert (await presets.show("day", 1)).operator == won.operator
 
     @pytest.mark.parametrize(
         ("name", "text", "code"),
@@ -326,7 +330,7 @@
     @pytest.mark.parametrize(
         ("body", "code"),
         [
-            (b"x" * 1_100_000, codes.TOO_LARGE),
+            (b"x" * 1_100_000, codes.BODY_TOO_LARGE),
             (b"[" * 900_000, codes.BAD_YAML),
             (b"\xff\xfe", codes.BAD_YAML),
             (b"", codes.BAD_FIELD),
@@ -358,14 +362,14 @@
         assert ask(bench, "GET", "/status") == (200, 0)
 
     def test_slow_body(self, bench, monkeypatch):
-        monkeypatch.setattr(server, "BODY_SECONDS", 0.01)
+        monkeypatch.setattr(http, "BODY_SECONDS", 0.01)
         head = (
             "PUT /presets/day HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
             f"Connection: close\r\nAuthorization: Bearer {OLGA.secret}\r\n\r\n"
         )
         url = bench.host.node.admin_url
         raw = bench.run(benches.exchange(url, head.encode()))
-        assert benches.status_of(raw) == codes.ADMIN_BAD_REQUEST.status
+        assert benches.status_of(raw) == codes.BODY_CUT.status
 
     @pytest.mark.parametrize("port", ["caller", "hop", "local"])
     @pytest.mark.parametrize(
