--- a/rattanridge/control/evidence.py
+++ b/rattanridge/control/evidence.py
@@ -417,4 +417,4 @@
         for target in targets:
             for report in reports:
                 if report.items or report.braked:
-                    target.outbox.put_nowait(report)
+                    target.outbox.put(report)
