--- a/rattanridge/calls/observer.py
+++ b/rattanridge/calls/observer.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from rattanridge.calls import entry as entries, types
-from rattanridge.control import evidence
+from rattanridge.control import collector as collectors
 from rattanridge.kernel import codes, settings
 from rattanridge.policies import balancers
 
@@ -32,7 +32,7 @@
         self,
         config: settings.NodeSettings,
         entry: entries.Entry,
-        collector: evidence.Collector,
+        collector: collectors.Collector,
     ):
         self.config = config
         self.collector = collector
--- a/rattanridge/control/coordinator.py
+++ b/rattanridge/control/coordinator.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from rattanridge.control import evidence, member, messages, rollouts
+from rattanridge.control import member, messages, pool, rollouts
 from rattanridge.kernel import clock, codes, log
 from rattanridge.platform import leases, objects
 from rattanridge.policies import schedules
@@ -56,7 +56,7 @@
     def __init__(
         self,
         member: member.Member,
-        pool: evidence.Pool,
+        pool: pool.Pool,
         time: clock.Clock | None = None,
     ):
         self.member = member
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -8,10 +8,12 @@
 from rattanridge.admin import server as admin
 from rattanridge.calls import entry, exit as exits, hop, local, observer, server
 from rattanridge.control import (
+    collector,
     coordinator,
-    evidence,
     member,
+    pool,
     replica,
+    reporter,
     roster,
     transport,
 )
@@ -45,10 +47,10 @@
         self.announcer = roster.Announcer(config, self.state, self.member.incarnation)
         self.exit = exits.Exit(config, self.counters)
         self.entry = entry.Entry(config, self.state, self.exit, self.counters)
-        self.collector = evidence.Collector(config, self.state, self.counters)
+        self.collector = collector.Collector(config, self.state, self.counters)
         self.observer = observer.Observer(config, self.entry, self.collector)
-        self.pool = evidence.Pool(config, self.state, self.counters)
-        self.reporter = evidence.Reporter(
+        self.pool = pool.Pool(config, self.state, self.counters)
+        self.reporter = reporter.Reporter(
             config, self.member, self.collector, self.pool
         )
         self.coordinator = coordinator.Coordinator(self.member, self.pool)
