--- a/rattanridge/cli/demo.py
+++ b/rattanridge/cli/demo.py
@@ -11,7 +11,7 @@
 import click
 
 from rattanridge.calls import headers
-from rattanridge.cli import main
+from rattanridge.cli import demo_rollouts, main
 from rattanridge.kernel import codes, log
 from rattanridge.measure import fleet
 from rattanridge.standin import upstream as upstreams
@@ -72,7 +72,8 @@
         for zone in ZONES:
             for service in SERVICES:
                 shape = upstreams.Shape(service, slots=12)
-                await self.fleet.add(f"{service}-{zone}", zone, shape)
+                name = f"{service}-{zone}"
+                await self.fleet.add(name, zone, shape, rollouts=demo_rollouts.TIMES)
         self.say(f"{len(self.fleet.hosts)} hosts in {len(ZONES)} zones are up")
         await self.choose("ordinary", 5.0)
         await self.fleet.wait_endpoints()
@@ -93,7 +94,8 @@
         pause = self.seconds / 4
         await asyncio.sleep(pause)
         await self.choose("peak", 2.0)
-        await asyncio.sleep(pause)
+        moving = demo_rollouts.Rollouts(self.fleet, ZONES, self.say, self.expect)
+        await moving.run()
         await self.kill_upstream()
         await asyncio.sleep(pause)
         await self.drain_upstream()
@@ -163,6 +165,9 @@
         ) as response:
             text = await response.text()
         number = response.headers.get(headers.CODE)
+        if number is None and response.status >= 500:
+            self.tally.answers["failed upstream"] += 1
+            return
         if number is None:
             self.tally.answers["answered"] += 1
             self.expect(f"/{service}/{key}" in text, f"{key} got another's answer")
--- a/rattanridge/control/coordinator.py
+++ b/rattanridge/control/coordinator.py
@@ -102,7 +102,11 @@
         """Pool evidence, and coordinate while the lease is held."""
         self.lease.address = self.member.server.address
         self.pool.start()
-        tick = self.config.control.report_interval
+        tick = min(
+            self.config.control.report_interval,
+            self.config.rollouts.least_hold,
+            self.lease.term / 4,
+        )
         renew = 0.0
         try:
             while True:
@@ -111,7 +115,7 @@
                     pause = min(self.lease.pause(), self.lease.term / 2)
                     renew = self.time.monotonic() + pause
                 await self.look()
-                await self.time.sleep(min(tick, self.lease.term / 4))
+                await self.time.sleep(tick)
         finally:
             self.pool.stop()
             self.running.clear()
--- a/rattanridge/policies/verdicts.py
+++ b/rattanridge/policies/verdicts.py
@@ -12,16 +12,10 @@
 import math
 
 from rattanridge.kernel import registry
-from rattanridge.policies import samples
+from rattanridge.policies import blocks, samples
 
 VERDICTS: registry.Registry[type["Verdict"]] = registry.Registry("verdict")
 
-BLOCK_CALLS = 50  # calls of the old version that close a block
-BLOCK_SECONDS = 60.0  # age that closes a block
-SLOW_PART = 0.9  # quantile of the old version above which a call is slow
-MEMORY = 0.98  # factor on the remembered counts of the old version for each block
-RATE_FLOOR = 0.0005
-RATE_CEILING = 0.9
 FALSE_ALARM = 0.003  # bound on the probability to blame a version that is alike
 BAKE_ALARM = 4.0  # nats of a cumulative sum that starts a trial
 BAKE_FACTOR = 4.0  # rise of the rate that the cumulative sum looks for
@@ -52,85 +46,8 @@
         return f"{self.kind} on {self.route} (evidence {self.weight:.1f})"
 
 
-@dataclasses.dataclass(slots=True)
-class Table:
-    """A fourfold table: calls and bad calls of both versions."""
-
-    new_calls: int
-    new_bad: int
-    old_calls: int
-    old_bad: int
-
-    def add(self, other: "Table") -> None:
-        self.new_calls += other.new_calls
-        self.new_bad += other.new_bad
-        self.old_calls += other.old_calls
-        self.old_bad += other.old_bad
-
-
-class Block:
-    """Counts of one route within the same minute."""
-
-    def __init__(self, route: str, now: float):
-        self.counts = samples.RouteCounts(route)
-        self.began = now
-
-    def full(self, now: float) -> bool:
-        """Whether the block shall be closed."""
-        counts = self.counts
-        enough = counts.new.calls >= 1 and counts.old.calls >= BLOCK_CALLS
-        return enough or now - self.began >= BLOCK_SECONDS
-
-
-class Memory:
-    """The old version on one route, as earlier blocks showed it."""
-
-    def __init__(self):
-        self.calls = 0.0
-        self.errors = 0.0
-        self.buckets: dict[int, float] = {}
-        self.cut = 0
-
-    def learn(self, counts: samples.Counts) -> None:
-        if not counts.calls:
-            return
-        self.calls = self.calls * MEMORY + counts.calls
-        self.errors = self.errors * MEMORY + counts.errors
-        for bucket in self.buckets:
-            self.buckets[bucket] *= MEMORY
-        for bucket, count in counts.buckets.items():
-            self.buckets[bucket] = self.buckets.get(bucket, 0.0) + count
-        self.cut = samples.quantile_cut(self.buckets, SLOW_PART)
-
-    def error_rate(self) -> float:
-        return clamp((self.errors + 0.1) / (self.calls + 100.0))
-
-    def slow_rate(self) -> float:
-        """Return the fraction of calls at or above the cut."""
-        total = sum(self.buckets.values())
-        slow = sum(n for bucket, n in self.buckets.items() if bucket >= self.cut)
-        return clamp((slow + 0.5) / (total + 10.0))
-
-    def table(self, kind: str, counts: samples.RouteCounts) -> Table:
-        """Return the fourfold table of one kind of fault."""
-        new, old = counts.new, counts.old
-        if kind == "errors":
-            return Table(new.calls, new.errors, old.calls, old.errors)
-        if not self.cut:
-            return Table(0, 0, 0, 0)
-        cut = self.cut
-        return Table(new.timed(), new.slower(cut), old.timed(), old.slower(cut))
-
-    def rate(self, kind: str) -> float:
-        return self.error_rate() if kind == "errors" else self.slow_rate()
-
-
-def clamp(rate: float) -> float:
-    return min(max(rate, RATE_FLOOR), RATE_CEILING)
-
-
 Stratum = tuple[str, str]  # route and kind
-Blocks = collections.abc.Sequence[tuple[Memory, samples.RouteCounts]]
+Blocks = collections.abc.Sequence[tuple[blocks.Memory, samples.RouteCounts]]
 
 
 class Verdict(abc.ABC):
@@ -148,8 +65,8 @@
 
     def __init__(self, false_alarm: float = FALSE_ALARM):
         self.false_alarm = false_alarm
-        self.blocks: dict[str, Block] = {}
-        self.memories: dict[str, Memory] = {}
+        self.blocks: dict[str, blocks.Block] = {}
+        self.memories: dict[str, blocks.Memory] = {}
         self.sums: dict[tuple[str, str], float] = {}
         self.alarms = 0
 
@@ -157,7 +74,7 @@
         """Add counts of one route; both versions' are of the same time."""
         block = self.blocks.get(counts.route)
         if block is None:
-            block = self.blocks[counts.route] = Block(counts.route, now)
+            block = self.blocks[counts.route] = blocks.Block(counts.route, now)
         if not counts.old.calls and not block.counts.old.calls:
             self.accumulate(counts)
         block.counts.add(counts)
@@ -174,7 +91,7 @@
         compared = []
         for route, block in closed:
             del self.blocks[route]
-            memory = self.memories.setdefault(route, Memory())
+            memory = self.memories.setdefault(route, blocks.Memory())
             if block.counts.old.calls:
                 compared.append((memory, block.counts))
         if compared:
@@ -188,7 +105,7 @@
         self.sums.clear()
 
     @abc.abstractmethod
-    def close(self, blocks: Blocks) -> None:
+    def close(self, group: Blocks) -> None:
         """Take over the blocks that were closed at one time."""
 
     @abc.abstractmethod
@@ -251,7 +168,7 @@
         self.highest = 0.0
 
     def weigh(
-        self, memory: Memory, kind: str, counts: samples.RouteCounts
+        self, memory: blocks.Memory, kind: str, counts: samples.RouteCounts
     ) -> list[float]:
         """Return the log-likelihood ratio of a block for each odds ratio."""
         table = memory.table(kind, counts)
@@ -260,17 +177,17 @@
         rate = memory.rate(kind)
         return [block_ratio(table, rate, ratio) for ratio in self.ratios]
 
-    def close(self, blocks: Blocks) -> None:
-        self.add_blocks(self.closed, blocks, FLOOR)
+    def close(self, group: Blocks) -> None:
+        self.add_blocks(self.closed, group, FLOOR)
 
     def add_blocks(
-        self, sums: dict[Stratum, list[float]], blocks: Blocks, floor: float
+        self, sums: dict[Stratum, list[float]], group: Blocks, floor: float
     ) -> None:
         """Add blocks of one time to the sums of their routes and of all routes."""
         for kind in self.kinds:
             limit = BLOCK_LIMITS[kind]
             total = self.nothing
-            for memory, counts in blocks:
+            for memory, counts in group:
                 steps = self.weigh(memory, kind, counts)
                 if steps is self.nothing:
                     continue
@@ -286,7 +203,7 @@
         self.close_blocks(now)
         current = dict(self.closed)
         opened = [
-            (self.memories.setdefault(route, Memory()), block.counts)
+            (self.memories.setdefault(route, blocks.Memory()), block.counts)
             for route, block in self.blocks.items()
             if block.counts.new.calls
         ]
@@ -337,7 +254,7 @@
     ]
 
 
-def block_ratio(table: Table, rate: float, ratio: float) -> float:
+def block_ratio(table: blocks.Table, rate: float, ratio: float) -> float:
     """Return the log of the block's likelihood ratio for an odds ratio."""
     odds = ratio * rate / (1 - rate)
     worse = odds / (1 + odds)
@@ -367,17 +284,17 @@
 
     def __init__(self, false_alarm: float = FALSE_ALARM):
         super().__init__(false_alarm)
-        self.recent: dict[str, collections.deque[Table]] = {}
+        self.recent: dict[str, collections.deque[blocks.Table]] = {}
 
-    def close(self, blocks: Blocks) -> None:
+    def close(self, group: Blocks) -> None:
         for kind in self.kinds:
             kept = self.recent.setdefault(kind, collections.deque(maxlen=KEPT_BLOCKS))
-            kept.extend(memory.table(kind, counts) for memory, counts in blocks)
+            kept.extend(memory.table(kind, counts) for memory, counts in group)
 
     def judge(self, now: float) -> Finding | None:
         self.close_blocks(now)
         for kind, kept in self.recent.items():
-            total = Table(0, 0, 0, 0)
+            total = blocks.Table(0, 0, 0, 0)
             for table in kept:
                 total.add(table)
             if total.new_calls >= LEAST_CALLS and self.worse(total):
@@ -386,7 +303,7 @@
         return None
 
     @abc.abstractmethod
-    def worse(self, table: Table) -> bool:
+    def worse(self, table: blocks.Table) -> bool:
         """Whether the new version is worse in a pooled table."""
 
 
@@ -394,7 +311,7 @@
 class FixedThreshold(Pooled):
     """The new version's rate against a threshold and nothing else."""
 
-    def worse(self, table: Table) -> bool:
+    def worse(self, table: blocks.Table) -> bool:
         return table.new_bad / table.new_calls > FIXED_THRESHOLD
 
 
@@ -405,7 +322,7 @@
     Beta posteriors from uniform priors, compared by their normal approximation.
     """
 
-    def worse(self, table: Table) -> bool:
+    def worse(self, table: blocks.Table) -> bool:
         new = posterior(table.new_calls, table.new_bad)
         old = posterior(table.old_calls, table.old_bad)
         gap = (new[0] - BAYES_MARGIN * old[0]) / math.sqrt(new[1] + old[1])
