Call path: whole answers, true refusals, bounded memory

Cause: the thin path used the HTTP library's session, which hides whether a request was sent and reuses a connection on which an answer without a request arrived; it held all answers whole, trusted the request target, and replaced the admission while old requests ran.

Now forward.Client uses the library's request and connector directly, so that 'not-run' is said only before the first byte; connections with anything unread are dropped before use; large idempotent answers stream and a cut breaks the caller's connection; targets are checked; unreadable requests get codes; work that must not repeat goes on when its caller or entry goes away; one admission lives as long as the node.

Ruled out: keeping the session with a trace that notes sent heads (costs more on the path, and the session still resends by itself).

--- a/rattanridge/calls/admission.py
+++ b/rattanridge/calls/admission.py
@@ -1,28 +1,68 @@
 """Admission at the exit: slots, and a short queue by priority and deadline."""
 
 import asyncio
+import bisect
 import dataclasses
-import heapq
 import itertools
 
 from rattanridge.kernel import codes, presets
+from rattanridge.policies import queues
 
-EWMA_WEIGHT = 0.1
+FAST_WEIGHT = 0.3
+SLOW_WEIGHT = 0.05
+RANKS = {name: rank for rank, name in enumerate(presets.PRIORITIES)}
 
 
-@dataclasses.dataclass(slots=True, order=True)
+class ServiceTime:
+    """What finished requests teach about how long a request runs.
+
+    Errs on the low side, for a request that is queued in vain is refused at its
+    deadline, while one that is refused in vain is lost.
+    """
+
+    def __init__(self):
+        self.fast = 0.0
+        self.slow = 0.0
+        self.least = 0.0
+
+    def note(self, seconds: float) -> None:
+        """Learn from one request that ran to its end."""
+        if self.slow == 0.0:
+            self.fast = self.slow = self.least = seconds
+            return
+        self.fast += FAST_WEIGHT * (seconds - self.fast)
+        self.slow += SLOW_WEIGHT * (seconds - self.slow)
+        self.least = min(seconds, self.least + SLOW_WEIGHT * (seconds - self.least))
+
+    @property
+    def mean(self) -> float:
+        """The lower of a fast and a slow average: a slow spell is soon forgotten."""
+        return min(self.fast, self.slow)
+
+
+@dataclasses.dataclass(slots=True)
 class Waiter:
-    """One queued request; the lowest priority number goes first."""
+    """One queued request.
 
-    priority: int
+    :param place: sorts the queue; the greatest goes first.
+    """
+
+    place: tuple[float, float, int]
+    rank: int
     deadline: float
-    number: int
-    ready: asyncio.Future = dataclasses.field(compare=False)
+    ready: asyncio.Future
+
+
+def get_place(waiter: Waiter) -> tuple[float, float, int]:
+    return waiter.place
 
 
 class Admission:
     """Bounds the requests that run at once and those that wait.
 
+    One object serves all upstreams that follow each other beside a node, so
+    that requests of the last one still count against the slots.
+
     :param slots: requests that run at once.
     :param queue: requests that wait.
     """
@@ -30,71 +70,121 @@
     def __init__(self, slots: int, queue: int):
         self.slots = slots
         self.queue = queue
+        self.order: queues.Order = queues.Deadline()
         self.running = 0
         self.waiting: list[Waiter] = []
         self.numbers = itertools.count()
-        self.service_time = 0.0
+        self.service_time = ServiceTime()
         self.closed = False
 
     def load(self) -> tuple[int, int]:
         return (self.running, len(self.waiting))
 
+    def resize(self, slots: int, queue: int, order: queues.Order) -> None:
+        """Take other bounds; what runs goes on, and counts."""
+        self.slots = slots
+        self.queue = queue
+        self.order = order
+        self.grant()
+
+    def close(self) -> None:
+        """Let nothing in any more, and refuse what waits."""
+        self.closed = True
+        waiting, self.waiting = self.waiting, []
+        for waiter in waiting:
+            refuse(waiter, codes.Failure(codes.DRAINING))
+
+    def open(self) -> None:
+        self.closed = False
+
     async def enter(self, priority: str, deadline: float) -> None:
         """Take a slot, waiting for one; raise a refusal if that can't work out."""
-        now = asyncio.get_running_loop().time()
         if self.closed:
             raise codes.Failure(codes.DRAINING)
-        rank = presets.PRIORITIES.index(priority)
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        if now >= deadline:
+            raise codes.Failure(codes.TOO_LATE)
         if self.running < self.slots and not self.waiting:
             self.running += 1
             return
-        self.refuse_hopeless(rank, deadline, now)
-        loop = asyncio.get_running_loop()
-        waiter = Waiter(rank, deadline, next(self.numbers), loop.create_future())
-        heapq.heappush(self.waiting, waiter)
-        await self.wait(waiter, deadline - now)
-
-    def refuse_hopeless(self, rank: int, deadline: float, now: float) -> None:
-        """Refuse at once what would not finish in time or finds no room."""
-        ahead = sum(1 for waiter in self.waiting if waiter.priority <= rank)
-        wait = (ahead + 1) / self.slots * self.service_time
-        if now + wait + self.service_time > deadline:
-            raise codes.Failure(codes.TOO_LATE, retry_after=wait)
-        if len(self.waiting) < self.queue:
-            return
-        last = max(self.waiting)
-        if last.priority <= rank:
-            raise codes.Failure(codes.QUEUE_FULL, retry_after=wait)
-        self.waiting.remove(last)
-        heapq.heapify(self.waiting)
-        if not last.ready.done():
-            last.ready.set_exception(codes.Failure(codes.QUEUE_FULL, "displaced"))
-
-    async def wait(self, waiter: Waiter, seconds: float) -> None:
+        waiter = self.push(RANKS[priority], deadline, now)
+        timer = loop.call_at(deadline, self.expire, waiter)
         try:
-            await asyncio.wait_for(asyncio.shield(waiter.ready), max(seconds, 0))
-        except TimeoutError:
-            self.abandon(waiter)
-            raise codes.Failure(codes.TOO_LATE, "waited in the queue")
+            await waiter.ready
         except asyncio.CancelledError:
             self.abandon(waiter)
             raise
+        finally:
+            timer.cancel()
+
+    def push(self, rank: int, deadline: float, now: float) -> Waiter:
+        """Queue a request, or refuse it at once."""
+        first, second = self.order.place(rank, deadline, now)
+        place = (-first, -second, -next(self.numbers))
+        index = bisect.bisect_left(self.waiting, place, key=get_place)
+        before = len(self.waiting) - index
+        wait = (before + 1) / self.slots * self.service_time.mean
+        if now + wait + self.service_time.least > deadline:
+            raise codes.Failure(codes.TOO_LATE, retry_after=wait)
+        if len(self.waiting) >= self.queue:
+            self.displace(rank, wait)
+            index -= 1
+        ready = asyncio.get_running_loop().create_future()
+        waiter = Waiter(place, rank, deadline, ready)
+        self.waiting.insert(max(index, 0), waiter)
+        return waiter
+
+    def displace(self, rank: int, wait: float) -> None:
+        """Drop the last waiter if its priority is lower; else refuse."""
+        if not self.waiting or self.waiting[0].rank <= rank:
+            raise codes.Failure(codes.QUEUE_FULL, retry_after=wait)
+        last = self.waiting.pop(0)
+        refuse(last, codes.Failure(codes.QUEUE_FULL, "displaced", retry_after=wait))
+
+    def expire(self, waiter: Waiter) -> None:
+        """Refuse a waiter whose deadline came."""
+        if not waiter.ready.done():
+            self.remove(waiter)
+            refuse(waiter, codes.Failure(codes.TOO_LATE, "waited in the queue"))
 
     def abandon(self, waiter: Waiter) -> None:
         """Take a waiter out; one that got its slot just now gives it back."""
-        if waiter in self.waiting:
-            self.waiting.remove(waiter)
-            heapq.heapify(self.waiting)
-        elif waiter.ready.done() and waiter.ready.exception() is None:
-            self.leave(0.0)
-
-    def leave(self, seconds: float) -> None:
-        """Give a slot back after a request that took some seconds."""
-        if seconds:
-            self.service_time += EWMA_WEIGHT * (seconds - self.service_time)
+        if waiter.ready.cancelled() or not waiter.ready.done():
+            self.remove(waiter)
+        elif waiter.ready.exception() is None:
+            self.leave()
+
+    def remove(self, waiter: Waiter) -> None:
+        index = bisect.bisect_left(self.waiting, waiter.place, key=get_place)
+        if index < len(self.waiting) and self.waiting[index] is waiter:
+            del self.waiting[index]
+
+    def leave(self, seconds: float = 0.0) -> None:
+        """Give a slot back.
+
+        :param seconds: how long the request ran; 0 if it did not run to its end.
+        """
+        if seconds > 0:
+            self.service_time.note(seconds)
         self.running -= 1
+        self.grant()
+
+    def grant(self) -> None:
+        """Give free slots to the first waiters that can still finish in time."""
+        now = asyncio.get_running_loop().time() if self.waiting else 0.0
         while self.waiting and self.running < self.slots:
-            waiter = heapq.heappop(self.waiting)
-            if not waiter.ready.done():
-                self.running += 1
-                waiter.ready.set_result(None)
+            waiter = self.waiting.pop()
+            if waiter.ready.done():
+                continue
+            if now + self.service_time.least > waiter.deadline:
+                refuse(waiter, codes.Failure(codes.TOO_LATE, "waited in the queue"))
+                continue
+            self.running += 1
+            waiter.ready.set_result(None)
+
+
+def refuse(waiter: Waiter, failure: codes.Failure) -> None:
+    """Wake a waiter with a refusal, unless it is gone already."""
+    if not waiter.ready.done():
+        waiter.ready.set_exception(failure)
--- a/rattanridge/calls/endpoints.py
+++ b/rattanridge/calls/endpoints.py
@@ -7,6 +7,8 @@
 from rattanridge.kernel import codes, presets, settings
 from rattanridge.policies import balancers
 
+DEFAULT = presets.Service()
+
 
 class Endpoints:
     """Candidates by service, kept in step with the replica's records.
@@ -25,6 +27,7 @@
         self.state = state
         self.random = rng or random.Random()
         self.services: dict[str, dict[str, balancers.Candidate]] = {}
+        self.lists: dict[str, list[balancers.Candidate]] = {}
         self.balancers: dict[str, tuple[presets.Service, balancers.Balancer]] = {}
         state.table.listeners.append(self.see)
 
@@ -33,8 +36,9 @@
         if not isinstance(record, messages.Endpoint):
             return
         for name, group in self.services.items():
-            if name != record.service:
-                group.pop(record.name, None)
+            if name != record.service and group.pop(record.name, None) is not None:
+                self.lists.pop(name, None)
+        self.lists.pop(record.service, None)
         group = self.services.setdefault(record.service, {})
         if record.state != "up":
             group.pop(record.name, None)
@@ -57,17 +61,23 @@
         self, service: str, idempotent: bool, avoid: frozenset[str] = frozenset()
     ) -> balancers.Candidate:
         """Choose an endpoint: first the version, then the least loaded of two."""
-        found = [
-            item
-            for item in self.services.get(service, {}).values()
-            if item.name not in avoid
-        ]
+        found = self.candidates(service)
+        if avoid:
+            found = [item for item in found if item.name not in avoid]
         found = self.by_version(service, found, idempotent)
         if not found:
             raise codes.Failure(codes.NO_ENDPOINT, service, retry_after=1.0)
         now = asyncio.get_running_loop().time()
         return self.balancer(service).choose(found, now)
 
+    def candidates(self, service: str) -> list[balancers.Candidate]:
+        """Return the service's candidates; the same list until one changes."""
+        found = self.lists.get(service)
+        if found is None:
+            found = list(self.services.get(service, {}).values())
+            self.lists[service] = found
+        return found
+
     def by_version(
         self, service: str, found: list[balancers.Candidate], idempotent: bool
     ) -> list[balancers.Candidate]:
@@ -84,12 +94,17 @@
             return kept or [item for item in found if item.version == stage.old]
         return found
 
+    def service(self, name: str) -> presets.Service:
+        """Return what the preset in force says of a service."""
+        snapshot = self.state.snapshot
+        known = snapshot.preset.services.get(name) if snapshot is not None else None
+        return known or DEFAULT
+
     def balancer(self, service: str) -> balancers.Balancer:
         """Return the service's balancer; a changed preset makes a new one."""
-        snapshot = self.state.snapshot
-        wanted = snapshot.preset.services.get(service) or presets.Service()
+        wanted = self.service(service)
         known = self.balancers.get(service)
-        if known is None or known[0] != wanted:
+        if known is None or (known[0] is not wanted and known[0] != wanted):
             kind = balancers.BALANCERS.get(wanted.balancer)
             made = kind(self.config.zone, wanted.warmup, self.random)
             known = (wanted, made)
--- a/rattanridge/calls/entry.py
+++ b/rattanridge/calls/entry.py
@@ -1,18 +1,27 @@
-"""Entry: takes requests, finds their route and endpoint, and answers them."""
+"""Entry: takes requests, finds their route, runs them and answers them."""
 
 import asyncio
 import collections.abc
 
-import aiohttp
 import aiohttp.web
 
-from rattanridge.calls import endpoints, exit as exits, forward, headers, retries, types
-from rattanridge.control import replica, transport
+from rattanridge.calls import (
+    attempts,
+    background,
+    endpoints,
+    exit as exits,
+    headers,
+    memory,
+    server,
+    types,
+)
+from rattanridge.control import replica
 from rattanridge.kernel import codes, log, metrics, presets, settings
 from rattanridge.policies import balancers
 
-HOP_CONNECTIONS = 64  # to each other node
-
+ANSWER_MARGIN = 0.01  # seconds of a route's timeout kept for answering the caller
+MARGIN_SHARE = 0.1  # most of the timeout that the margin takes
+DEADLINE_DIGITS = 9
 
 Work = collections.abc.Callable[[], collections.abc.Awaitable[types.Answer]]
 Gate = collections.abc.Callable[[types.Call], None]
@@ -40,6 +49,7 @@
     :param state: the node's replica.
     :param exit: the node's exit, for endpoints beside it.
     :param counters: counts answers and refusals by code.
+    :param held: counts the bytes of bodies that are held whole.
     """
 
     def __init__(
@@ -48,93 +58,103 @@
         state: replica.Replica,
         exit: exits.Exit,
         counters: metrics.Counters,
+        held: memory.Held,
     ):
         self.config = config
         self.state = state
-        self.exit = exit
         self.counters = counters
+        self.held = held
         self.log = log.Log("entry", config.name)
         self.endpoints = endpoints.Endpoints(config, state)
-        self.retries = retries.Retries(counters)
+        self.attempts = attempts.Attempts(config, self.endpoints, exit, counters, held)
+        self.background = background.Background(config.name)
         self.gates: list[Gate] = []
         self.guard: Guard = run_unguarded
-        self.observers: list[Observer] = []
-        self.session = None
+        self.observers: list[Observer] = self.attempts.observers
         self.stopping = False
         self.active = 0
-        token = transport.sign(config.key, "hop", config.name)
-        self.hop_headers = {headers.NODE: config.name, headers.TOKEN: token}
 
     async def start(self) -> None:
-        self.session = forward.make_session(0)
+        await self.attempts.start()
 
     async def stop(self) -> None:
-        if self.session is not None:
-            await self.session.close()
+        await self.attempts.stop()
+
+    def busy(self) -> int:
+        """Return the requests in progress, with those whose caller went away."""
+        return self.active + len(self.background.tasks)
 
-    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+    async def serve(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.StreamResponse:
         """Answer one caller's request."""
         return await self.handle(request, inner=False)
 
     async def serve_upstream(
         self, request: aiohttp.web.BaseRequest
-    ) -> aiohttp.web.Response:
+    ) -> aiohttp.web.StreamResponse:
         """Answer a call that the upstream beside the node makes."""
         return await self.handle(request, inner=True)
 
     async def handle(
         self, request: aiohttp.web.BaseRequest, inner: bool
-    ) -> aiohttp.web.Response:
-        """Answer one request; only an inner one's marks are believed."""
+    ) -> aiohttp.web.StreamResponse:
+        """Answer one request; only an inner one's marks are believed.
+
+        While the node stops, inner calls go on: requests in progress need them.
+        """
         self.active += 1
         try:
-            answer = await self.answer(request, inner)
+            if self.stopping and not inner:
+                raise codes.Failure(codes.STOPPING, retry_after=1.0)
+            call = await self.read(request, inner)
+            try:
+                answer = await self.answer(call)
+            finally:
+                self.held.release(call.body)
         except codes.Failure as failure:
             answer = types.refuse(failure)
+        except asyncio.CancelledError:
+            self.counters.add("entry.caller-gone")
+            raise
         finally:
             self.active -= 1
-        return self.respond(request, answer)
+        return await self.respond(request, answer)
 
-    async def answer(
-        self, request: aiohttp.web.BaseRequest, inner: bool
-    ) -> types.Answer:
-        if self.stopping:
-            raise codes.Failure(codes.STOPPING, retry_after=1.0)
-        call = await self.read(request)
-        if inner:
-            self.believe_marks(call, request)
+    async def answer(self, call: types.Call) -> types.Answer:
+        """Run a call: through the guard if it must not repeat.
+
+        If the caller goes away or the deadline passes, the guard is cancelled but
+        not the work that it began, for which the guard may go on waiting.
+        """
         for gate in self.gates:
             gate(call)
         if call.idempotent:
-            return await self.run(call)
-        return await self.guard(call, lambda: self.run(call))
-
-    def believe_marks(self, call: types.Call, request: aiohttp.web.BaseRequest) -> None:
-        """Take over the deadline and retry mark of the call that caused this one."""
-        call.retried = headers.RETRY in request.headers
-        text = request.headers.get(headers.DEADLINE, "")
-        if text.isdigit() and len(text) < 10:
-            now = asyncio.get_running_loop().time()
-            call.deadline = min(call.deadline, now + int(text) / 1000)
+            return await self.attempts.run(call)
+        try:
+            async with asyncio.timeout_at(call.deadline + ANSWER_MARGIN / 2):
+                return await self.guard(call, lambda: self.work(call))
+        except TimeoutError:
+            raise codes.Failure(codes.DEADLINE, ran=codes.Ran.UNKNOWN)
 
-    def queue_of(self, service: str) -> int:
-        """Return the queue bound that the preset gives a service."""
-        snapshot = self.state.snapshot
-        known = snapshot.preset.services.get(service) if snapshot else None
-        return (known or presets.Service()).queue
+    async def work(self, call: types.Call) -> types.Answer:
+        """Run a call to its end, whoever stops waiting for it."""
+        return await self.background.run(self.attempts.run(call))
 
-    async def read(self, request: aiohttp.web.BaseRequest) -> types.Call:
+    async def read(self, request: aiohttp.web.BaseRequest, inner: bool) -> types.Call:
         """Match the route and read the request whole."""
         snapshot = self.state.snapshot
         if snapshot is None:
             raise codes.Failure(codes.NOT_READY, retry_after=1.0)
+        path = read_path(request)
         host = request.headers.get("Host", "").partition(":")[0]
-        route = snapshot.match(host, request.path, request.method)
+        route = snapshot.match(host, path, request.method)
         if route is None:
-            raise codes.Failure(codes.NO_ROUTE, f"{request.method} {request.path}")
-        body = await self.read_body(request)
-        now = asyncio.get_running_loop().time()
-        return types.Call(
+            raise codes.Failure(codes.NO_ROUTE, f"{request.method} {path}")
+        began = asyncio.get_running_loop().time()
+        limit = self.config.limits.body_bytes
+        body = await server.read_body(request, limit, self.held)
+        call = types.Call(
             method=request.method,
             path=request.raw_path,
             headers=headers.forwardable(request.headers),
@@ -142,121 +162,69 @@
             service=route.service,
             idempotent=route.idempotent,
             priority=route.priority,
-            deadline=now + route.timeout,
+            deadline=began + keep_margin(route.timeout),
             caller=request.remote or "",
             route=route,
+            stream=route.idempotent and request.version >= (1, 1),
         )
+        if inner:
+            self.believe_marks(call, request, began)
+        return call
 
-    async def read_body(self, request: aiohttp.web.BaseRequest) -> bytes:
-        """Read the body whole, within the limit."""
-        limit = self.config.limits.body_bytes
-        if (request.content_length or 0) > limit:
-            raise codes.Failure(codes.BODY_TOO_LARGE)
-        chunks = []
-        size = 0
-        try:
-            async for chunk in request.content.iter_any():
-                size += len(chunk)
-                if size > limit:
-                    raise codes.Failure(codes.BODY_TOO_LARGE)
-                chunks.append(chunk)
-        except (aiohttp.ClientError, aiohttp.web.RequestPayloadError, OSError):
-            raise codes.Failure(codes.BODY_CUT)
-        return b"".join(chunks)
-
-    async def run(self, call: types.Call) -> types.Answer:
-        """Run a call, again on another endpoint where that is allowed."""
-        tried: frozenset[str] = frozenset()
-        while True:
-            chosen = self.endpoints.choose(call.service, call.idempotent, tried)
-            answer = await self.attempt(call, chosen)
-            if not self.retries.allowed(call, answer):
-                return answer
-            tried |= {chosen.name}
-            call.retried = True
-            try:
-                self.endpoints.choose(call.service, call.idempotent, tried)
-            except codes.Failure:
-                return answer
-
-    async def attempt(
-        self, call: types.Call, chosen: balancers.Candidate
-    ) -> types.Answer:
-        """Send a call to one endpoint and note how it went."""
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        chosen.in_flight += 1
-        try:
-            if chosen.name == self.config.name:
-                answer = await self.exit.run(call)
-            else:
-                answer = await self.forward(call, chosen)
-        finally:
-            chosen.in_flight -= 1
-        seconds = loop.time() - began
-        chosen.running, chosen.queued = answer.load
-        if answer.code is None and answer.status < 500:
-            chosen.succeed(seconds)
-        else:
-            chosen.fail(loop.time())
-        for observer in self.observers:
-            observer(call, chosen, answer, seconds)
-        return answer
+    def believe_marks(
+        self, call: types.Call, request: aiohttp.web.BaseRequest, began: float
+    ) -> None:
+        """Take over the deadline and retry mark of the call that caused this one."""
+        call.retried = headers.RETRY in request.headers
+        text = request.headers.get(headers.DEADLINE, "")
+        if text.isdigit() and len(text) <= DEADLINE_DIGITS:
+            left = keep_margin(int(text) / 1000)
+            call.deadline = min(call.deadline, began + left)
 
-    async def forward(
-        self, call: types.Call, chosen: balancers.Candidate
-    ) -> types.Answer:
-        """Send a call to the node beside the chosen endpoint."""
-        left = call.deadline - asyncio.get_running_loop().time()
-        extra = dict(self.hop_headers)
-        extra[headers.TARGET] = call.service
-        extra[headers.DEADLINE] = f"{left * 1000:.0f}"
-        extra[headers.PRIORITY] = call.priority
-        if call.retried:
-            extra[headers.RETRY] = "1"
-        if not call.idempotent:
-            extra[headers.ONCE] = "1"
-        limit = self.config.limits.answer_bytes
-        try:
-            response, body = await forward.send(
-                self.session, f"http://{chosen.hop}{call.path}", call, extra, limit
-            )
-        except codes.Failure as failure:
-            if failure.code is codes.UPSTREAM_FAILED:
-                failure.code = codes.PEER_FAILED
-            return types.refuse(failure)
-        return parse_hop(response, body)
+    def service(self, name: str) -> presets.Service:
+        """Return what the preset in force says of a service."""
+        return self.endpoints.service(name)
 
-    def respond(
+    async def respond(
         self, request: aiohttp.web.BaseRequest, answer: types.Answer
-    ) -> aiohttp.web.Response:
-        """Build the response, and count it."""
+    ) -> aiohttp.web.StreamResponse:
+        """Answer, count and log."""
         name = answer.code.name if answer.code is not None else "upstream"
         self.counters.add(f"entry.answered.{name}")
-        answer.headers[headers.RAN] = answer.ran.value
         if answer.code is not None:
-            answer.headers[headers.CODE] = str(answer.code.number)
             self.log.info(
                 "refused",
                 code=answer.code.number,
-                name=answer.code.name,
+                name=name,
                 ran=answer.ran.value,
                 method=request.method,
-                path=request.path,
+                path=request.raw_path,
             )
-        return aiohttp.web.Response(
-            status=answer.status, headers=answer.headers, body=answer.body
-        )
+        try:
+            return await server.respond(request, answer)
+        except codes.Failure as failure:
+            self.counters.add(f"entry.cut.{failure.code.name}")
+            self.log.info("answer-cut", code=failure.code.number, path=request.raw_path)
+            raise
 
 
-def parse_hop(response: aiohttp.ClientResponse, body: bytes) -> types.Answer:
-    """Read another node's answer, with its code, outcome and load."""
-    answer = forward.answer_of(response, body)
-    ran = response.headers.get(headers.RAN, codes.Ran.UNKNOWN)
-    answer.ran = codes.Ran(ran)
-    number = response.headers.get(headers.CODE, "")
-    if number.isdigit():
-        answer.code = codes.TABLE.get(int(number), codes.PEER_FAILED)
-    running, _, queued = response.headers.get(headers.LOAD, "0/0").partition("/")
-    answer.load = (int(running), int(queued))
-    return answer
+def keep_margin(seconds: float) -> float:
+    """Return the time for the work, less what answering the caller takes."""
+    return seconds - min(ANSWER_MARGIN, seconds * MARGIN_SHARE)
+
+
+def read_path(request: aiohttp.web.BaseRequest) -> str:
+    """Return the path that routes match, decoded but for slashes.
+
+    Refused are targets that would mean another host or another path to the
+    upstream than to the routes: absolute ones, fragments and dot segments.
+    """
+    target = request.raw_path
+    if not target.startswith("/") or "#" in target:
+        raise codes.Failure(codes.BAD_REQUEST, "target")
+    path = target.partition("?")[0]
+    if "%" in path:
+        path = request.rel_url.path_safe
+    if "/." in path and {".", ".."}.intersection(path.split("/")):
+        raise codes.Failure(codes.BAD_REQUEST, "dot segment")
+    return path
--- a/rattanridge/calls/forward.py
+++ b/rattanridge/calls/forward.py
@@ -1,81 +1,280 @@
-"""HTTP client sides of the call path: to upstreams and to other nodes."""
+"""HTTP client side of the call path: to upstreams and to other nodes.
+
+It uses the library's request and connector directly, without its session: a
+session does not tell whether a request was sent, and sends some requests again
+by itself.
+"""
 
 import asyncio
+import select
 
 import aiohttp
+import aiohttp.hdrs
 import multidict
+import yarl
 
-from rattanridge.calls import headers, types
-from rattanridge.kernel import codes
+from rattanridge.calls import headers, memory, types
+from rattanridge.kernel import codes, settings
 
-KEEP_ALIVE = 30.0  # seconds that an idle connection is kept
+WHOLE_BYTES = 262_144  # a larger answer is passed on in parts where allowed
+READ_BYTES = 65_536  # buffered from one connection before reading pauses
+STALE_MOST = 16  # connections found closed in a row before giving up
+SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+WITHOUT_BODY = frozenset((204, 304))
+NO_TIMEOUT = aiohttp.ClientTimeout(total=None, connect=None, sock_connect=None)
 
 
-def make_session(connections: int) -> aiohttp.ClientSession:
-    """Return a client session that keeps no cookies and changes no bodies."""
-    session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=connections, keepalive_timeout=KEEP_ALIVE, ttl_dns_cache=None
-        ),
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-        timeout=aiohttp.ClientTimeout(total=None),
-        requote_redirect_url=False,
-    )
-    # The library would send GET, PUT and DELETE again by itself on a connection
-    # that broke; whether a request may run twice is the preset's to say.
-    session._retry_connection = False
-    return session
+def make_url(address: str, path: str) -> yarl.URL:
+    """Return the URL of a checked path at ``host:port``, byte for byte."""
+    return yarl.URL(f"http://{address}{path}", encoded=True)
 
 
-async def read_whole(response: aiohttp.ClientResponse, limit: int) -> bytes:
-    """Read an answer whole; raise a coded failure if it is cut or too long."""
-    try:
-        body = await response.read()
-    except aiohttp.ClientPayloadError:
-        raise codes.Failure(codes.ANSWER_CUT, ran=codes.Ran.UNKNOWN)
-    if len(body) > limit:
-        raise codes.Failure(codes.ANSWER_CUT, "over the limit", ran=codes.Ran.RAN)
-    return body
-
-
-async def send(
-    session: aiohttp.ClientSession,
-    url: str,
-    call: types.Call,
-    extra: dict[str, str],
-    limit: int,
-) -> tuple[aiohttp.ClientResponse, bytes]:
-    """Send a call and return the response with its whole body.
-
-    ``connect-failed`` is raised only if no byte was sent.
+class Client:
+    """Keep-alive connections to upstreams or nodes.
+
+    :param config: the node's settings.
+    :param held: counts the bytes of answers that are held whole.
+    :param connections: most connections in all; 0 is no limit.
+    :param per_address: most connections to one address; 0 is no limit.
+    :param idle: seconds that an unused connection is kept.
+    """
+
+    def __init__(
+        self,
+        config: settings.NodeSettings,
+        held: memory.Held,
+        connections: int = 0,
+        per_address: int = 0,
+        idle: float = 30.0,
+    ):
+        self.limits = config.limits
+        self.held = held
+        self.loop = asyncio.get_running_loop()
+        self.connector = aiohttp.TCPConnector(
+            limit=connections,
+            limit_per_host=per_address,
+            keepalive_timeout=idle,
+            ttl_dns_cache=None,
+        )
+        self.active = 0
+        self.retired = False
+
+    async def close(self) -> None:
+        """Break all connections."""
+        await self.connector.close()
+
+    async def retire(self) -> None:
+        """Close as soon as no request is in progress."""
+        self.retired = True
+        if not self.active:
+            await self.close()
+
+    async def send(
+        self,
+        address: str,
+        call: types.Call,
+        extra: dict[str, str],
+        end: float,
+    ) -> types.Answer:
+        """Send a call and return its answer, whole or as far as it may stream.
+
+        A failure says ``not-run`` only if no byte was sent.
+
+        :param end: monotonic seconds at which to give up waiting for the answer;
+            until the call's deadline it must be sent.
+        """
+        if self.loop.time() >= call.deadline:
+            raise codes.Failure(codes.TOO_LATE)
+        request = self.make_request(address, call, extra)
+        sent = False
+        self.active += 1
+        try:
+            async with asyncio.timeout_at(call.deadline) as timeout:
+                connection = await self.connect(request)
+                sent = True
+                timeout.reschedule(end)
+                response = await exchange(request, connection)
+                return await self.read(response, call, end)
+        except TimeoutError:
+            if not sent:
+                raise codes.Failure(codes.TOO_LATE, "no connection")
+            raise codes.Failure(codes.DEADLINE, ran=codes.Ran.UNKNOWN)
+        except (aiohttp.ClientError, OSError) as error:
+            detail = type(error).__name__
+            if not sent:
+                raise codes.Failure(codes.CONNECT_FAILED, detail)
+            raise codes.Failure(codes.UPSTREAM_FAILED, detail, ran=codes.Ran.UNKNOWN)
+        finally:
+            self.active -= 1
+            if self.retired and not self.active:
+                await self.close()
+
+    def make_request(
+        self, address: str, call: types.Call, extra: dict[str, str]
+    ) -> aiohttp.ClientRequest:
+        """Build the request; the call's own headers stay as they are."""
+        wanted = multidict.CIMultiDict(call.headers)
+        wanted.update(extra)
+        return aiohttp.ClientRequest(
+            call.method,
+            make_url(address, call.path),
+            headers=wanted,
+            skip_auto_headers=SKIPPED,
+            data=call.body or None,
+            loop=self.loop,
+        )
+
+    async def connect(
+        self, request: aiohttp.ClientRequest
+    ) -> aiohttp.connector.Connection:
+        """Return a connection that is open and has nothing unread."""
+        for _ in range(STALE_MOST):
+            connection = await self.connector.connect(request, [], NO_TIMEOUT)
+            if is_fresh(connection):
+                self.prepare(request, connection)
+                return connection
+            connection.close()
+        raise codes.Failure(codes.CONNECT_FAILED, "closed before use")
+
+    def prepare(
+        self, request: aiohttp.ClientRequest, connection: aiohttp.connector.Connection
+    ) -> None:
+        """Set up the parser of the connection's next answer."""
+        connection.protocol.set_response_params(
+            skip_payload=request.method == aiohttp.hdrs.METH_HEAD,
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BYTES,
+            max_line_size=self.limits.header_bytes,
+            max_field_size=self.limits.header_bytes,
+        )
+
+    async def read(
+        self, response: aiohttp.ClientResponse, call: types.Call, end: float
+    ) -> types.Answer:
+        """Read the answer whole, or its beginning if it is large and may stream."""
+        kept = headers.forwardable(response.headers)
+        answer = types.Answer(response.status, kept, b"", codes.Ran.RAN)
+        answer.marks = response.headers
+        length = response.headers.get(aiohttp.hdrs.CONTENT_LENGTH)
+        if call.method == aiohttp.hdrs.METH_HEAD or response.status in WITHOUT_BODY:
+            if length is not None:
+                kept[aiohttp.hdrs.CONTENT_LENGTH] = length
+            response.release()
+            return answer
+        rest = ResponseRest(response, end, self)
+        try:
+            check_framing(response)
+            await self.read_body(answer, rest, call.stream)
+        except BaseException:
+            rest.close()
+            raise
+        if answer.rest is not None and length is not None:
+            kept[aiohttp.hdrs.CONTENT_LENGTH] = length
+        return answer
+
+    async def read_body(
+        self, answer: types.Answer, rest: "ResponseRest", stream: bool
+    ) -> None:
+        """Read up to the limit; leave the rest of a large body to be streamed."""
+        parts = []
+        size = 0
+        while part := await rest.read():
+            parts.append(part)
+            size += len(part)
+            if size <= WHOLE_BYTES:
+                continue
+            if stream:
+                answer.rest = rest
+                break
+            if size > self.limits.answer_bytes:
+                detail = "over the limit"
+                raise codes.Failure(codes.ANSWER_TOO_LARGE, detail, ran=codes.Ran.RAN)
+            rest.hold(len(part))
+        answer.body = b"".join(parts)
+        if answer.rest is None:
+            rest.close()
+
+
+class ResponseRest(types.Rest):
+    """What is unread of a response on a connection.
+
+    :param end: monotonic seconds at which to give up.
+    :param client: keeps open until the response is read.
     """
-    wanted = multidict.CIMultiDict(call.headers)
-    wanted.update(extra)
-    left = call.deadline - asyncio.get_running_loop().time()
-    if left <= 0:
-        raise codes.Failure(codes.TOO_LATE)
+
+    def __init__(self, response: aiohttp.ClientResponse, end: float, client: Client):
+        self.response = response
+        self.end = end
+        self.client = client
+        self.held = 0
+        self.open = True
+        client.active += 1
+
+    def hold(self, size: int) -> None:
+        """Count bytes that are held whole; raise if the node holds too many."""
+        self.client.held.take(size, codes.Ran.RAN)
+        self.held += size
+
+    async def read(self) -> bytes:
+        try:
+            part = self.response.content.read_nowait(-1)
+            if part or self.response.content.at_eof():
+                return part
+            async with asyncio.timeout_at(self.end):
+                return await self.response.content.readany()
+        except TimeoutError:
+            raise codes.Failure(codes.DEADLINE, ran=codes.Ran.UNKNOWN)
+        except (aiohttp.ClientError, OSError) as error:
+            detail = type(error).__name__
+            raise codes.Failure(codes.ANSWER_CUT, detail, ran=codes.Ran.UNKNOWN)
+
+    def close(self) -> None:
+        if not self.open:
+            return
+        self.open = False
+        self.client.held.give(self.held)
+        if self.response.content.at_eof():
+            self.response.release()
+        else:
+            self.response.close()
+        self.client.active -= 1
+        if self.client.retired and not self.client.active:
+            self.client.loop.create_task(self.client.close())
+
+
+async def exchange(
+    request: aiohttp.ClientRequest, connection: aiohttp.connector.Connection
+) -> aiohttp.ClientResponse:
+    """Send a request and read the head of its answer; any failure on the way
+    closes the connection, so that it is never used again."""
     try:
-        async with asyncio.timeout(left):
-            async with session.request(
-                call.method,
-                url,
-                headers=wanted,
-                data=call.body or None,
-                allow_redirects=False,
-            ) as response:
-                return response, await read_whole(response, limit)
-    except aiohttp.ClientConnectorError as error:
-        raise codes.Failure(codes.CONNECT_FAILED, type(error).__name__)
-    except TimeoutError:
-        raise codes.Failure(codes.DEADLINE, ran=codes.Ran.UNKNOWN)
-    except (aiohttp.ClientError, OSError) as error:
-        detail = type(error).__name__
-        raise codes.Failure(codes.UPSTREAM_FAILED, detail, ran=codes.Ran.UNKNOWN)
-
-
-def answer_of(response: aiohttp.ClientResponse, body: bytes) -> types.Answer:
-    """Turn a whole response into an answer of the upstream."""
-    kept = headers.forwardable(response.headers)
-    return types.Answer(response.status, kept, body, codes.Ran.RAN)
+        response = await request.send(connection)
+        return await response.start(connection)
+    except BaseException:
+        connection.close()
+        raise
+
+
+def is_fresh(connection: aiohttp.connector.Connection) -> bool:
+    """Whether nothing came on a connection since its last answer.
+
+    What comes between two requests is the end of the connection, or an answer
+    that belongs to no request.
+    """
+    protocol = connection.protocol
+    if protocol is None or protocol.should_close or not protocol.is_connected():
+        return False
+    socket = protocol.transport.get_extra_info("socket")
+    readable, _, _ = select.select((socket,), (), (), 0)
+    return not readable
+
+
+def check_framing(response: aiohttp.ClientResponse) -> None:
+    """Refuse an answer whose end only the closing of the connection would tell:
+    whether it was cut short cannot be known."""
+    if aiohttp.hdrs.CONTENT_LENGTH in response.headers:
+        return
+    coding = response.headers.get(aiohttp.hdrs.TRANSFER_ENCODING, "")
+    if "chunked" not in coding.lower():
+        raise codes.Failure(codes.ANSWER_UNFRAMED, ran=codes.Ran.UNKNOWN)
--- a/rattanridge/calls/hop.py
+++ b/rattanridge/calls/hop.py
@@ -5,7 +5,7 @@
 
 import aiohttp.web
 
-from rattanridge.calls import entry as entries, exit as exits, headers, types
+from rattanridge.calls import background, exit as exits, headers, memory, server, types
 from rattanridge.control import transport
 from rattanridge.kernel import codes, metrics, presets, settings
 
@@ -16,33 +16,53 @@
     """Serves calls from other nodes.
 
     :param config: the node's settings.
-    :param entry: reads request bodies within the limits.
     :param exit: runs the calls.
     :param counters: counts refused peers.
+    :param held: counts the bytes of bodies that are held whole.
     """
 
     def __init__(
         self,
         config: settings.NodeSettings,
-        entry: entries.Entry,
         exit: exits.Exit,
         counters: metrics.Counters,
+        held: memory.Held,
     ):
         self.config = config
-        self.entry = entry
         self.exit = exit
         self.counters = counters
+        self.held = held
+        self.background = background.Background(config.name)
         self.tokens: dict[str, str] = {}
+        self.active = 0
 
-    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+    async def serve(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.StreamResponse:
         """Run one forwarded call."""
+        self.active += 1
+        try:
+            return await self.respond(request, await self.answer(request))
+        finally:
+            self.active -= 1
+
+    async def answer(self, request: aiohttp.web.BaseRequest) -> types.Answer:
+        """Run a call; one that must not repeat goes on if the entry goes away."""
         try:
             self.authenticate(request)
-            answer = await self.exit.run(await self.read(request))
+            call = await self.read(request)
         except codes.Failure as failure:
             self.counters.add(f"hop.refused.{failure.code.name}")
-            answer = types.refuse(failure)
-        return self.respond(answer)
+            return types.refuse(failure)
+        if call.idempotent:
+            return await self.run(call)
+        return await self.background.run(self.run(call))
+
+    async def run(self, call: types.Call) -> types.Answer:
+        try:
+            return await self.exit.run(call)
+        finally:
+            self.held.release(call.body)
 
     def authenticate(self, request: aiohttp.web.BaseRequest) -> None:
         """Refuse a peer that does not prove the shared key."""
@@ -62,28 +82,33 @@
         if priority not in presets.PRIORITIES:
             raise codes.Failure(codes.BAD_REQUEST, "priority")
         left = parse_deadline(marks.get(headers.DEADLINE, ""))
-        now = asyncio.get_running_loop().time()
+        deadline = asyncio.get_running_loop().time() + left
+        limit = self.config.limits.body_bytes
+        body = await server.read_body(request, limit, self.held)
+        idempotent = headers.ONCE not in marks
         return types.Call(
             method=request.method,
             path=request.raw_path,
             headers=headers.forwardable(marks),
-            body=await self.entry.read_body(request),
+            body=body,
             service=marks.get(headers.TARGET, ""),
-            idempotent=headers.ONCE not in marks,
+            idempotent=idempotent,
             priority=priority,
-            deadline=now + left,
+            deadline=deadline,
             retried=headers.RETRY in marks,
+            stream=idempotent,
         )
 
-    def respond(self, answer: types.Answer) -> aiohttp.web.Response:
-        """Build the response with the marks that the entry reads."""
-        answer.headers[headers.RAN] = answer.ran.value
+    async def respond(
+        self, request: aiohttp.web.BaseRequest, answer: types.Answer
+    ) -> aiohttp.web.StreamResponse:
+        """Answer with the marks that the entry reads."""
         answer.headers[headers.LOAD] = f"{answer.load[0]}/{answer.load[1]}"
-        if answer.code is not None:
-            answer.headers[headers.CODE] = str(answer.code.number)
-        return aiohttp.web.Response(
-            status=answer.status, headers=answer.headers, body=answer.body
-        )
+        try:
+            return await server.respond(request, answer)
+        except codes.Failure as failure:
+            self.counters.add(f"hop.cut.{failure.code.name}")
+            raise
 
 
 def parse_deadline(text: str) -> float:
--- a/rattanridge/calls/local.py
+++ b/rattanridge/calls/local.py
@@ -6,7 +6,7 @@
 import aiohttp.web
 import msgspec
 
-from rattanridge.calls import entry as entries, exit as exits, headers, types
+from rattanridge.calls import entry as entries, exit as exits, server, types
 from rattanridge.control import roster
 from rattanridge.kernel import codes, log, settings
 
@@ -64,7 +64,9 @@
         if self.task is not None:
             self.task.cancel()
 
-    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+    async def serve(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.StreamResponse:
         """Answer an announcement, or a call of the upstream."""
         if request.path != ANNOUNCE_PATH or request.method != "PUT":
             return await self.entry.serve_upstream(request)
@@ -73,11 +75,7 @@
                 raise codes.Failure(codes.BODY_TOO_LARGE)
             await self.announce(await request.read())
         except codes.Failure as failure:
-            refused = types.refuse(failure)
-            refused.headers[headers.CODE] = str(failure.code.number)
-            return aiohttp.web.Response(
-                status=refused.status, headers=refused.headers, body=refused.body
-            )
+            return server.make_response(types.refuse(failure))
         return aiohttp.web.Response(body=b"{}", content_type="application/json")
 
     async def announce(self, body: bytes) -> None:
@@ -97,7 +95,7 @@
             said.connections,
             said.state,
         )
-        await self.exit.attach(upstream, self.entry.queue_of(said.service))
+        await self.exit.attach(upstream, self.entry.service(said.service))
         self.announcer.announce(
             said.service,
             said.version,
--- a/rattanridge/calls/retries.py
+++ b/rattanridge/calls/retries.py
@@ -1,11 +1,13 @@
-"""Retries: a budget for each service, at most one hop of a chain retries."""
+"""Retries: which failed calls are sent again, and the counters of why."""
 
 from rattanridge.calls import types
-from rattanridge.kernel import codes, metrics
+from rattanridge.kernel import codes, metrics, presets
+from rattanridge.policies import retries as policies
 
-TOKENS_MOST = 10.0
-TOKENS_FIRST = 3.0
 ATTEMPTS_MOST = 3
+RUNS_MOST = 2  # attempts of one call that may have reached an upstream
+FINAL = (codes.DEADLINE, codes.TOO_LATE, codes.QUARANTINED, codes.ANSWER_TOO_LARGE)
+RANKS = {codes.Ran.NOT_RUN: 0, codes.Ran.UNKNOWN: 1, codes.Ran.RAN: 2}
 
 
 class Retries:
@@ -16,34 +18,81 @@
 
     def __init__(self, counters: metrics.Counters):
         self.counters = counters
-        self.tokens: dict[str, float] = {}
+        self.policies: dict[str, tuple[str, policies.Retry]] = {}
 
-    def allowed(self, call: types.Call, answer: types.Answer) -> bool:
-        """Whether to send a call again; an idempotent one on any failure, any
-        other only if it is proved not to have run."""
-        if answer.code is None and answer.status < 500:
-            self.earn(call)
+    def policy(self, service: str, wanted: presets.Service) -> policies.Retry:
+        """Return the service's policy; another name in the preset makes a new one."""
+        known = self.policies.get(service)
+        if known is None or known[0] != wanted.retries:
+            known = (wanted.retries, policies.RETRIES.get(wanted.retries)())
+            self.policies[service] = known
+        return known[1]
+
+    def allowed(
+        self,
+        call: types.Call,
+        answer: types.Answer,
+        policy: policies.Retry,
+        attempts: int,
+        runs: int,
+    ) -> bool:
+        """Whether to send a call again: an idempotent one after any failure,
+        another only if it is proved not to have run.
+
+        :param attempts: how often the call was sent.
+        :param runs: attempts that may have reached an upstream.
+        """
+        if succeeded(answer):
+            policy.earn(call.route.retry_budget if call.route is not None else 0.0)
             return False
-        if call.retried or not retryable(call, answer):
+        if not retryable(call, answer):
             return False
-        reason = answer.code.name if answer.code is not None else "status"
-        tokens = self.tokens.get(call.service, TOKENS_FIRST)
-        if tokens < 1.0:
-            self.counters.add("retry.refused.retry-budget")
+        reason = self.refusal(call, policy, attempts, runs)
+        if reason:
+            self.counters.add(f"retry.refused.{reason}")
             return False
-        self.tokens[call.service] = tokens - 1.0
-        self.counters.add(f"retry.{reason}")
+        name = answer.code.name if answer.code is not None else "status"
+        self.counters.add(f"retry.{name}")
         return True
 
-    def earn(self, call: types.Call) -> None:
-        """Add the fraction of a token that one success earns."""
-        gain = call.route.retry_budget if call.route is not None else 0.0
-        tokens = self.tokens.get(call.service, TOKENS_FIRST)
-        self.tokens[call.service] = min(tokens + gain, TOKENS_MOST)
+    def refusal(
+        self, call: types.Call, policy: policies.Retry, attempts: int, runs: int
+    ) -> str:
+        """Return why a retryable call is not sent again, or nothing."""
+        if call.retried:
+            return "earlier-hop"
+        if attempts >= ATTEMPTS_MOST:
+            return "attempts"
+        if runs >= RUNS_MOST:
+            return "runs"
+        if not policy.spend():
+            return codes.RETRY_BUDGET.name
+        return ""
+
+
+def succeeded(answer: types.Answer) -> bool:
+    return answer.code is None and answer.status < 500
 
 
 def retryable(call: types.Call, answer: types.Answer) -> bool:
     """Whether the kind of failure allows a second sending at all."""
-    if answer.code in (codes.DEADLINE, codes.TOO_LATE, codes.QUARANTINED):
+    if answer.code in FINAL:
         return False
     return call.idempotent or answer.ran is codes.Ran.NOT_RUN
+
+
+def merge(earlier: types.Answer | None, later: types.Answer) -> types.Answer:
+    """Return the answer to a call of several attempts.
+
+    An upstream's own answer goes before a refusal, and the outcome is the most
+    that any of the attempts may have done.
+    """
+    if earlier is None:
+        return later
+    kept, dropped = later, earlier
+    if earlier.code is None and later.code is not None:
+        kept, dropped = earlier, later
+    dropped.close()
+    if RANKS[dropped.ran] > RANKS[kept.ran]:
+        kept.ran = dropped.ran
+    return kept
--- a/rattanridge/calls/types.py
+++ b/rattanridge/calls/types.py
@@ -1,5 +1,6 @@
 """Calls and answers as they pass between entry and exit."""
 
+import abc
 import dataclasses
 
 import multidict
@@ -11,10 +12,11 @@
 class Call:
     """One request on its way.
 
-    :param path: path and query as they came.
-    :param deadline: monotonic seconds by which the caller is answered.
-    :param retried: whether some hop of the chain retries already.
+    :param path: path and query as they came, byte for byte.
+    :param deadline: monotonic seconds by which the answer is wanted.
+    :param retried: whether a hop before this one retries.
     :param caller: the caller's IP number.
+    :param stream: whether a large answer may be passed on in parts.
     """
 
     method: str
@@ -28,15 +30,41 @@
     retried: bool = False
     caller: str = ""
     route: presets.Route | None = None
+    stream: bool = False
+
+    @property
+    def leaves_retries(self) -> bool:
+        """Whether the calls that this one causes are not sent again by their
+        entries, for this one is sent again as a whole.
+
+        A call that is not idempotent is only ever sent again if it did not run,
+        and caused no calls; what it causes may be retried there.
+        """
+        return self.retried or self.idempotent
+
+
+class Rest(abc.ABC):
+    """The part of an answer's body that has not been read yet."""
+
+    @abc.abstractmethod
+    async def read(self) -> bytes:
+        """Return the next part, empty at the end; raise a coded failure if the
+        answer ends too early or after its deadline."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Give back what the answer holds; break the connection if it is cut."""
 
 
 @dataclasses.dataclass(slots=True)
 class Answer:
-    """One whole answer, or a refusal.
+    """One whole answer, or the beginning of a large one, or a refusal.
 
+    :param body: all of the body, or its beginning if there is a ``rest``.
     :param code: set when the system itself answers instead of the upstream.
     :param ran: what is known of the work.
     :param load: running and queued requests at the exit.
+    :param marks: all headers of the answer as they came.
     """
 
     status: int
@@ -45,6 +73,13 @@
     ran: codes.Ran
     code: codes.Code | None = None
     load: tuple[int, int] = (0, 0)
+    rest: Rest | None = None
+    marks: multidict.CIMultiDictProxy | None = None
+
+    def close(self) -> None:
+        """Drop an answer that nobody is going to read."""
+        if self.rest is not None:
+            self.rest.close()
 
 
 def refuse(failure: codes.Failure) -> Answer:
--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -209,6 +209,29 @@
 CLAIMS_FULL = define(5018, "claims-full", 503, "The claims of the slice are full")
 CANCELLED = define(5019, "cancelled", 499, "The caller went away")
 
+PEER_UNREACHABLE = define(
+    5030,
+    "peer-unreachable",
+    503,
+    "The node beside the upstream took no connection; nothing was sent",
+)
+MEMORY_FULL = define(
+    5031, "memory-full", 503, "The node holds too many bytes of bodies already"
+)
+ANSWER_TOO_LARGE = define(
+    5032, "answer-too-large", 502, "The answer is too large to be held whole"
+)
+ANSWER_UNFRAMED = define(
+    5033,
+    "answer-unframed",
+    502,
+    "The answer has no length, so a cut could not be told from its end",
+)
+INTERNAL = define(5034, "internal", 500, "The node itself failed; see its log")
+CALLER_CUT = define(
+    5035, "caller-cut", 502, "The rest of a large answer was lost on the way"
+)
+
 # 6xxx: rollouts.
 ROLLOUT_RUNNING = define(
     6001, "rollout-running", 409, "Another rollout of the service is running"
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -28,11 +28,17 @@
     """How calls to one service are placed and limited.
 
     :param balancer: name of a registered balancer.
+    :param retries: name of a registered retry policy.
+    :param hedging: name of a registered hedge policy.
+    :param order: name of a registered queue order.
     :param queue: requests that may wait at one endpoint.
     :param warmup: seconds over which a new endpoint's share grows.
     """
 
     balancer: str = "two-choices"
+    retries: str = "budget"
+    hedging: str = "fixed"
+    order: str = "deadline"
     queue: settings.Count = 24
     warmup: typing.Annotated[float, msgspec.Meta(ge=0, le=600)] = 5.0
 
--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -22,12 +22,22 @@
     """Bounds on what callers send and on what a node keeps.
 
     Sizes are bytes, times are seconds.
+
+    :param held_bytes: bodies over 64 KiB that a node holds at once.
+    :param connections: connections that each port takes.
+    :param idle: time that an unused connection to the upstream is kept; below
+        the time after which upstreams close it themselves.
+    :param late: time after its deadline for which work that must not repeat is
+        still waited for, so that its outcome is known.
     """
 
     header_bytes: Count = 16_384
     body_bytes: Count = 10_000_000
     answer_bytes: Count = 10_000_000
+    held_bytes: Count = 100_000_000
     connections: Count = 10_000
+    idle: Seconds = 1.5
+    late: Seconds = 30.0
 
 
 class ControlSettings(Struct):
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -1,21 +1,17 @@
 """One node: all parts on one host, put together."""
 
 import asyncio
-import collections.abc
 
 import aiohttp.web
 
 from rattanridge import policies
 from rattanridge.admin import server as admin
-from rattanridge.calls import entry, exit as exits, hop, local
+from rattanridge.calls import entry, exit as exits, hop, local, memory, server
 from rattanridge.control import member, replica, roster, transport
 from rattanridge.kernel import log, metrics, registry, settings
 from rattanridge.platform import client
 
-Handler = collections.abc.Callable[
-    [aiohttp.web.BaseRequest], collections.abc.Awaitable[aiohttp.web.StreamResponse]
-]
-
+DRAIN_STEP = 0.02  # seconds between looks at what still runs
 WITHDRAW_PAUSE = 0.5  # seconds for a withdrawal to reach the entries
 LOOPBACK = "127.0.0.1"
 
@@ -40,9 +36,12 @@
             config, self.platform, self.state, self.control, self.counters
         )
         self.announcer = roster.Announcer(config, self.state, self.member.incarnation)
-        self.exit = exits.Exit(config, self.counters)
-        self.entry = entry.Entry(config, self.state, self.exit, self.counters)
-        self.hop = hop.Hop(config, self.entry, self.exit, self.counters)
+        self.held = memory.Held(config.limits.held_bytes)
+        self.exit = exits.Exit(config, self.counters, self.held)
+        self.entry = entry.Entry(
+            config, self.state, self.exit, self.counters, self.held
+        )
+        self.hop = hop.Hop(config, self.exit, self.counters, self.held)
         self.local = local.Local(config, self.entry, self.exit, self.announcer)
         self.admin = admin.Server(config, self.platform, self.state, self.counters)
         self.runners: list[aiohttp.web.ServerRunner] = []
@@ -76,18 +75,10 @@
             control=self.control.address,
         )
 
-    async def listen(self, handler: Handler, address: str, port: int) -> str:
+    async def listen(self, handler: server.Handler, address: str, port: int) -> str:
         """Serve HTTP; return the URL."""
-        limits = self.config.limits
-        server = aiohttp.web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            auto_decompress=False,
-        )
-        runner = aiohttp.web.ServerRunner(server, shutdown_timeout=1.0)
+        served = server.Server(handler, self.config, self.counters)
+        runner = aiohttp.web.ServerRunner(served, shutdown_timeout=1.0)
         await runner.setup()
         await aiohttp.web.TCPSite(runner, address, port).start()
         self.runners.append(runner)
@@ -100,7 +91,7 @@
         self.announcer.change("draining")
         self.entry.stopping = True
         await asyncio.sleep(WITHDRAW_PAUSE)
-        self.exit.admission.closed = True
+        self.exit.admission.close()
         await self.finish(self.config.control.drain_bound)
         self.announcer.change("gone")
         await asyncio.sleep(self.config.control.batch_interval * 2)
@@ -111,9 +102,15 @@
         """Wait until no request is in progress, at most ``bound`` seconds."""
         loop = asyncio.get_running_loop()
         end = loop.time() + bound
-        await self.exit.drained(bound)
-        while self.entry.active and loop.time() < end:
-            await asyncio.sleep(0.02)
+        while self.busy() and loop.time() < end:
+            await asyncio.sleep(DRAIN_STEP)
+        if self.busy():
+            self.log.warn("drain-bound", requests=self.busy(), seconds=bound)
+
+    def busy(self) -> int:
+        """Return the requests in progress on all ports."""
+        hop = self.hop.active + len(self.hop.background.tasks)
+        return self.entry.busy() + hop + self.exit.admission.running
 
     async def close(self) -> None:
         """End everything at once."""
