--- a/rattanridge/calls/attempts.py
+++ b/rattanridge/calls/attempts.py
@@ -175,7 +175,6 @@
     ) -> None:
         """Keep what an attempt tells about its endpoint."""
         chosen.running, chosen.queued = answer.load
-        code = answer.code
         if retries.succeeded(answer):
             chosen.succeed(seconds, now)
         elif code in ENDPOINT_ABSENT:
@@ -214,10 +213,15 @@
             return types.refuse(failure)
 
 
-def was_given_time(call: types.Call, seconds: float) -> bool:
-    """Whether a missed deadline was the endpoint's fault: a short one, that a
-    caller's caller left, says nothing."""
-    return call.route is not None and seconds >= call.route.timeout / 2
+def is_endpoint_failure(call: types.Call, answer: types.Answer, seconds: float) -> bool:
+    """Whether a failed attempt tells against its endpoint.
+
+    A refusal under load does not; a missed deadline does only if there was time,
+    for a short one, that a caller's caller left, says nothing.
+    """
+    if answer.code is codes.DEADLINE:
+        return call.route is not None and seconds >= call.route.timeout / 2
+    return answer.code is None or answer.code in ENDPOINT_FAILURES
 
 
 def read_marks(answer: types.Answer) -> types.Answer:
