--- a/rattanridge/calls/attempts.py
+++ b/rattanridge/calls/attempts.py
@@ -177,13 +177,9 @@
         chosen.running, chosen.queued = answer.load
         if retries.succeeded(answer):
             chosen.succeed(seconds, now)
-        elif code in ENDPOINT_ABSENT:
+        elif answer.code in ENDPOINT_ABSENT:
             chosen.eject(now)
-        elif (
-            code is None
-            or code in ENDPOINT_FAILURES
-            or (code is codes.DEADLINE and was_given_time(call, seconds))
-        ):
+        elif is_endpoint_failure(call, answer, seconds):
             chosen.fail(now)
 
     async def forward(
