--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -64,7 +64,8 @@
         number = self.connections
         self.writers.add(writer)
         self.tasks.add(asyncio.current_task())
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        ends = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        with contextlib.suppress(*ends):
             await self.on_connect(writer)
             while True:
                 await self.serve(reader, writer, number)
@@ -184,7 +185,8 @@
 
 
 async def end(node: nodes.Node) -> None:
-    for runner in node.runners:
+    """Break all connections of a node and stop it."""
+    for runner in [item for item in node.runners if item.server is not None]:
         for connection in list(runner.server.connections):
             if connection.transport is not None:
                 connection.transport.abort()
