--- a/rattanridge/calls/local.py
+++ b/rattanridge/calls/local.py
@@ -7,7 +7,7 @@
 import aiohttp.web
 import msgspec
 
-from rattanridge.calls import entry as entries, exit as exits, server
+from rattanridge.calls import bodies, entry as entries, exit as exits, responses
 from rattanridge.control import roster
 from rattanridge.kernel import codes, log, settings
 
@@ -66,15 +66,17 @@
         if self.task is not None:
             self.task.cancel()
 
-    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+    async def serve(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.StreamResponse:
         """Answer an announcement, or a call of the upstream."""
         if request.path != ANNOUNCE_PATH or request.method != "PUT":
             return await self.entry.serve_upstream(request)
         try:
-            body = await server.read_body(request, ANNOUNCEMENT_BYTES)
+            body = await bodies.read_body(request, ANNOUNCEMENT_BYTES)
             await self.announce(body)
         except codes.Failure as failure:
-            return server.refuse(failure)
+            return responses.refuse(failure)
         return aiohttp.web.Response(body=b"{}", content_type="application/json")
 
     async def announce(self, body: bytes) -> None:
@@ -95,7 +97,7 @@
             said.connections,
             said.state,
         )
-        await self.exit.attach(upstream, self.entry.queue_of(said.service))
+        await self.exit.attach(upstream, self.entry.service(said.service))
         self.announcer.announce(
             said.service,
             said.version,
--- a/rattanridge/calls/server.py
+++ b/rattanridge/calls/server.py
@@ -12,12 +12,11 @@
 import aiohttp.web_protocol
 import yarl
 
-from rattanridge.calls import headers, types
+from rattanridge.calls import responses
 from rattanridge.kernel import codes, log, metrics, settings
 
 IDLE_SECONDS = 75.0  # that a connection may wait for its next request
 FIRST_REQUEST_SECONDS = 10.0  # within which a new connection sends its first one
-BODY_SECONDS = 10.0  # within which a body must have come
 LINGER_SECONDS = 1.0  # for reading the rest of a refused body
 SCHEMES = ("http", "https")
 DOT_SEGMENTS = frozenset((".", ".."))
@@ -73,8 +72,10 @@
         message: str | None = None,
     ) -> aiohttp.web.StreamResponse:
         """Return the coded answer to an unreadable request or a failed handler."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer is cut")
         failure = self.server.failure_of(request, status, exc)
-        response = refuse(failure)
+        response = responses.refuse(failure)
         response.force_close()
         return response
 
@@ -172,24 +173,6 @@
         return failure
 
 
-async def read_body(request: aiohttp.web.BaseRequest, limit: int) -> bytes:
-    """Read a body whole; refuse one that is too large, too slow or cut."""
-    if (request.content_length or 0) > limit:
-        raise codes.Failure(codes.BODY_TOO_LARGE, f"over {limit} bytes")
-    body = bytearray()
-    try:
-        async with asyncio.timeout(BODY_SECONDS):
-            async for chunk in request.content.iter_any():
-                body += chunk
-                if len(body) > limit:
-                    raise codes.Failure(codes.BODY_TOO_LARGE, f"over {limit} bytes")
-    except TimeoutError:
-        raise codes.Failure(codes.BODY_CUT, "it came too slowly")
-    except (aiohttp.ClientError, aiohttp.web.RequestPayloadError, OSError):
-        raise codes.Failure(codes.BODY_CUT)
-    return bytes(body)
-
-
 def to_origin_form(
     message: aiohttp.http.RawRequestMessage,
 ) -> aiohttp.http.RawRequestMessage:
@@ -231,13 +214,3 @@
     """Return an error's type and first line, short enough for a log line."""
     first = str(error).partition("\n")[0][:200]
     return f"{type(error).__name__}: {first}"
-
-
-def refuse(failure: codes.Failure) -> aiohttp.web.Response:
-    """Return the response that tells a coded failure."""
-    answer = types.refuse(failure)
-    answer.headers[headers.CODE] = str(failure.code.number)
-    answer.headers[headers.RAN] = failure.ran.value
-    return aiohttp.web.Response(
-        status=answer.status, headers=answer.headers, body=answer.body
-    )
