--- a/rattanridge/calls/observer.py
+++ b/rattanridge/calls/observer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from rattanridge.calls import entry as entries, types
+from rattanridge.calls import attempts as tries, types
 from rattanridge.control import collector as collectors
 from rattanridge.kernel import codes, settings
 from rattanridge.policies import balancers
@@ -15,6 +15,7 @@
     (
         codes.UPSTREAM_FAILED.number,
         codes.ANSWER_CUT.number,
+        codes.ANSWER_UNFRAMED.number,
         codes.DEADLINE.number,
     )
 )
@@ -24,21 +25,21 @@
     """Counts attempts of running rollouts.
 
     :param config: the node's settings.
-    :param entry: the entry whose attempts are observed.
+    :param attempts: the attempts that are observed.
     :param collector: takes the counts.
     """
 
     def __init__(
         self,
         config: settings.NodeSettings,
-        entry: entries.Entry,
+        attempts: tries.Attempts,
         collector: collectors.Collector,
     ):
         self.config = config
         self.collector = collector
         self.broken: dict[str, float] = {}
-        entry.observers.append(self.observe)
-        entry.endpoints.versions.braked = collector.braked
+        attempts.observers.append(self.observe)
+        attempts.endpoints.versions.braked = collector.braked
 
     def observe(
         self,
