--- a/rattanridge/control/coordinator.py
+++ b/rattanridge/control/coordinator.py
@@ -78,6 +78,7 @@
             self.time,
         )
         self.epoch = 0
+        self.renew = float("-inf")
         member.source.rollout_seen = self.see
         member.on_relay.append(self.run)
 
@@ -107,14 +108,9 @@
             self.config.rollouts.least_hold,
             self.lease.term / 4,
         )
-        renew = 0.0
         try:
             while True:
-                if self.config.coordinator and self.time.monotonic() >= renew:
-                    await self.lease.step()
-                    pause = min(self.lease.pause(), self.lease.term / 2)
-                    renew = self.time.monotonic() + pause
-                await self.look()
+                await self.step()
                 await self.time.sleep(tick)
         finally:
             self.pool.stop()
@@ -122,6 +118,14 @@
             if self.lease.held():
                 await asyncio.shield(self.lease.release())
 
+    async def step(self) -> None:
+        """Renew or try the lease when that is due, then look at all rollouts."""
+        if self.config.coordinator and self.time.monotonic() >= self.renew:
+            await self.lease.step()
+            pause = min(self.lease.pause(), self.lease.term / 2)
+            self.renew = self.time.monotonic() + pause
+        await self.look()
+
     async def look(self) -> None:
         """Look once at every rollout; without the lease, forget the progress."""
         if not self.lease.held():
--- a/rattanridge/policies/verdicts.py
+++ b/rattanridge/policies/verdicts.py
@@ -24,7 +24,7 @@
 ALL_ROUTES = "all routes"
 KEPT_BLOCKS = 60  # blocks that pooled verdicts sum over
 LEAST_CALLS = 20  # calls of the new version below which they say nothing
-FIXED_THRESHOLD = 0.05
+FIXED_THRESHOLDS = {"errors": 0.05, "slow": 0.3}  # fractions of calls
 BAYES_MARGIN = 1.5
 SUSPICION = 0.5  # fraction of the limit from which growth waits
 
@@ -62,6 +62,7 @@
     """
 
     kinds = ("errors", "slow")
+    compares = True  # whether it needs calls of both versions
 
     def __init__(self, false_alarm: float = FALSE_ALARM):
         self.false_alarm = false_alarm
@@ -92,7 +93,7 @@
         for route, block in closed:
             del self.blocks[route]
             memory = self.memories.setdefault(route, blocks.Memory())
-            if block.counts.old.calls:
+            if block.counts.old.calls or not self.compares:
                 compared.append((memory, block.counts))
         if compared:
             self.close(compared)
@@ -297,22 +298,24 @@
             total = blocks.Table(0, 0, 0, 0)
             for table in kept:
                 total.add(table)
-            if total.new_calls >= LEAST_CALLS and self.worse(total):
+            if total.new_calls >= LEAST_CALLS and self.worse(kind, total):
                 share = total.new_bad / total.new_calls
                 return Finding(kind, ALL_ROUTES, share)
         return None
 
     @abc.abstractmethod
-    def worse(self, table: blocks.Table) -> bool:
+    def worse(self, kind: str, table: blocks.Table) -> bool:
         """Whether the new version is worse in a pooled table."""
 
 
 @VERDICTS.register("fixed-threshold")
 class FixedThreshold(Pooled):
-    """The new version's rate against a threshold and nothing else."""
+    """The new version's rates against thresholds and nothing else."""
 
-    def worse(self, table: blocks.Table) -> bool:
-        return table.new_bad / table.new_calls > FIXED_THRESHOLD
+    compares = False
+
+    def worse(self, kind: str, table: blocks.Table) -> bool:
+        return table.new_bad / table.new_calls > FIXED_THRESHOLDS[kind]
 
 
 @VERDICTS.register("bayesian")
@@ -322,7 +325,7 @@
     Beta posteriors from uniform priors, compared by their normal approximation.
     """
 
-    def worse(self, table: blocks.Table) -> bool:
+    def worse(self, kind: str, table: blocks.Table) -> bool:
         new = posterior(table.new_calls, table.new_bad)
         old = posterior(table.old_calls, table.old_bad)
         gap = (new[0] - BAYES_MARGIN * old[0]) / math.sqrt(new[1] + old[1])
