Keep the deadline to the second after suspicion and lost time

The property that a silent version makes its deadline failed by up to two seconds: the least holds of the steps to come were not kept back when holds shrank, nor the time that a change of step takes.

--- a/rattanridge/policies/schedules.py
+++ b/rattanridge/policies/schedules.py
@@ -18,6 +18,7 @@
 
 ENOUGH_CALLS = 1500  # calls to the new version on each route that end a hold early
 BOOST_LIMIT = 0.2  # share that a rare route gets at most
+CHANGE_PART = 0.15  # of the least hold, kept back for each change of step
 IDLE_FRACTION = 0.1  # part of a hold that a step without any calls to send waits
 
 
@@ -139,7 +140,7 @@
 
     def plan(self, window: Window) -> list[Step]:
         available = window.seconds - window.bake
-        least = window.least_hold * (len(self.steps) + 1)
+        least = window.least_hold * len(self.steps) * (1.0 + CHANGE_PART)
         if available < least:
             detail = (
                 f"{window.seconds:.0f} s are left; the steps need {least:.0f} s "
@@ -187,15 +188,17 @@
 
     def hold(self, steps: list[Step], window: Window, progress: Progress) -> float:
         """Return the hold of the step in force, shrunk if time was lost."""
-        planned = sum(step.hold for step in steps[progress.step : -1])
-        available = progress.left + progress.held - window.bake
-        scale = min(1.0, max(available, 0.0) / planned) if planned else 1.0
-        return max(steps[progress.step].hold * scale, window.least_hold)
+        least = window.least_hold
+        to_come = steps[progress.step : -1]
+        planned = sum(step.hold - least for step in to_come)
+        spare = self.slack(steps, window, progress) + progress.held
+        scale = min(max(spare, 0.0) / planned, 1.0) if planned > 0.0 else 1.0
+        return least + (steps[progress.step].hold - least) * scale
 
     def slack(self, steps: list[Step], window: Window, progress: Progress) -> float:
         """Return the seconds to spare if the rest takes only its least holds."""
-        rest = window.least_hold * (len(steps) - 2 - progress.step)
-        return progress.left - window.bake - rest - window.least_hold
+        least = window.least_hold * (1.0 + CHANGE_PART)
+        return progress.left - window.bake - least * (len(steps) - 1 - progress.step)
 
     def satisfied(self, step: Step, hold: float, progress: Progress) -> bool:
         """Whether every route that the step exposes has plenty of samples."""
--- a/tests/test_rollouts_faults.py
+++ b/tests/test_rollouts_faults.py
@@ -244,7 +244,10 @@
         for item, at in zip(self.history, self.write_times, strict=True):
             if item.step not in began:
                 if began:
-                    assert at - max(began.values()) >= TIMES.least_hold
+                    held = at - max(began.values())
+                    assert held >= TIMES.least_hold
+                    # The first steps have too few samples to end early.
+                    assert item.step > 2 or held >= item.plan[item.step - 1].hold * 0.8
                 began[item.step] = at
 
 
