--- a/rattanridge/policies/schedules.py
+++ b/rattanridge/policies/schedules.py
@@ -197,8 +197,9 @@
 
     def slack(self, steps: list[Step], window: Window, progress: Progress) -> float:
         """Return the seconds to spare if the rest takes only its least holds."""
-        least = window.least_hold * (1.0 + CHANGE_PART)
-        return progress.left - window.bake - least * (len(steps) - 1 - progress.step)
+        change = window.least_hold * CHANGE_PART
+        least = (window.least_hold + change) * (len(steps) - 1 - progress.step)
+        return progress.left - window.bake - change - least
 
     def satisfied(self, step: Step, hold: float, progress: Progress) -> bool:
         """Whether every route that the step exposes has plenty of samples."""
