--- a/rattanridge/control/collector.py
+++ b/rattanridge/control/collector.py
@@ -39,6 +39,11 @@
             self.verdict.turn(now)
         self.stage = stage
 
+    def changed(self) -> bool:
+        """Whether there is more to report than was told."""
+        told = sum(item.total for item in self.told.values())
+        return self.held_back() or told < sum(i.total for i in self.counts.values())
+
     def held_back(self) -> bool:
         return self.braked == self.stage.version
 
@@ -136,9 +141,11 @@
             count.base = {route: item.copy() for route, item in count.told.items()}
 
     def reports(self, origin: str) -> list[messages.Evidence]:
-        """Return the counts of each running rollout, cumulative for the session."""
+        """Return what changed, cumulative for the session, by rollout."""
         found = []
         for service, count in self.running.items():
+            if not count.changed():
+                continue
             items = [
                 item.since(count.base.get(route, samples.RouteCounts(route)))
                 for route, item in count.counts.items()
