Claim non-idempotent calls once; quarantine what crashes upstreams

A caller's second sending of a commission must not run again. Keys map to slices; a slice's owner writes many claims in one conditional update, which is claim, change of owner and fence in one, so that no timed lease is needed. The property test found that a state settled before a takeover of the key masked the new attempt in memory; mended.

--- a/rattanridge/calls/headers.py
+++ b/rattanridge/calls/headers.py
@@ -13,6 +13,7 @@
 PRIORITY = "Rattanridge-Priority"
 TARGET = "Rattanridge-Target"  # endpoint that the entry chose
 ONCE = "Rattanridge-Once"  # 1: the work must not run more than once
+RECORDED = "Rattanridge-Recorded"  # 1: a repeat got the recorded answer
 
 # Hop-by-hop headers of RFC 9110, and those that the HTTP library writes itself.
 HOP_BY_HOP = frozenset(
--- /dev/null
+++ b/rattanridge/calls/ledger.py
@@ -0,0 +1,383 @@
+"""The owner's side of claims: one task for each slice that has work.
+
+A claim is granted only after a conditional write that holds it succeeded. An
+owner that lost its slice can't grant any more; what it still tells from memory
+(an answer, or that the request was accepted) stays true.
+"""
+
+import asyncio
+import dataclasses
+
+from rattanridge.calls import answers, claimed, slices
+from rattanridge.control import messages
+from rattanridge.kernel import clock, codes, log, metrics, settings
+from rattanridge.platform import client
+
+TRIES = 2  # writes tried for one claim before it is refused
+FLUSH_PAUSE = 1.0  # seconds that changed states wait for a claim to join
+WAITING_MOST = 2000  # claims that wait at one owner
+WAIT_MOST = 2.0  # seconds that one question may wait
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiting:
+    """One claim that waits for a write.
+
+    :param checked: whether the slice was read after the claim arrived.
+    """
+
+    ask: claimed.Ask
+    future: asyncio.Future
+    tries: int = 0
+    checked: bool = False
+
+    def answer(self, reply: claimed.Reply) -> None:
+        if not self.future.done():
+            self.future.set_result(reply)
+
+    def refuse(self) -> None:
+        """Answer that the claim is not written."""
+        verdict = claimed.Verdict.UNCHECKED
+        if self.checked:
+            verdict = claimed.Verdict.UNAVAILABLE
+        self.answer(claimed.Reply(verdict))
+
+
+@dataclasses.dataclass(slots=True)
+class Desk:
+    """One slice with the claims that wait for it."""
+
+    slice: slices.Slice
+    waiting: dict[str, Waiting] = dataclasses.field(default_factory=dict)
+    events: dict[str, asyncio.Event] = dataclasses.field(default_factory=dict)
+    arrived: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    task: asyncio.Task | None = None
+    next_write: float = float("-inf")
+
+
+class Ledger:
+    """Serves claims of the slices that this process owns or takes over.
+
+    :param config: the node's settings.
+    :param platform: the platform's client.
+    :param counters: counts claims by verdict, and writes.
+    :param incarnation: the process's start, in milliseconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        config: settings.NodeSettings,
+        platform: client.Client,
+        counters: metrics.Counters,
+        incarnation: int,
+        time: clock.Clock | None = None,
+    ):
+        self.config = config
+        self.settings = config.claims
+        self.platform = platform
+        self.counters = counters
+        self.owner = f"{config.name}/{incarnation}"
+        self.address = ""
+        self.time = time or clock.Clock()
+        self.log = log.Log("ledger", config.name)
+        self.answers = answers.Answers(config.claims.answer_bytes)
+        self.desks: dict[int, Desk] = {}
+        self.interval = config.claims.slices / config.claims.writes_per_second
+        self.questions = 0
+        self.closed = False
+
+    async def serve_claim(
+        self, node: str, message: messages.Embedded
+    ) -> messages.Embedded:
+        """Answer another node's question over the control server."""
+        ask = claimed.unpack(message, claimed.Ask)
+        return claimed.pack(await self.claim(ask))
+
+    async def serve_outcome(
+        self, node: str, message: messages.Embedded
+    ) -> messages.Embedded:
+        """Take another node's outcome over the control server."""
+        outcome = claimed.unpack(message, claimed.Outcome)
+        return claimed.pack(self.settle(outcome))
+
+    def desk(self, number: int) -> Desk:
+        if not 0 <= number < self.settings.slices:
+            raise codes.Failure(codes.BAD_MESSAGE, f"slice {number}")
+        if number not in self.desks:
+            self.desks[number] = Desk(
+                slices.Slice(
+                    number,
+                    self.platform,
+                    self.config,
+                    self.owner,
+                    self.address,
+                    self.time,
+                )
+            )
+        return self.desks[number]
+
+    async def claim(self, ask: claimed.Ask) -> claimed.Reply:
+        """Answer a claim within the seconds that the question may wait."""
+        if self.closed:
+            raise codes.Failure(codes.STOPPING)
+        if ask.slices != self.settings.slices:
+            raise codes.Failure(codes.BAD_MESSAGE, "another number of slices")
+        desk = self.desk(ask.slice)
+        if self.questions >= WAITING_MOST:
+            return self.count(claimed.Reply(claimed.Verdict.UNCHECKED))
+        self.questions += 1
+        try:
+            return self.count(await self.decide(desk, ask))
+        finally:
+            self.questions -= 1
+
+    def count(self, reply: claimed.Reply) -> claimed.Reply:
+        self.counters.add(f"claims.{reply.verdict.value}")
+        return reply
+
+    async def decide(self, desk: Desk, ask: claimed.Ask) -> claimed.Reply:
+        if desk.slice.held:
+            reply = await self.wait_outcome(desk, ask)
+            if reply is not None:
+                return reply
+        future = self.join(desk, ask)
+        await self.wait(future, ask.wait)
+        if not future.done():
+            return claimed.Reply(claimed.Verdict.PENDING)
+        return future.result()
+
+    async def wait_outcome(self, desk: Desk, ask: claimed.Ask) -> claimed.Reply | None:
+        """Answer a repeat from memory; wait while the first one runs."""
+        reply = self.look(desk, ask)
+        if reply is None or reply.verdict is not claimed.Verdict.RUNNING:
+            return reply
+        event = desk.events.setdefault(ask.claim.key, asyncio.Event())
+        waiter = asyncio.ensure_future(event.wait())
+        try:
+            await self.wait(waiter, ask.wait)
+        finally:
+            waiter.cancel()
+        return self.look(desk, ask)
+
+    async def wait(self, future: asyncio.Future, seconds: float) -> None:
+        """Wait for a future, at most some seconds of this ledger's clock."""
+        if future.done() or seconds <= 0:
+            return
+        sleeper = asyncio.ensure_future(self.time.sleep(min(seconds, WAIT_MOST)))
+        try:
+            await asyncio.wait((future, sleeper), return_when="FIRST_COMPLETED")
+        finally:
+            sleeper.cancel()
+
+    def look(self, desk: Desk, ask: claimed.Ask) -> claimed.Reply | None:
+        """Answer from the known claims; ``None`` if the key may be claimed."""
+        known = desk.slice.find(ask.claim.key)
+        attempt = ask.claim.attempt
+        if known is None:
+            return None
+        if known.attempt == attempt:
+            if known.state is claimed.State.RUNNING:
+                return claimed.Reply(claimed.Verdict.GRANTED)
+            return claimed.Reply(claimed.Verdict.UNAVAILABLE)
+        if known.state in claimed.FREE:
+            return None
+        if known.state is claimed.State.DONE and known.attempt == ask.closes:
+            return None
+        if known.digest != ask.claim.digest:
+            return conflict(known)
+        return self.repeat(known)
+
+    def repeat(self, known: claimed.Claim) -> claimed.Reply:
+        """Answer a repeat of the request that holds a claim."""
+        if known.state is claimed.State.DONE:
+            answer = self.answers.get(known.attempt)
+            if answer is not None:
+                return claimed.Reply(
+                    claimed.Verdict.RECORDED, codes.Ran.RAN, answer, known.attempt
+                )
+            return claimed.Reply(
+                claimed.Verdict.ACCEPTED, codes.Ran.RAN, attempt=known.attempt
+            )
+        if known.state is claimed.State.RUNNING and self.time.wall() <= known.ends + 1:
+            return claimed.Reply(claimed.Verdict.RUNNING)
+        return claimed.Reply(claimed.Verdict.ACCEPTED)
+
+    def join(self, desk: Desk, ask: claimed.Ask) -> asyncio.Future:
+        """Queue a claim for the next write; a repeated question joins itself."""
+        attempt = ask.claim.attempt
+        known = desk.waiting.get(attempt)
+        if known is not None and not known.future.done():
+            known.ask = ask
+            return known.future
+        future = asyncio.get_running_loop().create_future()
+        desk.waiting[attempt] = Waiting(ask, future)
+        desk.arrived.set()
+        self.kick(desk)
+        return future
+
+    def kick(self, desk: Desk) -> None:
+        """Let the slice's task run."""
+        if desk.task is None or desk.task.done():
+            desk.task = asyncio.create_task(self.work(desk))
+
+    async def work(self, desk: Desk) -> None:
+        """Write while there is something to write; one write at a time."""
+        while desk.waiting or (desk.slice.held and desk.slice.settled):
+            if not desk.waiting:
+                desk.arrived.clear()
+                arrival = asyncio.ensure_future(desk.arrived.wait())
+                await self.wait(arrival, FLUSH_PAUSE)
+                arrival.cancel()
+            pause = desk.next_write - self.time.monotonic()
+            if pause > 0:
+                await self.time.sleep(pause)
+            batch, desk.waiting = desk.waiting, {}
+            try:
+                await self.serve(desk, list(batch.values()))
+            except codes.Failure as failure:
+                self.failed(desk, list(batch.values()), failure)
+            except BaseException:
+                for item in batch.values():
+                    item.refuse()
+                raise
+
+    async def serve(self, desk: Desk, batch: list[Waiting]) -> None:
+        """Read the slice if it is not held, decide the batch, and write it.
+
+        A slice that is full is read as well: nothing is refused as not run on
+        what memory alone tells.
+        """
+        room = self.settings.slice_bytes - desk.slice.used()
+        if not desk.slice.held or room < len(batch) * slices.CLAIM_BYTES:
+            await desk.slice.load()
+            for item in batch:
+                item.checked = True
+            if self.elsewhere(desk, batch):
+                return
+        granted = self.choose(desk, batch)
+        if not granted and not (desk.slice.held and desk.slice.settled):
+            return
+        desk.next_write = self.time.monotonic() + self.interval
+        self.counters.add("claims.writes")
+        await desk.slice.commit([item.ask.claim for item in granted])
+        for item in granted:
+            item.answer(self.look(desk, item.ask))
+        self.wake(desk)
+
+    def elsewhere(self, desk: Desk, batch: list[Waiting]) -> bool:
+        """Send the batch to the slice's owner, unless it can't be reached."""
+        slice = desk.slice
+        address = slice.head.address
+        if not slice.foreign() or address == self.address:
+            return False
+        if any(item.ask.unreachable == address for item in batch):
+            self.log.info("slice-owner-lost", slice=slice.key, owner=slice.head.owner)
+            self.counters.add("claims.takeovers")
+            return False
+        for item in batch:
+            item.answer(claimed.Reply(claimed.Verdict.MOVED, address=address))
+        return True
+
+    def choose(self, desk: Desk, batch: list[Waiting]) -> list[Waiting]:
+        """Answer what needs no write; return the claims to write."""
+        granted: dict[str, Waiting] = {}
+        room = self.settings.slice_bytes - desk.slice.used()
+        for item in batch:
+            key, attempt = item.ask.claim.key, item.ask.claim.attempt
+            reply = self.look(desk, item.ask)
+            if reply is None and attempt in desk.slice.outcomes:
+                reply = claimed.Reply(claimed.Verdict.UNAVAILABLE)
+            if reply is None and key in granted:
+                reply = claimed.Reply(claimed.Verdict.RUNNING)
+            if reply is None and room < (len(granted) + 1) * slices.CLAIM_BYTES:
+                reply = claimed.Reply(claimed.Verdict.FULL)
+            if reply is not None:
+                item.answer(reply)
+            else:
+                granted[key] = item
+        return list(granted.values())
+
+    def failed(self, desk: Desk, batch: list[Waiting], failure: codes.Failure) -> None:
+        """After a failed read or write: try again once, then refuse.
+
+        The claims may still be written; their entries tell that they gave up.
+        """
+        desk.slice.held = False
+        self.counters.add(f"claims.failed.{failure.code.name}")
+        self.log.info(
+            "claims-not-written",
+            slice=desk.slice.key,
+            code=failure.code.number,
+            claims=len(batch),
+            why=failure.detail,
+        )
+        for item in batch:
+            item.tries += 1
+            if item.future.done():
+                continue
+            if item.tries < TRIES:
+                desk.waiting.setdefault(item.ask.claim.attempt, item)
+            else:
+                item.refuse()
+
+    def settle(self, outcome: claimed.Outcome) -> claimed.Reply:
+        """Note what became of an attempt, and wake those that wait for it."""
+        if self.closed:
+            raise codes.Failure(codes.STOPPING)
+        desk = self.desk(outcome.slice)
+        slice = desk.slice
+        if outcome.answer is not None:
+            self.answers.put(outcome.attempt, outcome.answer)
+        if outcome.state is claimed.State.CLOSED:
+            self.answers.drop(outcome.attempt)
+        changed = slice.settle(outcome.key, outcome.attempt, outcome.state)
+        self.counters.add(f"claims.settled.{outcome.state.name.lower()}")
+        if changed:
+            self.wake(desk)
+            self.kick(desk)
+        if slice.foreign() and not slice.held:
+            return claimed.Reply(claimed.Verdict.MOVED, address=slice.head.address)
+        return claimed.Reply(claimed.Verdict.ACCEPTED)
+
+    def wake(self, desk: Desk) -> None:
+        """Wake the repeats whose first sending is no longer running."""
+        for key in list(desk.events):
+            known = desk.slice.find(key)
+            if known is None or known.state is not claimed.State.RUNNING:
+                desk.events.pop(key).set()
+
+    async def hand_over(self) -> None:
+        """Write what is left and give every slice back, on a planned stop."""
+        self.closed = True
+        for desk in self.desks.values():
+            if desk.task is not None and not desk.task.done():
+                await self.wait(desk.task, WAIT_MOST)
+                desk.task.cancel()
+            if not desk.slice.held:
+                continue
+            try:
+                await desk.slice.commit([], release=True)
+            except codes.Failure as failure:
+                self.log.info(
+                    "slice-not-handed-over", slice=desk.slice.key, why=str(failure)
+                )
+
+    async def close(self) -> None:
+        """End all tasks at once."""
+        self.closed = True
+        tasks = [desk.task for desk in self.desks.values() if desk.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def conflict(known: claimed.Claim) -> claimed.Reply:
+    """Answer a request whose key another request holds.
+
+    While that one runs it may yet prove not to have run, and its key go to this
+    request: then an older view must not say "not run".
+    """
+    ran = codes.Ran.NOT_RUN
+    if known.state is claimed.State.RUNNING:
+        ran = codes.Ran.UNKNOWN
+    return claimed.Reply(claimed.Verdict.CONFLICT, ran)
--- a/rattanridge/cli/check.py
+++ b/rattanridge/cli/check.py
@@ -2,8 +2,9 @@
 
 import click
 
+from rattanridge import policies
 from rattanridge.cli import main
-from rattanridge.kernel import codes, documents, presets, settings
+from rattanridge.kernel import codes, documents, presets, registry, settings
 
 
 @main.COMMANDS.register("check")
@@ -11,6 +12,7 @@
 @click.argument("file")
 def check(file: str) -> None:
     """Check a settings or preset FILE; exit 2 with code and line on an error."""
+    registry.load_plugins(policies)
     text = documents.read(file)
     if "routes" in top_keys(text, file):
         preset = presets.parse(text, file)
--- a/rattanridge/control/messages.py
+++ b/rattanridge/control/messages.py
@@ -207,6 +207,12 @@
     roles: list[Role]
 
 
+class Embedded(Message, tag="embedded"):
+    """A typed message of another layer; the method called tells which."""
+
+    body: msgspec.Raw
+
+
 Any = (
     Hello
     | Welcome
@@ -219,6 +225,7 @@
     | Candidate
     | Ask
     | Known
+    | Embedded
 )
 
 encoder = msgspec.msgpack.Encoder()
--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -208,6 +208,15 @@
 )
 CLAIMS_FULL = define(5018, "claims-full", 503, "The claims of the slice are full")
 CANCELLED = define(5019, "cancelled", 499, "The caller went away")
+KEY_CONFLICT = define(
+    5020, "key-conflict", 409, "The same key was used for another request"
+)
+CLAIM_UNCHECKED = define(
+    5021,
+    "claim-unchecked",
+    503,
+    "Claims cannot be read: this sending did not run, an earlier one may have",
+)
 
 # 6xxx: rollouts.
 ROLLOUT_RUNNING = define(
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes, documents, settings
+from rattanridge.kernel import codes, documents, registry, settings
 
 Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 Prefix = typing.Annotated[str, msgspec.Meta(pattern=r"^/", max_length=512)]
@@ -12,6 +12,9 @@
 
 PRIORITIES = ("high", "normal", "low")
 
+# Filled by the plug-ins of ``policies``.
+KEY_SOURCES: registry.Registry[type] = registry.Registry("key source")
+
 
 class KeySource(settings.Struct):
     """Where a request's idempotency key comes from.
@@ -94,9 +97,21 @@
         place = f"{where}: routes[{index}]"
         if route.service not in preset.services:
             raise codes.Failure(codes.MISSING_SERVICE, route.service, where=place)
+        check_key(route.key, place)
         for method in route.methods:
             match = (route.host, route.prefix.rstrip("/"), method)
             if match in seen:
                 detail = f"{method} {route.host}{route.prefix}"
                 raise codes.Failure(codes.DUPLICATE_ROUTE, detail, where=place)
             seen.add(match)
+
+
+def check_key(key: KeySource, place: str) -> None:
+    """Refuse a key source that is not registered or lacks the name it reads."""
+    try:
+        kind = KEY_SOURCES.get(key.source)
+    except KeyError as error:
+        raise codes.Failure(codes.BAD_FIELD, str(error.args[0]), where=place)
+    if kind.needs_name and not key.name:
+        detail = f"key source {key.source!r} needs a name"
+        raise codes.Failure(codes.BAD_FIELD, detail, where=place)
--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -48,17 +48,20 @@
 class ClaimSettings(Struct):
     """Bounds of the at-most-once claims.
 
-    :param slices: number of slice objects; each has one write in flight, so it
-        bounds the platform's write rate.
-    :param keep: seconds that a claim is kept; must exceed the time within which
-        callers send a request again.
-    :param slice_bytes: bytes of claims in one slice object.
+    :param slices: number of slice objects; the same on every node.
+    :param writes_per_second: writes to the platform that all slices together
+        may cost; a slice writes at most every ``slices / writes_per_second``
+        seconds.
+    :param keep: seconds that a claim is kept after its request's deadline; must
+        exceed the time within which callers send a request again.
+    :param slice_bytes: bytes of claims kept for one slice.
     :param answer_bytes: bytes of recorded answers that an owner keeps.
     """
 
-    slices: Count = 64
+    slices: Count = 32
+    writes_per_second: Count = 250
     keep: Seconds = 900.0
-    slice_bytes: Count = 500_000
+    slice_bytes: Count = 1_000_000
     answer_bytes: Count = 4_000_000
 
 
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -7,7 +7,17 @@
 
 from rattanridge import policies
 from rattanridge.admin import server as admin
-from rattanridge.calls import entry, exit as exits, hop, local
+from rattanridge.calls import (
+    claims,
+    delivery,
+    entry,
+    exit as exits,
+    hop,
+    ledger,
+    local,
+    owners,
+    poison,
+)
 from rattanridge.control import member, replica, roster, transport
 from rattanridge.kernel import log, metrics, registry, settings
 from rattanridge.platform import client
@@ -42,6 +52,7 @@
         self.announcer = roster.Announcer(config, self.state, self.member.incarnation)
         self.exit = exits.Exit(config, self.counters)
         self.entry = entry.Entry(config, self.state, self.exit, self.counters)
+        self.guard_calls()
         self.hop = hop.Hop(config, self.entry, self.exit, self.counters)
         self.local = local.Local(config, self.entry, self.exit, self.announcer)
         self.admin = admin.Server(config, self.platform, self.state, self.counters)
@@ -50,13 +61,33 @@
         self.local_url = ""
         self.admin_url = ""
 
+    def guard_calls(self) -> None:
+        """Put claims and quarantine before the entry's work."""
+        config = self.config
+        self.ledger = ledger.Ledger(
+            config, self.platform, self.counters, self.member.incarnation
+        )
+        self.control.add_unary("Claim", self.ledger.serve_claim)
+        self.control.add_unary("Outcome", self.ledger.serve_outcome)
+        holders = owners.Owners(config, self.state, self.member.channels, self.ledger)
+        self.claims = claims.Claims(config, holders, self.counters)
+        self.poison = poison.Poison(self.state, self.counters, config.name)
+        self.entry.guard = self.claims.guard
+        self.entry.gates.append(self.poison.gate)
+        self.entry.observers.append(self.poison.observe)
+
+    async def serve_caller(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.StreamResponse:
+        return await delivery.serve(self.entry.serve, request)
+
     async def start(self) -> None:
         """Listen on all ports and begin to subscribe."""
         config = self.config
         await self.entry.start()
-        await self.control.start()
+        self.ledger.address = await self.control.start()
         self.caller_url = await self.listen(
-            self.entry.serve, config.address, config.caller_port
+            self.serve_caller, config.address, config.caller_port
         )
         hop_url = await self.listen(self.hop.serve, config.address, config.hop_port)
         self.local_url = await self.listen(
@@ -102,6 +133,7 @@
         await asyncio.sleep(WITHDRAW_PAUSE)
         self.exit.admission.closed = True
         await self.finish(self.config.control.drain_bound)
+        await self.ledger.hand_over()
         self.announcer.change("gone")
         await asyncio.sleep(self.config.control.batch_interval * 2)
         await self.close()
@@ -112,12 +144,14 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + bound
         await self.exit.drained(bound)
-        while self.entry.active and loop.time() < end:
+        while (self.entry.active or self.claims.tasks) and loop.time() < end:
             await asyncio.sleep(0.02)
 
     async def close(self) -> None:
         """End everything at once."""
         await self.local.stop()
+        await self.claims.close()
+        await self.ledger.close()
         await self.member.stop()
         for runner in self.runners:
             await runner.cleanup()
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,60 @@
+"""Idempotency-key sources."""
+
+import multidict
+import pytest
+
+from rattanridge.kernel import codes, presets
+from rattanridge.policies import keys
+
+PRESET = """
+name: day
+services: {pay: {}}
+routes:
+  - {service: pay, key: KEY}
+"""
+
+
+def request(body=b"", caller="10.1.1.1", path="/pay", **headers):
+    sent = multidict.CIMultiDict({k.replace("_", "-"): v for k, v in headers.items()})
+    return keys.Request("POST", path, sent, body, caller)
+
+
+class TestSources:
+    @pytest.mark.parametrize(
+        ("source", "name", "seen", "key"),
+        [
+            ("header", "Idempotency-Key", request(idempotency_key=" a1 "), "a1"),
+            ("header", "Idempotency-Key", request(), ""),
+            ("header", "Idempotency-Key", request(idempotency_key="x" * 257), ""),
+            ("json-field", "order", request(b'{"order": 17}'), "17"),
+            ("json-field", "order.id", request(b'{"order": {"id": "a"}}'), "a"),
+            ("json-field", "order.id", request(b'{"order": 17}'), ""),
+            ("json-field", "order", request(b'{"order": true}'), ""),
+            ("json-field", "order", request(b"[" * 100_000), ""),
+            ("json-field", "order", request(b"\xff"), ""),
+        ],
+    )
+    def test_key(self, source, name, seen, key):
+        assert presets.KEY_SOURCES.get(source)(name).read(seen) == key
+
+    def test_fingerprint_tells_requests_apart(self):
+        source = keys.Fingerprint("")
+        seen = {
+            source.read(request(b"a")),
+            source.read(request(b"b")),
+            source.read(request(b"a", caller="10.1.1.2")),
+            source.read(request(b"a", path="/pay?x=1")),
+        }
+        assert len(seen) == 4
+        assert source.read(request(b"a", other="x")) in seen
+
+
+class TestPresets:
+    @pytest.mark.parametrize(
+        "key", ["{source: heder, name: X}", "{source: header}", "{source: json-field}"]
+    )
+    def test_refused(self, key):
+        with pytest.raises(codes.Failure) as caught:
+            presets.parse(PRESET.replace("KEY", key))
+        assert caught.value.code is codes.BAD_FIELD
+        assert "routes[0]" in caught.value.where
