--- a/rattanridge/calls/poison.py
+++ b/rattanridge/calls/poison.py
@@ -154,11 +154,12 @@
         for index, record in enumerate(ordered):
             if index < excess or record.until <= now:
                 self.forget(record.fingerprint)
+                self.table.drop(record.key)
 
     def forget(self, name: str) -> None:
+        """Forget a record here; the table drops those that ended by itself."""
         self.known.pop(name, None)
         self.innocent.pop(name, None)
-        self.table.drop(("quarantine", name))
 
 
 def fingerprint(call: types.Call) -> str:
--- a/rattanridge/cli/check.py
+++ b/rattanridge/cli/check.py
@@ -1,5 +1,7 @@
 """Commands that check files and print the table of codes."""
 
+import typing
+
 import click
 
 from rattanridge import policies
@@ -24,7 +26,7 @@
 
 def top_keys(text: str, file: str) -> set[str]:
     """Return the document's top keys, to tell presets from settings."""
-    value = documents.decode(text, dict, file)
+    value = documents.decode(text, dict[str, typing.Any], file)
     return set(map(str, value))
 
 
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -15,6 +15,10 @@
 # Filled by the plug-ins of ``policies``.
 KEY_SOURCES: registry.Registry[type] = registry.Registry("key source")
 
+# Registries by the field of ``Service`` that names one of their plug-ins; the
+# modules of ``policies`` fill it.
+PLUGINS: registry.Registry[registry.Registry] = registry.Registry("kind of plug-in")
+
 
 class KeySource(settings.Struct):
     """Where a request's idempotency key comes from.
@@ -86,12 +90,21 @@
 def parse(text: str, where: str = "preset") -> Preset:
     """Decode and check a preset given as YAML text."""
     preset = documents.decode(text, Preset, where)
-    check(preset, where)
+    try:
+        check(preset, where)
+    except codes.Failure as failure:
+        raise documents.point(failure, text, where)
     return preset
 
 
 def check(preset: Preset, where: str = "preset") -> None:
-    """Refuse routes to missing services and routes that match the same requests."""
+    """Refuse what types can't say.
+
+    These are unknown plug-ins, routes to missing services, and two routes that
+    match the same requests.
+    """
+    for name, service in preset.services.items():
+        check_plugins(service, f"{where}: services.{name}")
     seen: set[tuple[str, str, str]] = set()
     for index, route in enumerate(preset.routes):
         place = f"{where}: routes[{index}]"
@@ -115,3 +128,12 @@
     if kind.needs_name and not key.name:
         detail = f"key source {key.source!r} needs a name"
         raise codes.Failure(codes.BAD_FIELD, detail, where=place)
+
+
+def check_plugins(service: Service, place: str) -> None:
+    """Refuse a service that names a plug-in which is not registered."""
+    for field in PLUGINS.names():
+        try:
+            PLUGINS.get(field).get(getattr(service, field))
+        except KeyError as error:
+            raise codes.Failure(codes.BAD_FIELD, str(error.args[0]), where=place)
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -1,7 +1,6 @@
 """One node: all parts on one host, put together."""
 
 import asyncio
-import collections.abc
 
 import aiohttp.web
 
@@ -17,15 +16,12 @@
     local,
     owners,
     poison,
+    server,
 )
 from rattanridge.control import member, replica, roster, transport
 from rattanridge.kernel import log, metrics, registry, settings
 from rattanridge.platform import client
 
-Handler = collections.abc.Callable[
-    [aiohttp.web.BaseRequest], collections.abc.Awaitable[aiohttp.web.StreamResponse]
-]
-
 WITHDRAW_PAUSE = 0.5  # seconds for a withdrawal to reach the entries
 LOOPBACK = "127.0.0.1"
 
@@ -107,18 +103,10 @@
             control=self.control.address,
         )
 
-    async def listen(self, handler: Handler, address: str, port: int) -> str:
+    async def listen(self, handler: server.Handler, address: str, port: int) -> str:
         """Serve HTTP; return the URL."""
-        limits = self.config.limits
-        server = aiohttp.web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
-            auto_decompress=False,
-        )
-        runner = aiohttp.web.ServerRunner(server, shutdown_timeout=1.0)
+        served = server.Server(handler, self.config, self.counters)
+        runner = aiohttp.web.ServerRunner(served, shutdown_timeout=1.0)
         await runner.setup()
         await aiohttp.web.TCPSite(runner, address, port).start()
         self.runners.append(runner)
@@ -136,6 +124,7 @@
         await self.ledger.hand_over()
         self.announcer.change("gone")
         await asyncio.sleep(self.config.control.batch_interval * 2)
+        await self.member.leave()
         await self.close()
         self.log.info("node-stopped")
 
--- a/rattanridge/standin/store.py
+++ b/rattanridge/standin/store.py
@@ -33,6 +33,12 @@
         current = self.objects.get(key)
         if len(write.value) > objects.MAX_VALUE_BYTES:
             raise codes.Failure(codes.TOO_LARGE, key)
+        if (
+            current is not None
+            and write.write_id
+            and current.write_id == write.write_id
+        ):
+            return current
         version = current.version if current is not None else 0
         if version != write.if_version:
             raise codes.Failure(codes.PLATFORM_CONFLICT, f"{key}: {version}")
@@ -75,3 +81,12 @@
                 latest.setdefault(event.key, event)
         found = sorted(latest.values(), key=lambda event: event.version)
         return objects.Listing(self.revision, found)
+
+
+def without_values(listing: objects.Listing) -> objects.Listing:
+    """Return a listing with every value null."""
+    items = [
+        objects.Stored(item.key, item.version, write_id=item.write_id)
+        for item in listing.objects
+    ]
+    return objects.Listing(listing.revision, items)
