--- a/rattanridge/calls/ledger.py
+++ b/rattanridge/calls/ledger.py
@@ -8,7 +8,7 @@
 import asyncio
 import dataclasses
 
-from rattanridge.calls import answers, claimed, slices
+from rattanridge.calls import answers, budget, claimed, slices
 from rattanridge.control import messages
 from rattanridge.kernel import clock, codes, log, metrics, settings
 from rattanridge.platform import client
@@ -52,7 +52,6 @@
     events: dict[str, asyncio.Event] = dataclasses.field(default_factory=dict)
     arrived: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     task: asyncio.Task | None = None
-    next_write: float = float("-inf")
 
 
 class Ledger:
@@ -82,7 +81,7 @@
         self.log = log.Log("ledger", config.name)
         self.answers = answers.Answers(config.claims.answer_bytes)
         self.desks: dict[int, Desk] = {}
-        self.interval = config.claims.slices / config.claims.writes_per_second
+        self.budget = budget.Budget(self.time)
         self.questions = 0
         self.closed = False
 
@@ -228,9 +227,7 @@
                 arrival = asyncio.ensure_future(desk.arrived.wait())
                 await self.wait(arrival, FLUSH_PAUSE)
                 arrival.cancel()
-            pause = desk.next_write - self.time.monotonic()
-            if pause > 0:
-                await self.time.sleep(pause)
+            await self.budget.take(self.rate())
             batch, desk.waiting = desk.waiting, {}
             try:
                 await self.serve(desk, list(batch.values()))
@@ -241,6 +238,16 @@
                     item.refuse()
                 raise
 
+    def rate(self) -> float:
+        """Return the writes a second that the slices worked on here may cost."""
+        working = sum(
+            desk.task is not None and not desk.task.done()
+            for desk in self.desks.values()
+        )
+        held = sum(desk.slice.held for desk in self.desks.values())
+        part = max(working, held, 1) / self.settings.slices
+        return self.settings.writes_per_second * part
+
     async def serve(self, desk: Desk, batch: list[Waiting]) -> None:
         """Read the slice if it is not held, decide the batch, and write it.
 
@@ -257,7 +264,6 @@
         granted = self.choose(desk, batch)
         if not granted and not (desk.slice.held and desk.slice.settled):
             return
-        desk.next_write = self.time.monotonic() + self.interval
         self.counters.add("claims.writes")
         await desk.slice.commit([item.ask.claim for item in granted])
         for item in granted:
--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -66,8 +66,7 @@
 
     :param slices: number of slice objects; the same on every node.
     :param writes_per_second: writes to the platform that all slices together
-        may cost; a slice writes at most every ``slices / writes_per_second``
-        seconds.
+        may cost; an owner gets the part of its slices.
     :param keep: seconds that a claim is kept after its request's deadline; must
         exceed the time within which callers send a request again.
     :param slice_bytes: bytes of claims kept for one slice.
