--- a/rattanridge/control/messages.py
+++ b/rattanridge/control/messages.py
@@ -260,6 +260,12 @@
     in_contact: bool = False
 
 
+class Embedded(Message, tag="embedded"):
+    """A typed message of another layer; the method called tells which."""
+
+    body: msgspec.Raw
+
+
 Any = (
     Hello
     | Welcome
@@ -274,6 +280,7 @@
     | Candidate
     | Ask
     | Known
+    | Embedded
 )
 
 encoder = msgspec.msgpack.Encoder()
