--- a/rattanridge/calls/headers.py
+++ b/rattanridge/calls/headers.py
@@ -10,6 +10,7 @@
 TOKEN = "Rattanridge-Token"
 NODE = "Rattanridge-Node"
 LOAD = "Rattanridge-Load"  # running/queued at the exit
+SPENT = "Rattanridge-Spent"  # microseconds that the upstream took
 PRIORITY = "Rattanridge-Priority"
 TARGET = "Rattanridge-Target"  # service of the endpoint that the entry chose
 ONCE = "Rattanridge-Once"  # 1: the work must not run more than once
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -4,7 +4,7 @@
 
 import aiohttp.web
 
-from rattanridge import policies
+from rattanridge import admin as operations, policies
 from rattanridge.admin import server as admin
 from rattanridge.calls import (
     claims,
@@ -15,11 +15,21 @@
     ledger,
     local,
     memory,
+    observer,
     owners,
     poison,
     server,
 )
-from rattanridge.control import member, replica, roster, transport
+from rattanridge.control import (
+    collector,
+    coordinator,
+    member,
+    pool,
+    replica,
+    reporter,
+    roster,
+    transport,
+)
 from rattanridge.kernel import log, metrics, registry, settings
 from rattanridge.platform import client
 
@@ -36,6 +46,7 @@
 
     def __init__(self, config: settings.NodeSettings):
         registry.load_plugins(policies)
+        registry.load_plugins(operations)
         self.config = config
         self.log = log.Log("node", config.name)
         self.counters = metrics.Counters(
@@ -54,6 +65,13 @@
             config, self.state, self.exit, self.counters, self.held
         )
         self.guard_calls()
+        self.collector = collector.Collector(config, self.state, self.counters)
+        self.observer = observer.Observer(config, self.entry.attempts, self.collector)
+        self.pool = pool.Pool(config, self.state, self.counters)
+        self.reporter = reporter.Reporter(
+            config, self.member, self.collector, self.pool
+        )
+        self.coordinator = coordinator.Coordinator(self.member, self.pool)
         self.hop = hop.Hop(config, self.exit, self.counters, self.held)
         self.local = local.Local(config, self.entry, self.exit, self.announcer)
         self.admin = admin.Server(config, self.platform, self.state, self.counters)
@@ -99,6 +117,7 @@
         )
         await self.local.start(hop_url.removeprefix("http://"))
         await self.member.start()
+        self.reporter.start()
         self.log.info(
             "node-started",
             zone=config.zone,
@@ -153,6 +172,7 @@
         await self.local.stop()
         await self.claims.close()
         await self.ledger.close()
+        await self.reporter.stop()
         await self.member.stop()
         for runner in self.runners:
             await runner.cleanup()
