--- a/rattanridge/control/messages.py
+++ b/rattanridge/control/messages.py
@@ -1,12 +1,17 @@
 """Typed messages between nodes, encoded as msgpack."""
 
+import dataclasses
 import typing
+import zlib
 
 import msgspec
 
 from rattanridge.kernel import codes, snapshot
 
 PROTOCOL = 1
+MAX_MESSAGE_BYTES = 8_000_000
+PACK_BYTES = 512  # messages of at least this size are compressed
+PACK_LEVEL = 6
 
 
 class Message(msgspec.Struct, tag_field="t", omit_defaults=True):
@@ -231,7 +236,7 @@
 
 
 class Beat(Message, tag="beat"):
-    """Heartbeat of a relay."""
+    """Heartbeat of either end of a stream that has nothing else to say."""
 
     generation: int
 
@@ -260,8 +265,15 @@
     in_contact: bool = False
 
 
+class Packed(Message, tag="packed"):
+    """Another message, encoded and compressed."""
+
+    data: bytes
+
+
 Any = (
-    Hello
+    Packed
+    | Hello
     | Welcome
     | Busy
     | Config
@@ -280,14 +292,54 @@
 decoder = msgspec.msgpack.Decoder(Any)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Frame:
+    """A message that is encoded already, once for all streams.
+
+    :param kind: the message's kind, for counters.
+    """
+
+    kind: str
+    data: bytes
+
+
 def encode(message: typing.Any) -> bytes:
-    """Encode a message; one that is encoded already is returned as it is."""
-    return message if type(message) is bytes else encoder.encode(message)
+    """Encode a message, compressed if it is large."""
+    if isinstance(message, Frame):
+        return message.data
+    data = encoder.encode(message)
+    if len(data) < PACK_BYTES:
+        return data
+    return encoder.encode(Packed(zlib.compress(data, PACK_LEVEL)))
+
+
+def frame(message: Message) -> Frame:
+    """Encode a message for all the streams that it goes to."""
+    return Frame(kind_of(message), encode(message))
+
+
+def kind_of(message: Message | Frame) -> str:
+    """Return the kind's name, for counters."""
+    if isinstance(message, Frame):
+        return message.kind
+    return type(message).__name__.lower()
 
 
 def decode(data: bytes) -> typing.Any:
     """Decode one message; raise a coded failure if it can't be read."""
     try:
-        return decoder.decode(data)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        message = decoder.decode(data)
+        if isinstance(message, Packed):
+            message = decoder.decode(unpack(message.data))
+    except (msgspec.MsgspecError, RecursionError, zlib.error) as error:
         raise codes.Failure(codes.BAD_MESSAGE, str(error))
+    return message
+
+
+def unpack(data: bytes) -> bytes:
+    """Decompress within the bound for messages."""
+    unpacker = zlib.decompressobj()
+    found = unpacker.decompress(data, MAX_MESSAGE_BYTES)
+    if unpacker.unconsumed_tail:
+        raise codes.Failure(codes.BAD_MESSAGE, f"over {MAX_MESSAGE_BYTES} bytes")
+    return found
--- a/rattanridge/control/relay.py
+++ b/rattanridge/control/relay.py
@@ -203,14 +203,19 @@
                 return
             await self.write(context, message)
 
-    async def write(self, context: grpc.aio.ServicerContext, message: object) -> None:
+    async def write(
+        self,
+        context: grpc.aio.ServicerContext,
+        message: messages.Message | messages.Frame,
+    ) -> None:
         """Write one message; a subscriber that does not take it is sent away."""
-        kind = "records" if type(message) is bytes else type(message).__name__.lower()
-        data = messages.encode(message)
-        self.counters.add(f"control.sent.{kind}")
-        self.counters.add(f"control.sent-bytes.{kind}", len(data))
+        encoded = message
+        if not isinstance(message, messages.Frame):
+            encoded = messages.frame(message)
+        self.counters.add(f"control.sent.{encoded.kind}")
+        self.counters.add(f"control.sent-bytes.{encoded.kind}", len(encoded.data))
         async with asyncio.timeout(self.config.control.stream_timeout):
-            await context.write(data)
+            await context.write(encoded)
 
     async def read(self, member: Member, context: grpc.aio.ServicerContext) -> None:
         """Read what the subscriber sends, until its stream ends."""
@@ -285,20 +290,20 @@
         if not batch:
             return
         senders = {origin for _, origin in batch}
-        shared = encode_records(record for record, _ in batch)
+        shared = frame_records(record for record, _ in batch)
         for name, member in self.members.items():
             if name not in senders:
                 member.outbox.put(shared)
                 continue
             others = [record for record, origin in batch if origin != name]
             if others:
-                member.outbox.put(encode_records(others))
+                member.outbox.put(frame_records(others))
 
     def spread(self) -> None:
         """Send a new configuration or rejection to every subscriber."""
         current = self.state.snapshot
         if self.serving and self.state.rejection is not None:
-            rejected = messages.Rejected(self.state.rejection)
+            rejected = messages.frame(messages.Rejected(self.state.rejection))
             for member in self.members.values():
                 member.outbox.put(rejected)
         if current is None or current.digest in self.former:
@@ -311,27 +316,28 @@
 
     def spread_config(self, current: snapshot.Snapshot) -> None:
         """Send deltas, made once for each base that subscribers have."""
-        shared: dict[str, messages.Config] = {}
+        shared: dict[str, messages.Frame] = {}
         for member in self.members.values():
             base = member.config_sent
             if member.report.generation >= current.generation:
                 member.config_sent = member.report.digest
                 continue
+            if base == current.digest:
+                continue
             if base not in shared:
-                shared[base] = self.next_change(member)
-            if shared[base] is not None:
-                member.outbox.put(shared[base])
+                shared[base] = messages.frame(self.next_change(member))
+            member.outbox.put(shared[base])
             member.config_sent = current.digest
 
     def tell_presence(self) -> None:
         """Tell other relays of this one's nodes if that changed."""
         presence = messages.Presence(self.config.name, dict(self.nodes))
-        data = messages.encode(presence)
+        told = messages.frame(presence)
         for member in self.members.values():
-            if member.hello.relay and member.presence_sent != data:
-                member.presence_sent = data
-                member.outbox.put(presence)
+            if member.hello.relay and member.presence_sent != told.data:
+                member.presence_sent = told.data
+                member.outbox.put(told)
 
 
-def encode_records(records: typing.Iterable[messages.Record]) -> bytes:
-    return messages.encode(messages.Records(list(records)))
+def frame_records(records: typing.Iterable[messages.Record]) -> messages.Frame:
+    return messages.frame(messages.Records(list(records)))
--- a/rattanridge/control/subscriber.py
+++ b/rattanridge/control/subscriber.py
@@ -87,7 +87,7 @@
         )
 
     async def send(self, call: grpc.aio.StreamStreamCall) -> None:
-        """Write the hello, then all that waits, and a report as heartbeat."""
+        """Write the hello, then all that waits, and heartbeats."""
         try:
             await self.write(call, self.hello())
             while True:
@@ -104,17 +104,16 @@
         try:
             return await self.outbox.get(self.config.control.report_interval)
         except TimeoutError:
-            return self.state.report()
+            return messages.Beat(self.state.generation)
 
     async def write(
         self, call: grpc.aio.StreamStreamCall, message: messages.Message
     ) -> None:
-        kind = type(message).__name__.lower()
-        data = messages.encode(message)
-        self.counters.add(f"control.sent.{kind}")
-        self.counters.add(f"control.sent-bytes.{kind}", len(data))
+        encoded = messages.frame(message)
+        self.counters.add(f"control.sent.{encoded.kind}")
+        self.counters.add(f"control.sent-bytes.{encoded.kind}", len(encoded.data))
         async with asyncio.timeout(self.config.control.stream_timeout):
-            await call.write(data)
+            await call.write(encoded)
 
     async def receive(self, call: grpc.aio.StreamStreamCall) -> None:
         """Read until the stream ends or is silent for too long."""
@@ -127,7 +126,7 @@
             if message is grpc.aio.EOF:
                 raise codes.Failure(codes.NO_RELAY, "stream ended")
             self.heard = self.time.monotonic()
-            self.counters.add(f"control.received.{type(message).__name__.lower()}")
+            self.counters.add(f"control.received.{messages.kind_of(message)}")
             self.handle(message)
 
     def handle(self, message: messages.Message) -> None:
--- a/rattanridge/control/transport.py
+++ b/rattanridge/control/transport.py
@@ -20,10 +20,9 @@
 from rattanridge.kernel import codes, settings
 
 SERVICE = "rattanridge.Control"
-MAX_MESSAGE_BYTES = 8_000_000
 OPTIONS = [
-    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
-    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", messages.MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", messages.MAX_MESSAGE_BYTES),
     ("grpc.enable_http_proxy", 0),
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.so_reuseport", 0),
--- a/rattanridge/measure/controls.py
+++ b/rattanridge/measure/controls.py
@@ -73,9 +73,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Usage:
-    """A worker's samples, processor seconds and private memory in MB."""
+    """A worker's samples, processor seconds and private memory in MB.
+
+    :param retired: counters of nodes that were stopped.
+    """
 
     samples: list[Sample]
+    retired: dict[str, int]
     processor: float
     memory: float
 
@@ -162,6 +166,7 @@
         self.setup = setup
         self.pipe = pipe
         self.nodes: dict[str, ControlNode] = {}
+        self.retired: collections.Counter[str] = collections.Counter()
         self.ended = asyncio.Event()
         self.requests: asyncio.Queue = asyncio.Queue()
 
@@ -191,7 +196,8 @@
 
     async def usage(self, argument: object) -> Usage:
         samples = [node.sample() for node in self.nodes.values()]
-        return Usage(samples, time.process_time(), base.private_memory())
+        memory = base.private_memory()
+        return Usage(samples, dict(self.retired), time.process_time(), memory)
 
     async def least(self, argument: object) -> int:
         """Return the lowest generation in force; -1 while nodes still start."""
@@ -211,6 +217,7 @@
         """Stop one node at once and start it again."""
         node = self.nodes[name]
         await node.stop()
+        self.retired.update(node.counters.values)
         await self.add(node.spec)
 
     async def end(self, argument: object) -> None:
@@ -336,11 +343,20 @@
     return [specs[number::workers] for number in range(workers) if specs[number:]]
 
 
-def total(samples: list[Sample], prefix: str) -> collections.Counter:
-    """Sum the counters of all samples whose names begin with a prefix."""
-    sums: collections.Counter = collections.Counter()
-    for sample in samples:
-        for name, value in sample.counters.items():
+def total(usages: list[Usage], prefix: str) -> collections.Counter[str]:
+    """Sum the counters of all nodes whose names begin with a prefix."""
+    sums: collections.Counter[str] = collections.Counter()
+    groups = [sample.counters for usage in usages for sample in usage.samples]
+    for counters in [*groups, *(usage.retired for usage in usages)]:
+        for name, value in counters.items():
             if name.startswith(prefix):
                 sums[name.removeprefix(prefix)] += value
     return sums
+
+
+def sent_bytes(usages: list[Usage]) -> collections.Counter[str]:
+    """Return the bytes sent between nodes by message kind, with framing."""
+    sums = total(usages, "control.sent-bytes.")
+    for kind, count in total(usages, "control.sent.").items():
+        sums[kind] += count * FRAME_BYTES
+    return sums
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -164,6 +164,22 @@
         assert await box.get(1.0) == messages.Beat(1)
 
 
+class TestMessages:
+    @pytest.mark.parametrize("count", [1, 200])
+    def test_large_ones_are_packed(self, count):
+        sent = messages.Records([endpoint(f"n{number}") for number in range(count)])
+        data = messages.encode(sent)
+        assert messages.decode(data) == sent
+        assert len(data) < 30 * count + 100
+
+    def test_bomb_and_rubbish_are_refused(self):
+        bomb = messages.zlib.compress(bytes(messages.MAX_MESSAGE_BYTES + 1))
+        for data in (bomb, b"x"):
+            with pytest.raises(codes.Failure) as caught:
+                messages.decode(messages.encoder.encode(messages.Packed(data)))
+            assert caught.value.code is codes.BAD_MESSAGE
+
+
 class Context:
     """A stream as the relay sees it."""
 
