--- a/rattanridge/control/learning.py
+++ b/rattanridge/control/learning.py
@@ -6,6 +6,7 @@
 from rattanridge.kernel import codes, log, settings
 from rattanridge.platform import client, objects
 
+LEASES = "leases/relay-"
 ASK_TIMEOUT = 1.0  # seconds
 
 
@@ -32,12 +33,11 @@
         self.log = log.Log("learner", config.name)
 
     async def look(self) -> list[objects.Stored]:
-        """Read the pointer and the zone's relay leases in one call.
+        """Read the pointer and the leases of all relays in one call.
 
         Returns the leases; the roles are merged into the table.
         """
-        prefix = f"leases/relay-{self.config.zone}-"
-        listing = await self.platform.list(prefix, sources.POINTER)
+        listing = await self.platform.list(LEASES, sources.POINTER)
         found = []
         generation = 0
         for stored in listing.objects:
--- a/rattanridge/control/member.py
+++ b/rattanridge/control/member.py
@@ -20,11 +20,11 @@
     zone as zones,
 )
 from rattanridge.kernel import clock, codes, log, metrics, settings
-from rattanridge.platform import client, leases
+from rattanridge.platform import client, leases, objects
 
 LOOK_INTERVAL = 1.0  # seconds between reads of the zone's leases, on average
 CANDIDATE_SPREAD = 0.5  # seconds over which nodes try a vacant role
-AVOID = 3.0  # seconds for which a relay that failed is the last choice
+AVOID = 30.0  # seconds for which a relay that failed is the last choice
 RETURN_INTERVAL = 5.0  # seconds between looks for a relay of the own zone
 TIDY_INTERVAL = 30.0  # seconds between drops of ended records
 LEAVE_PAUSE = 0.05  # seconds for a farewell to be written
@@ -80,6 +80,8 @@
         self.won = asyncio.Event()
         self.candidates: dict[str, leases.Lease] = {}
         self.failed: dict[str, float] = {}
+        self.versions: dict[str, int] = {}
+        self.renewed: set[str] = set()
         self.next_look = float("-inf")
         self.subscription: subscribers.Subscriber | None = None
         self.tasks: list[asyncio.Task] = []
@@ -195,19 +197,20 @@
     async def find_relay(self) -> str:
         """Return a relay's address, or none; a vacant lease is tried on the way.
 
-        Relays of other zones come last: they serve while the own zone has none
-        and the platform can't name one.
+        Relays of other zones come last: they serve while the own zone has none.
+        While the platform is up, they are those that were seen to renew.
         """
         if self.state.floor is not None and (known := self.zone_relays()):
             return random.choice(known)
         try:
             await self.look_at_leases()
+            others = self.sound([a for a in self.all_relays() if a in self.renewed])
         except codes.Failure:
             await self.learner.ask(self.all_relays())
+            others = self.sound(self.all_relays()) or self.all_relays()
         if self.state.floor is None or self.lease is not None:
             return ""
-        found = self.zone_relays() or self.sound(self.all_relays())
-        return random.choice(found or self.all_relays() or [""])
+        return random.choice(self.zone_relays() or others or [""])
 
     def zone_relays(self) -> list[str]:
         """Return addresses of the zone's relays that did not fail lately."""
@@ -237,13 +240,11 @@
             return
         self.next_look = now + LOOK_INTERVAL * random.uniform(0.5, 1.5)
         found = {stored.key: stored for stored in await self.learner.look()}
+        self.note_renewals(found)
         if not self.config.relay:
             return
         for role in peers.relay_roles(self.config.zone):
             lease = self.candidate(role)
-            stored = found.get(lease.key)
-            if stored is not None:
-                lease.observe(stored)
             if not lease.vacant():
                 continue
             # The nodes of a zone see the vacancy at once; few shall try at once.
@@ -255,6 +256,24 @@
             if not lease.vacant():
                 return
 
+    def note_renewals(self, found: dict[str, objects.Stored]) -> None:
+        """Observe the leases; a relay that renews its own is tried again."""
+        for role in peers.relay_roles(self.config.zone):
+            lease = self.candidate(role)
+            if lease.key in found:
+                lease.observe(found[lease.key])
+        for role in self.peers.roles():
+            stored = found.get(f"leases/{role.role}")
+            if stored is None:
+                continue
+            known = self.versions.get(role.role, stored.version)
+            self.versions[role.role] = stored.version
+            if stored.version > known:
+                self.renewed.add(role.address)
+                self.failed.pop(role.address, None)
+            else:
+                self.renewed.discard(role.address)
+
     def merge_role(self, lease: leases.Lease) -> None:
         if lease.seen is not None:
             record = sources.role_record(lease.role, lease.seen.value)
--- a/rattanridge/control/peers.py
+++ b/rattanridge/control/peers.py
@@ -87,7 +87,7 @@
     async def look(self) -> None:
         """Read all relay leases, as far as the platform lets."""
         try:
-            listing = await self.platform.list("leases/relay-")
+            listing = await self.platform.list(learning.LEASES)
         except codes.Failure:
             # Nothing is known of any lease now, so none may count as stale.
             self.renewals.clear()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -545,6 +545,36 @@
         member.failed["two:1"] = member.time.monotonic()
         assert await member.find_relay() == "three:1"
 
+    async def hold(self, member, slot, holder, version):
+        value = objects.LeaseValue(holder, f"{holder}:1", 1, 3.0)
+        await member.platform.put(f"leases/relay-a-{slot}", value, version)
+
+    async def test_dead_relays_of_stale_leases_are_not_tried_for_ever(self, member):
+        """Both relays died: the node must look at the leases, and win one."""
+        member.time = member.platform.time
+        member.state.hold()
+        for slot, holder in enumerate(("two", "three")):
+            await self.hold(member, slot, holder, 0)
+        for _ in range(8):
+            finding = asyncio.create_task(member.find_relay())
+            await clock.settle()
+            await member.time.advance(members.CANDIDATE_SPREAD)
+            if address := await finding:
+                member.failed[address] = member.time.monotonic()
+            await member.time.advance(member.config.control.backoff_limit)
+        assert member.lease is not None
+
+    async def test_relay_that_renews_its_lease_is_tried_again(self, member):
+        member.config.relay = False
+        await self.hold(member, 0, "two", 0)
+        assert await member.find_relay() == "two:1"
+        member.failed["two:1"] = member.next_look = member.time.monotonic()
+        stored = await member.platform.get("leases/relay-a-0")
+        await self.hold(member, 0, "two", stored.version)
+        assert member.zone_relays() == []
+        assert await member.find_relay() == "two:1"
+        assert member.zone_relays() == ["two:1"]
+
     async def test_other_zone_serves_while_the_own_has_none(self, member):
         member.platform.plan = ["down"] * 9
         role = messages.Role("relay-b-0", "far", "far:1", 1)
