--- /dev/null
+++ b/rattanridge/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m rattanridge``."""
+
+from rattanridge.cli import main
+
+main.main(prog_name="rattanridge")
--- a/rattanridge/cli/measure.py
+++ b/rattanridge/cli/measure.py
@@ -1,6 +1,14 @@
-"""Command that runs measurements."""
+"""Command that runs measurements.
 
+Exit status: 0 if every target was met, 1 if one was missed, 2 for a wrong
+command, 3 if a measurement ended by an error.
+"""
+
+import gc
+import inspect
+import pathlib
 import sys
+import time
 
 import click
 import msgspec
@@ -8,7 +16,10 @@
 from rattanridge import measure as package
 from rattanridge.cli import main
 from rattanridge.kernel import codes, registry
-from rattanridge.measure import base
+from rattanridge.measure import base, results
+
+MISSED_EXIT = 1
+FAILED_EXIT = 3
 
 
 @main.COMMANDS.register("measure")
@@ -16,37 +27,106 @@
 @click.argument("name")
 @click.option("--json", "as_json", is_flag=True, help="Print only the JSON line.")
 @click.option("--seed", default=1, show_default=True)
-@click.option("--size", default=0, help="Size; 0 takes the experiment's default.")
-@click.option("--seconds", default=0.0, help="Seconds; 0 takes the default.")
-def measure(name: str, as_json: bool, seed: int, size: int, seconds: float) -> None:
-    """Run the experiment NAME, or ``list`` the experiments."""
+@click.option(
+    "--size",
+    default=0,
+    type=click.IntRange(min=0),
+    help="Size; 0 takes the experiment's default.",
+)
+@click.option(
+    "--seconds",
+    default=0.0,
+    type=click.FloatRange(min=0.0),
+    help="Seconds; 0 takes the experiment's default.",
+)
+@click.option("--out", default="", help="Directory for results, with NAME 'all'.")
+def measure(
+    name: str, as_json: bool, seed: int, size: int, seconds: float, out: str
+) -> None:
+    """Run the experiment NAME, 'all' of them, or 'list' them.
+
+    The last line is the result as JSON. Exit status: 0 if every target was
+    met, 1 if one was missed, 3 if an experiment ended by an error.
+    """
     registry.load_plugins(package)
+    parameters = base.Parameters(seed, size, seconds)
     if name == "list":
-        for item in base.EXPERIMENTS.names():
-            click.echo(item)
+        list_experiments()
+        return
+    if name == "all":
+        sys.exit(run_all(parameters, as_json, out))
+    record = run_one(name, parameters)
+    show(record, as_json)
+    sys.exit(exit_status(record))
+
+
+def list_experiments() -> None:
+    """Print each experiment with one line of explanation."""
+    names = base.EXPERIMENTS.names()
+    width = max(map(len, names), default=0)
+    for name in names:
+        click.echo(f"{name:<{width}}  {explain(base.EXPERIMENTS.get(name))}")
+
+
+def explain(experiment: base.Experiment) -> str:
+    """Return the first line of an experiment's docstring."""
+    return (inspect.getdoc(experiment) or "").partition("\n")[0]
+
+
+def run_all(parameters: base.Parameters, as_json: bool, out: str) -> int:
+    """Run every experiment in turn; return the worst exit status."""
+    directory = pathlib.Path(out) if out else None
+    if directory is not None:
+        directory.mkdir(parents=True, exist_ok=True)
+    records = []
+    for name in base.EXPERIMENTS.names():
+        base.progress(f"measure: {name}")
+        record = run_one(name, parameters)
+        records.append(record)
+        show(record, as_json)
+        if directory is not None:
+            results.save(record, directory)
+            page = results.format_page(records)
+            (directory / results.TABLE_FILE).write_text(page)
+        gc.collect()
+    return max(map(exit_status, records), default=0)
+
+
+def run_one(name: str, parameters: base.Parameters) -> results.Record:
+    """Run one experiment; an error in it becomes part of the record."""
+    experiment = find(name)
+    record = results.Record(
+        name, results.command_of(name, parameters), results.this_machine(), 0.0
+    )
+    began = time.monotonic()
+    try:
+        record.result = experiment(parameters)
+    except Exception as error:
+        record.error = f"{type(error).__name__}: {error}"
+    record.seconds = round(time.monotonic() - began, 1)
+    return record
+
+
+def show(record: results.Record, as_json: bool) -> None:
+    """Print a table for people unless only JSON is wanted, then one JSON line."""
+    if record.result is None:
+        click.echo(f"{record.name}: {record.outcome}", err=True)
         return
-    result = find(name)(base.Parameters(seed, size, seconds))
     if not as_json:
-        for line in format_table(result):
+        for line in results.format_table(record.result):
             click.echo(line)
-    click.echo(msgspec.json.encode(result).decode())
-    sys.exit(0 if result.ok else 1)
+    click.echo(msgspec.json.encode(record.result).decode())
+
+
+def exit_status(record: results.Record) -> int:
+    if record.result is None:
+        return FAILED_EXIT
+    return 0 if record.result.ok else MISSED_EXIT
 
 
 def find(name: str) -> base.Experiment:
+    """Return an experiment; an unknown name is a coded failure."""
     try:
         return base.EXPERIMENTS.get(name)
     except KeyError as error:
         raise codes.Failure(codes.BAD_FIELD, str(error.args[0]), where="measure")
-
-
-def format_table(result: base.Result) -> list[str]:
-    """Return figures and targets as a plain table."""
-    width = max(map(len, result.figures), default=0)
-    lines = [f"{result.name} seed {result.seed} runs {result.runs}"]
-    for name, value in result.figures.items():
-        target = result.target.get(name)
-        shown = f"  (target {target})" if target is not None else ""
-        lines.append(f"{name:<{width}}  {value}{shown}")
-    lines.append("ok" if result.ok else "target missed")
-    return lines
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -194,7 +194,7 @@
             assert [item.revision for item in await presets.history()] == [*range(1, 6)]
 
     async def test_choice_that_was_followed_by_another_did_win(self, monkeypatch):
-        async with presets_on() as (presets, platform):
+        async with presets_on() as (presets, _):
             await presets.put("day", DAY, "olga")
             await presets.put("peak", PEAK, "olga")
             real = presets.platform.put
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,212 @@
+"""The steps of the README with real processes, as an operator runs them."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import pytest
+
+from rattanridge.calls import headers
+from rattanridge.kernel import codes
+
+ROOT = pathlib.Path(__file__).parent.parent
+LIMIT = 60.0  # seconds after which something counts as never happening
+POLL = 0.05  # seconds
+PORTS = ("caller_port", "hop_port", "control_port", "admin_port", "local_port")
+TOKEN = "change-this-operator-token"
+
+
+def free_ports(count):
+    """Return ports that nothing listens on just now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class System:
+    """Processes of one platform, one node and its upstream.
+
+    :param directory: where the settings file and the logs are written.
+    """
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.platform_port, *ports = free_ports(1 + len(PORTS))
+        self.ports = dict(zip(PORTS, ports, strict=True))
+        self.started = {}
+        admin = f"http://127.0.0.1:{self.ports['admin_port']}"
+        self.environment = os.environ | {
+            "PYTHONPATH": str(ROOT),
+            "RATTANRIDGE_ADMIN": admin,
+            "RATTANRIDGE_TOKEN": TOKEN,
+        }
+
+    def write_settings(self):
+        """Write the example's settings with this system's ports."""
+        text = (ROOT / "examples/node.yaml").read_text()
+        text = text.replace("7400", str(self.platform_port))
+        lines = []
+        for line in text.splitlines():
+            name = line.partition(":")[0]
+            lines.append(f"{name}: {self.ports[name]}" if name in self.ports else line)
+        path = self.directory / "node.yaml"
+        path.write_text("\n".join(lines))
+        return str(path)
+
+    def start(self, name, *arguments):
+        log = (self.directory / f"{name}.log").open("wb")
+        self.started[name] = subprocess.Popen(
+            [sys.executable, "-m", "rattanridge", *arguments],
+            env=self.environment,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+        log.close()
+
+    def start_all(self):
+        self.start("platform", "standin", "platform", "--port", str(self.platform_port))
+        self.start("node", "node", "-c", self.write_settings())
+        local = f"http://127.0.0.1:{self.ports['local_port']}"
+        self.wait("the node", lambda: self.status(local) is not None)
+        self.start(
+            "upstream", "standin", "upstream", "--service", "workshop", "--node", local
+        )
+
+    def run(self, *arguments):
+        """Run one command; return its exit status and output."""
+        ended = subprocess.run(
+            [sys.executable, "-m", "rattanridge", *arguments],
+            env=self.environment,
+            capture_output=True,
+            text=True,
+            timeout=LIMIT,
+        )
+        return ended.returncode, ended.stdout + ended.stderr
+
+    def status(self, url, data=None):
+        """Return status and headers of one request; ``None`` without an answer."""
+        request = urllib.request.Request(url, data)
+        try:
+            with urllib.request.urlopen(request, timeout=LIMIT) as response:
+                return response.status, response.headers
+        except urllib.error.HTTPError as error:
+            return error.code, error.headers
+        except OSError:
+            return None
+
+    def wait(self, what, condition):
+        """Look again and again until something holds; fail with all logs."""
+        end = time.monotonic() + LIMIT
+        while not condition():
+            if time.monotonic() > end:
+                pytest.fail(f"{what}: never\n{self.logs()}")
+            time.sleep(POLL)
+
+    def logs(self):
+        paths = sorted(self.directory.glob("*.log"))
+        return "\n".join(f"== {path.name}\n{path.read_text()}" for path in paths)
+
+    def end(self, name):
+        """Send SIGTERM; return the exit status."""
+        process = self.started[name]
+        process.send_signal(signal.SIGTERM)
+        return process.wait(LIMIT)
+
+    def kill_all(self):
+        for process in self.started.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+
+
+@pytest.fixture
+def system(tmp_path):
+    made = System(tmp_path)
+    try:
+        yield made
+    finally:
+        made.kill_all()
+
+
+class TestReadme:
+    def test_steps(self, system):
+        system.start_all()
+        callers = f"http://127.0.0.1:{system.ports['caller_port']}"
+
+        answer = system.status(f"{callers}/workshop/ring-7")
+        assert answer[0] == codes.NOT_READY.status
+        assert answer[1][headers.RAN] == codes.Ran.NOT_RUN
+
+        preset = str(ROOT / "examples/ordinary.yaml")
+        status, output = system.run("preset", "put", preset)
+        assert (status, output) == (0, "preset ordinary revision 1\n"), output
+        status, output = system.run("preset", "use", "ordinary", "--wait")
+        assert status == 0, output
+        assert output.startswith("generation 1: preset ordinary revision 1\n")
+
+        self.see_calls(system, callers)
+        self.see_operator_commands(system)
+
+        assert system.end("upstream") == 0, system.logs()
+        assert system.end("node") == 0, system.logs()
+        assert system.end("platform") == 0, system.logs()
+        log = (system.directory / "node.log").read_text()
+        assert TOKEN not in log
+        assert all(line.startswith("time=") for line in log.splitlines()), log
+
+    def see_calls(self, system, callers):
+        """A consultation and a commission are answered; an unknown path is not."""
+        read = f"{callers}/workshop/ring-7"
+        system.wait("an endpoint", lambda: system.status(read)[0] == 200)
+        status, found = system.status(f"{callers}/workshop/rings", b"gold")
+        assert status == 200
+        assert found[headers.RAN] == codes.Ran.RAN
+        status, found = system.status(f"{callers}/elsewhere")
+        assert status == 404
+        assert found[headers.CODE] == str(codes.NO_ROUTE.number)
+        assert found[headers.RAN] == codes.Ran.NOT_RUN
+
+    def see_operator_commands(self, system):
+        """What operators read, and the exit status of refusals."""
+        status, output = system.run("status")
+        assert status == 0
+        assert "preset ordinary revision 1" in output
+        status, output = system.run("preset", "history")
+        assert "generation 1 preset ordinary revision 1 by olga" in output
+        status, output = system.run("preset", "use", "ordinary")
+        assert status == codes.PRESET_IN_FORCE.exit_code
+        assert f"error {codes.PRESET_IN_FORCE.number}" in output
+        status, output = system.run("preset", "use", "none")
+        assert f"error {codes.NO_PRESET.number}" in output
+        status, output = system.run("preset", "list", "--token", "wrong-token")
+        assert f"error {codes.NO_TOKEN.number}" in output
+        status, output = system.run("preset", "list", "--admin", "http://127.0.0.1:9")
+        assert f"error {codes.ADMIN_UNREACHABLE.number}" in output
+
+    def test_crashing_request_ends_the_upstream_with_its_status(self, system):
+        system.start(
+            "upstream", "standin", "upstream", "--service", "a", "--fault",
+            "crash_on=gold",
+        )  # fmt: skip
+        log = system.directory / "upstream.log"
+        system.wait("its port", lambda: " on 127.0.0.1:" in log.read_text())
+        address = log.read_text().split(" on ")[1].split()[0]
+        assert system.status(f"http://{address}/a", b"gold") is None
+        assert system.started["upstream"].wait(LIMIT) == 70
+
+    def test_wrong_settings_end_with_status_2(self, system, tmp_path):
+        path = tmp_path / "node.yaml"
+        path.write_text("name: one\n")
+        status, output = system.run("node", "-c", str(path))
+        assert status == 2
+        assert f"error {codes.BAD_FIELD.number}" in output
