--- a/rattanridge/admin/presets.py
+++ b/rattanridge/admin/presets.py
@@ -235,6 +235,7 @@
 
 
 def described(name: str, revision: int) -> str:
+    """Return a preset's name, and its revision if one is meant."""
     return f"{name} revision {revision}" if revision else name
 
 
--- a/rattanridge/admin/server.py
+++ b/rattanridge/admin/server.py
@@ -174,6 +174,7 @@
 
 
 def respond(body: object, status: int = 200) -> aiohttp.web.Response:
+    """Return a response with a JSON body."""
     return aiohttp.web.Response(
         body=msgspec.json.encode(body), status=status, content_type="application/json"
     )
@@ -181,6 +182,7 @@
 
 @operation("PUT", "/presets/<name>", "operator")
 async def put_preset(server: Server, request: Request) -> object:
+    """Store a preset as the next revision."""
     text = decode_text(request.body)
     name = request.arguments["name"]
     return await server.presets.put(name, text, request.operator)
@@ -188,17 +190,20 @@
 
 @operation("GET", "/presets", "viewer")
 async def list_presets(server: Server, request: Request) -> object:
+    """Return the newest revision of each preset."""
     return await server.presets.newest()
 
 
 @operation("GET", "/presets/<name>", "viewer")
 async def show_preset(server: Server, request: Request) -> object:
+    """Return one revision with its content."""
     revision = request.number("revision") or 0
     return await server.presets.show(request.arguments["name"], revision)
 
 
 @operation("POST", "/presets/<name>/use", "operator")
 async def use_preset(server: Server, request: Request) -> object:
+    """Put a revision in force."""
     return await server.presets.use(
         request.arguments["name"],
         request.operator,
@@ -209,20 +214,24 @@
 
 @operation("GET", "/history", "viewer")
 async def show_history(server: Server, request: Request) -> object:
+    """Return the choices, the oldest first."""
     return await server.presets.history()
 
 
 @operation("GET", "/status", "viewer")
 async def show_status(server: Server, request: Request) -> object:
+    """Return the system's state."""
     return await server.status.collect()
 
 
 @operation("GET", "/counters", "viewer")
 async def show_counters(server: Server, request: Request) -> object:
+    """Return this node's counters."""
     return dict(sorted(server.counters.values.items()))
 
 
 def decode_text(body: bytes) -> str:
+    """Return a body as text; raise a coded failure if it is not UTF-8."""
     try:
         return body.decode()
     except UnicodeDecodeError as error:
--- a/rattanridge/admin/status.py
+++ b/rattanridge/admin/status.py
@@ -132,10 +132,12 @@
 
 
 def rank(node: messages.NodeState) -> tuple:
+    """Return the order by which two reports of one node are compared."""
     return (not node.lost_at, node.generation, node.lost_at)
 
 
 def why_behind(name: str, node: messages.NodeState) -> Behind:
+    """Return why a node does not apply the chosen generation."""
     if node.rejection is not None:
         why = node.rejection
         return Behind(name, node.generation, why.code, why.reason)
--- a/rattanridge/calls/admission.py
+++ b/rattanridge/calls/admission.py
@@ -54,6 +54,7 @@
 
 
 def get_place(waiter: Waiter) -> tuple[float, float, int]:
+    """Return a waiter's place in the queue."""
     return waiter.place
 
 
--- a/rattanridge/calls/attempts.py
+++ b/rattanridge/calls/attempts.py
@@ -256,5 +256,6 @@
 
 
 def close_answer(task: asyncio.Task) -> None:
+    """Close an answer that nobody will read."""
     if not task.cancelled() and task.exception() is None:
         task.result().close()
--- a/rattanridge/calls/headers.py
+++ b/rattanridge/calls/headers.py
@@ -34,8 +34,11 @@
 
 def forwardable(source: multidict.CIMultiDictProxy) -> multidict.CIMultiDict:
     """Copy the headers that travel on: neither hop-by-hop nor the system's own."""
-    named = source.get("Connection")
-    listed = {item.strip() for item in named.lower().split(",")} if named else ()
+    listed = {
+        item.strip()
+        for named in source.getall("Connection", ())
+        for item in named.lower().split(",")
+    }
     kept = multidict.CIMultiDict()
     for name, value in source.items():
         lower = name.lower()
--- a/rattanridge/calls/retries.py
+++ b/rattanridge/calls/retries.py
@@ -71,6 +71,7 @@
 
 
 def succeeded(answer: types.Answer) -> bool:
+    """Whether an answer is a success of the upstream."""
     return answer.code is None and answer.status < 500
 
 
--- a/rattanridge/cli/measure.py
+++ b/rattanridge/cli/measure.py
@@ -119,6 +119,7 @@
 
 
 def exit_status(record: results.Record) -> int:
+    """Return the exit status that a record stands for."""
     if record.result is None:
         return FAILED_EXIT
     return 0 if record.result.ok else MISSED_EXIT
--- a/rattanridge/cli/preset.py
+++ b/rattanridge/cli/preset.py
@@ -35,7 +35,8 @@
 def list_presets(remote: remote.Remote) -> None:
     """List the presets and their newest revisions."""
     for item in remote.call("GET", "/presets"):
-        click.echo(f"{item['name']} revision {item['revision']}")
+        by = f" by {item['operator']}" if item["operator"] else ""
+        click.echo(f"{item['name']} revision {item['revision']}{by}")
 
 
 @preset.command()
--- a/rattanridge/control/peers.py
+++ b/rattanridge/control/peers.py
@@ -220,4 +220,5 @@
 
 
 def relay_roles(zone: str) -> list[str]:
+    """Return the names of a zone's relay roles."""
     return [f"relay-{zone}-{number}" for number in range(RELAYS_IN_ZONE)]
--- a/rattanridge/control/relay.py
+++ b/rattanridge/control/relay.py
@@ -334,4 +334,5 @@
 
 
 def encode_records(records: typing.Iterable[messages.Record]) -> bytes:
+    """Encode records as one message."""
     return messages.encode(messages.Records(list(records)))
--- a/rattanridge/control/source.py
+++ b/rattanridge/control/source.py
@@ -139,8 +139,10 @@
 
 
 def preset_key(name: str, revision: int) -> str:
+    """Return the key of one revision of a preset."""
     return f"presets/{name}/{revision:08}"
 
 
 def role_record(role: str, value: objects.LeaseValue) -> messages.Role:
+    """Return the record that a lease stands for."""
     return messages.Role(role, value.holder, value.address, value.epoch)
--- a/rattanridge/control/tables.py
+++ b/rattanridge/control/tables.py
@@ -80,5 +80,6 @@
 
 
 def hash_record(record: messages.Record) -> int:
+    """Return a record's hash as a number."""
     data = messages.encode(record)
     return int.from_bytes(hashlib.blake2b(data, digest_size=16).digest(), "big")
--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -204,4 +204,5 @@
 
 
 def refuse(where: str, path: str, detail: str) -> typing.NoReturn:
+    """Raise the failure of one field."""
     raise codes.Failure(codes.BAD_FIELD, detail, where=f"{where}: {path}")
--- a/rattanridge/measure/convergence.py
+++ b/rattanridge/measure/convergence.py
@@ -25,6 +25,7 @@
 
 
 async def run(seed: int, sizes: tuple[int, ...]) -> dict[str, float]:
+    """Run all parts; return the figures."""
     figures: dict[str, float] = {}
     for size in sizes:
         base.progress(f"convergence: {size} nodes")
@@ -93,5 +94,6 @@
 
 
 def add_figures(figures: dict, name: str, times: list[float]) -> None:
+    """Add the figures of one part."""
     for label, part in (("p50", 0.5), ("p99", 0.99), ("max", 1.0)):
         figures[f"{name}_{label}_s"] = round(base.percentile(times, part), 3)
--- a/rattanridge/measure/latency.py
+++ b/rattanridge/measure/latency.py
@@ -25,6 +25,7 @@
 
 
 async def run(seed: int, seconds: float) -> dict[str, float]:
+    """Start the hosts and compare the ways; return the figures."""
     async with fleet.Fleet(seed) as running:
         shape = upstreams.Shape(SERVICE, slots=12, work=0.0)
         beside = await running.add("beside", "zone-a", shape)
@@ -70,6 +71,7 @@
 
 
 async def call(session: aiohttp.ClientSession, url: str) -> None:
+    """Make one call and read its answer."""
     async with session.get(f"{url}/{SERVICE}/crest/17") as response:
         await response.read()
         response.raise_for_status()
--- a/rattanridge/measure/results.py
+++ b/rattanridge/measure/results.py
@@ -14,17 +14,21 @@
 
 
 class Machine(msgspec.Struct):
-    """The size of the machine that a measurement ran on."""
+    """The size of the machine that a measurement ran on.
+
+    :param load: processes that wanted a core in the minute before.
+    """
 
     cores: int
     memory_mib: int
     system: str
     python: str
+    load: float = 0.0
 
     def __str__(self) -> str:
         return (
             f"{self.cores} cores, {self.memory_mib} MiB of memory, "
-            f"{self.system}, Python {self.python}"
+            f"{self.system}, Python {self.python}, load {self.load:.1f} before"
         )
 
 
@@ -57,6 +61,7 @@
         pages // MEBIBYTE,
         platform.system(),
         platform.python_version(),
+        round(os.getloadavg()[0], 1),
     )
 
 
--- a/rattanridge/standin/platform.py
+++ b/rattanridge/standin/platform.py
@@ -186,6 +186,7 @@
 
 
 def answer(body: bytes, status: int = 200) -> aiohttp.web.Response:
+    """Return a JSON response."""
     return aiohttp.web.Response(
         body=body, status=status, content_type="application/json"
     )
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,6 +1,7 @@
 """Whatever bytes callers send: a coded refusal, and the node goes on."""
 
 import hypothesis
+import multidict
 import pytest
 from hypothesis import strategies
 
@@ -151,6 +152,26 @@
         assert bench.host.upstream.runs[-1].path == "/workshop/b?c=1"
 
 
+class TestHeaders:
+    def test_hop_by_hop_and_own_ones_end_here(self):
+        came = multidict.CIMultiDict(
+            [
+                ("Connection", "close, X-First"),
+                ("X-First", "1"),
+                ("connection", "x-second"),
+                ("X-Second", "2"),
+                ("Keep-Alive", "5"),
+                ("TE", "trailers"),
+                ("rattanridge-retry", "1"),
+                ("RATTANRIDGE-ANY", "1"),
+                ("X-Kept", "a"),
+                ("X-Kept", "b"),
+            ]
+        )
+        kept = headers.forwardable(multidict.CIMultiDictProxy(came))
+        assert list(kept.items()) == [("X-Kept", "a"), ("X-Kept", "b")]
+
+
 class TestFuzz:
     part = strategies.one_of(
         strategies.sampled_from(STRANGE), strategies.binary(max_size=30)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -44,6 +44,14 @@
         result = check(path)
         assert result.exit_code == 0, result.output
 
+    @pytest.mark.parametrize("user", ["consortium", "cooperative"])
+    def test_no_preset_lets_work_run_more_than_once(self, user):
+        for name in ("ordinary", "peak", "maintenance"):
+            preset = presets.load(str(ROOT / "examples" / user / f"{name}.yaml"))
+            assert preset.name == name
+            for route in preset.routes:
+                assert route.idempotent == (route.methods == ["GET"])
+
 
 class TestRefusals:
     @pytest.mark.parametrize(
