Start and command line: coded failures for ports in use and odd arguments

IPv6 numbers are put into brackets. The HTTP library drops whole requests that it read together with an unreadable one; the one refusal says not run, which is true of all of them.

--- a/rattanridge/cli/node.py
+++ b/rattanridge/cli/node.py
@@ -8,7 +8,7 @@
 
 from rattanridge import node as nodes
 from rattanridge.cli import main
-from rattanridge.kernel import log, settings
+from rattanridge.kernel import codes, log, settings
 
 
 @main.COMMANDS.register("node")
@@ -34,6 +34,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
     node = nodes.Node(config)
-    await node.start()
+    try:
+        await node.start()
+    except codes.Failure:
+        await node.close()
+        raise
     await stopping.wait()
     await node.stop()
--- a/rattanridge/cli/preset.py
+++ b/rattanridge/cli/preset.py
@@ -46,7 +46,7 @@
 def show(name: str, revision: int, remote: remote.Remote) -> None:
     """Show a preset's routes."""
     query = urllib.parse.urlencode({"revision": revision})
-    answer = remote.call("GET", f"/presets/{name}?{query}")
+    answer = remote.call("GET", f"/presets/{remote.quote(name)}?{query}")
     click.echo(f"preset {name} revision {answer['revision']}")
     for route in answer["content"]["routes"]:
         once = "idempotent" if route["idempotent"] else "once"
@@ -77,7 +77,9 @@
     query = {"revision": str(revision)}
     if generation >= 0:
         query["generation"] = str(generation)
-    answer = remote.call("POST", f"/presets/{name}/use?{urllib.parse.urlencode(query)}")
+    answer = remote.call(
+        "POST", f"/presets/{remote.quote(name)}/use?{urllib.parse.urlencode(query)}"
+    )
     chosen = answer["generation"]
     click.echo(f"generation {chosen}: preset {name} revision {answer['revision']}")
     if wait:
--- a/rattanridge/cli/remote.py
+++ b/rattanridge/cli/remote.py
@@ -4,6 +4,7 @@
 import collections.abc
 import functools
 import typing
+import urllib.parse
 
 import aiohttp
 import click
@@ -12,7 +13,8 @@
 from rattanridge.admin import server
 from rattanridge.kernel import codes
 
-TIMEOUT = 10.0  # seconds
+# Seconds; longer than a node needs to learn the outcome of a lost write.
+TIMEOUT = 30.0
 
 
 class Remote:
@@ -26,6 +28,11 @@
         self.url = url.rstrip("/")
         self.token = token
 
+    @staticmethod
+    def quote(name: str) -> str:
+        """Return a name as one part of a path."""
+        return urllib.parse.quote(name, safe="")
+
     def call(self, method: str, path: str, body: bytes = b"") -> typing.Any:
         """Make one call; return the decoded answer or raise its coded failure."""
         return asyncio.run(self.request(method, path, body))
@@ -40,12 +47,16 @@
                 ) as response:
                     data = await response.read()
                     status = response.status
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             detail = f"{self.url}: {type(error).__name__}"
             raise codes.Failure(codes.ADMIN_UNREACHABLE, detail)
         if status != 200:
             raise as_failure(data)
-        return msgspec.json.decode(data)
+        try:
+            return msgspec.json.decode(data)
+        except msgspec.MsgspecError:
+            detail = f"{self.url}: the answer is not that of a node"
+            raise codes.Failure(codes.ADMIN_UNREACHABLE, detail)
 
 
 def as_failure(data: bytes) -> codes.Failure:
--- a/rattanridge/cli/standin.py
+++ b/rattanridge/cli/standin.py
@@ -110,7 +110,10 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signalled.set)
-    await start()
+    try:
+        await start()
+    except OSError as error:
+        raise codes.Failure(codes.CANNOT_LISTEN, error.strerror or "")
     waits = [asyncio.create_task(event.wait()) for event in (ended, signalled)]
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     for wait in waits:
--- a/rattanridge/control/transport.py
+++ b/rattanridge/control/transport.py
@@ -17,7 +17,7 @@
 import grpc.aio
 
 from rattanridge.control import messages
-from rattanridge.kernel import codes, settings
+from rattanridge.kernel import addresses, codes, settings
 
 SERVICE = "rattanridge.Control"
 MAX_MESSAGE_BYTES = 8_000_000
@@ -101,9 +101,13 @@
         handler = grpc.method_handlers_generic_handler(SERVICE, self.methods)
         self.server.add_generic_rpc_handlers((handler,))
         host = self.config.address
-        port = self.server.add_insecure_port(f"{host}:{self.config.control_port}")
+        wanted = addresses.join(host, self.config.control_port)
+        try:
+            port = self.server.add_insecure_port(wanted)
+        except RuntimeError:
+            raise codes.Failure(codes.CANNOT_LISTEN, where=wanted)
         await self.server.start()
-        self.address = f"{host}:{port}"
+        self.address = addresses.join(host, port)
         return self.address
 
     async def stop(self) -> None:
--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -122,6 +122,9 @@
     "Two routes match exactly the same requests",
     exit_code=2,
 )
+CANNOT_LISTEN = define(
+    1008, "cannot-listen", 500, "A port of the settings cannot be listened on"
+)
 
 # 2xxx: the platform's object API.
 PLATFORM_DOWN = define(
--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -163,10 +163,9 @@
 
 def check(settings: NodeSettings, where: str = "settings") -> None:
     """Check what types can't say: IP numbers, URLs, tokens, ports and times."""
-    try:
-        ipaddress.ip_address(settings.address)
-    except ValueError:
-        refuse(where, "address", f"{settings.address!r} is not an IP number")
+    check_number(settings.address, "address", where)
+    if settings.statsd.host:
+        check_number(settings.statsd.host, "statsd.host", where)
     for index, url in enumerate(settings.platform):
         if not URL.fullmatch(url):
             refuse(where, f"platform[{index}]", f"{url!r} is not an HTTP URL")
@@ -182,6 +181,14 @@
         refuse(where, "control.backoff_limit", "below backoff_first")
 
 
+def check_number(address: str, path: str, where: str) -> None:
+    """Refuse what is not an IP number."""
+    try:
+        ipaddress.ip_address(address)
+    except ValueError:
+        refuse(where, path, f"{address!r} is not an IP number")
+
+
 def check_tokens(tokens: list[Token], where: str) -> None:
     """Refuse tokens with one name or one secret."""
     names: set[str] = set()
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -8,7 +8,7 @@
 from rattanridge.admin import server as admin
 from rattanridge.calls import entry, exit as exits, hop, local, memory, server
 from rattanridge.control import member, replica, roster, transport
-from rattanridge.kernel import log, metrics, registry, settings
+from rattanridge.kernel import addresses, codes, log, metrics, registry, settings
 from rattanridge.platform import client
 
 DRAIN_STEP = 0.02  # seconds between looks at what still runs
@@ -80,10 +80,14 @@
         served = server.Server(handler, self.config, self.counters)
         runner = aiohttp.web.ServerRunner(served, shutdown_timeout=1.0)
         await runner.setup()
-        await aiohttp.web.TCPSite(runner, address, port).start()
         self.runners.append(runner)
+        try:
+            await aiohttp.web.TCPSite(runner, address, port).start()
+        except OSError as error:
+            where = addresses.join(address, port)
+            raise codes.Failure(codes.CANNOT_LISTEN, error.strerror or "", where=where)
         bound = runner.addresses[0]
-        return f"http://{bound[0]}:{bound[1]}"
+        return f"http://{addresses.join(bound[0], bound[1])}"
 
     async def stop(self) -> None:
         """Graceful shutdown: withdraw, finish what runs, hand over, end."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -152,6 +152,24 @@
         assert bench.host.upstream.runs[-1].path == "/workshop/b?c=1"
 
 
+class TestPipelining:
+    def test_each_request_gets_its_own_answer_in_order(self, bench):
+        head = b"GET /workshop/%d HTTP/1.1\r\nHost: a\r\n%s\r\n"
+        data = b"".join(head % (number, b"") for number in range(9))
+        answer = send(bench, data + head % (9, b"Connection: close\r\n"))
+        places = [answer.find(b" /workshop/%d " % number) for number in range(10)]
+        assert -1 not in places
+        assert places == sorted(places)
+
+    def test_unreadable_request_behind_good_ones(self, bench):
+        runs = len(bench.host.upstream.runs)
+        good = b"GET /workshop/a HTTP/1.1\r\nHost: a\r\n\r\n"
+        answer = send(bench, good + good + b"nonsense\r\n\r\n" + good)
+        # The library drops all that it read at once; then none of them ran.
+        assert answer.count(b"HTTP/1.1 200") == len(bench.host.upstream.runs) - runs
+        assert answer.count(b"Rattanridge-Code: 4002") == 1
+
+
 class TestHeaders:
     def test_hop_by_hop_and_own_ones_end_here(self):
         came = multidict.CIMultiDict(
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -73,6 +73,7 @@
             ("7401", "7401\nlimits: {connections: 0}", codes.BAD_FIELD, 7),
             ("7401", "7401\nclaims: {slice_bytes: 1000000}", codes.BAD_FIELD, 7),
             ("7401", "7401\nstatsd: {host: a, prot: 1}", codes.BAD_FIELD, 7),
+            ("7401", "7401\nstatsd: {host: metrics}", codes.BAD_FIELD, 7),
             ("interval: 1.0", "interval: .nan", codes.BAD_FIELD, 8),
             ("interval: 1.0", "interval: .inf", codes.BAD_FIELD, 8),
             ("interval: 1.0", "interval: -1", codes.BAD_FIELD, 8),
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -204,6 +204,38 @@
         assert system.status(f"http://{address}/a", b"gold") is None
         assert system.started["upstream"].wait(LIMIT) == 70
 
+    def test_port_in_use(self, system):
+        taken = socket.socket()
+        with taken:
+            taken.bind(("127.0.0.1", system.ports["hop_port"]))
+            taken.listen()
+            for arguments in (
+                ("node", "-c", system.write_settings()),
+                ("standin", "platform", "--port", str(system.ports["hop_port"])),
+            ):
+                status, output = system.run(*arguments)
+                assert status == codes.CANNOT_LISTEN.exit_code
+                assert f"error {codes.CANNOT_LISTEN.number}" in output
+                assert "Traceback" not in output
+
+    @pytest.mark.parametrize(
+        "arguments",
+        [
+            ("preset", "show", ".."),
+            ("preset", "show", "../status"),
+            ("preset", "use", "a b"),
+            ("preset", "list", "--admin", "nowhere"),
+            ("preset", "list", "--admin", "http://"),
+            ("preset", "list", "--token", "a\nb"),
+            ("preset", "put", "none.yaml"),
+            ("rollout",),
+        ],
+    )
+    def test_odd_arguments(self, system, arguments):
+        status, output = system.run(*arguments)
+        assert status in (1, 2)
+        assert "Traceback" not in output
+
     def test_wrong_settings_end_with_status_2(self, system, tmp_path):
         path = tmp_path / "node.yaml"
         path.write_text("name: one\n")
