--- a/rattanridge/admin/presets.py
+++ b/rattanridge/admin/presets.py
@@ -21,7 +21,7 @@
 WRITE_TRIES = 3
 WRITE_PAUSE = 0.2  # seconds between tries
 RACES_MOST = 5  # tries to add to the history against other writers
-UNSURE = (codes.PLATFORM_DOWN, codes.PLATFORM_BUSY)
+UNSURE = (codes.PLATFORM_DOWN, codes.PLATFORM_BUSY, codes.PLATFORM_REFUSED)
 
 
 class Revision(msgspec.Struct):
--- a/rattanridge/platform/client.py
+++ b/rattanridge/platform/client.py
@@ -16,6 +16,9 @@
 CALL_TIMEOUT = 2.0  # seconds
 WATCH_MARGIN = 5.0  # seconds beyond the wait asked for
 
+# Failures after which a write may have taken effect.
+DOUBTFUL = (codes.PLATFORM_DOWN, codes.PLATFORM_CONFLICT, codes.PLATFORM_REFUSED)
+
 STATUS_CODES = {
     404: codes.PLATFORM_MISSING,
     409: codes.PLATFORM_CONFLICT,
@@ -109,7 +112,7 @@
             data = await self.call("PUT", f"/v1/objects/{quote(key)}", body)
             return decode(data, objects.Stored)
         except codes.Failure as failure:
-            if failure.code not in (codes.PLATFORM_DOWN, codes.PLATFORM_CONFLICT):
+            if failure.code not in DOUBTFUL:
                 raise
             return await self.read_back(key, write_id, failure)
 
@@ -124,7 +127,7 @@
         stored = await self.find(key)
         if stored is not None and stored.write_id == write_id:
             return stored
-        if failure.code is codes.PLATFORM_CONFLICT:
+        if failure.code is not codes.PLATFORM_DOWN:
             raise failure
         raise codes.Failure(
             codes.PLATFORM_DOWN, f"{key}: the write may still take effect"
