--- a/rattanridge/calls/entry.py
+++ b/rattanridge/calls/entry.py
@@ -148,7 +148,7 @@
         if snapshot is None:
             raise codes.Failure(codes.NOT_READY, retry_after=1.0)
         path = read_path(request)
-        host = request.headers.get("Host", "").partition(":")[0]
+        host = headers.host_of(request.headers.get("Host", ""))
         route = snapshot.match(host, path, request.method)
         if route is None:
             raise codes.Failure(codes.NO_ROUTE, f"{request.method} {path}")
--- a/rattanridge/calls/headers.py
+++ b/rattanridge/calls/headers.py
@@ -63,3 +63,10 @@
     except UnicodeEncodeError:
         return False
     return True
+
+
+def host_of(value: str) -> str:
+    """Return the host that a ``Host`` header names, without port, lower case."""
+    if value.startswith("["):
+        return value.partition("]")[0].lower() + "]"
+    return value.partition(":")[0].rstrip(".").lower()
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -8,6 +8,12 @@
 
 Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 Prefix = typing.Annotated[str, msgspec.Meta(pattern=r"^/", max_length=512)]
+Host = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^(\*|[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?|\[[0-9a-f:.]+\])$"
+    ),
+]
 Method = typing.Annotated[str, msgspec.Meta(pattern=r"^([A-Z]{1,16}|\*)$")]
 
 PRIORITIES = ("high", "normal", "low")
@@ -50,7 +56,7 @@
 class Route(settings.Struct, kw_only=True):
     """Which requests go to which service, and how.
 
-    :param host: exact host name, or ``*``.
+    :param host: exact host name in lower case, or ``*``.
     :param prefix: path prefix; it ends at a slash or at the path's end.
     :param methods: HTTP methods, or ``["*"]``.
     :param service: the service that answers.
@@ -63,7 +69,7 @@
         endpoint as well; 0 turns hedging off.
     """
 
-    host: str = "*"
+    host: Host = "*"
     prefix: Prefix = "/"
     methods: typing.Annotated[list[Method], msgspec.Meta(min_length=1)] = msgspec.field(
         default_factory=lambda: ["*"]
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -190,6 +190,28 @@
         assert list(kept.items()) == [("X-Kept", "a"), ("X-Kept", "b")]
 
 
+class TestHost:
+    @pytest.mark.parametrize(
+        ("value", "host"),
+        [
+            ("crest.example", "crest.example"),
+            ("Crest.Example.:8080", "crest.example"),
+            ("127.0.0.1:80", "127.0.0.1"),
+            ("[::1]:80", "[::1]"),
+            ("[FE80::1]", "[fe80::1]"),
+            ("", ""),
+            (":80", ""),
+            ("[", "[]"),
+        ],
+    )
+    def test_name(self, value, host):
+        assert headers.host_of(value) == host
+
+    def test_two_are_refused(self, bench):
+        answer = send(bench, HEAD + b"Host: b\r\n\r\n")
+        assert benches.header_of(answer, headers.CODE) == str(codes.BAD_REQUEST.number)
+
+
 class TestFuzz:
     part = strategies.one_of(
         strategies.sampled_from(STRANGE), strategies.binary(max_size=30)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -204,6 +204,18 @@
         assert system.status(f"http://{address}/a", b"gold") is None
         assert system.started["upstream"].wait(LIMIT) == 70
 
+    def test_node_without_a_platform_stops_as_planned(self, system):
+        system.start("node", "node", "-c", system.write_settings())
+        local = f"http://127.0.0.1:{system.ports['local_port']}"
+        system.wait("the node", lambda: system.status(local) is not None)
+        status, output = system.run("status")
+        assert status == 0
+        assert f"error {codes.PLATFORM_DOWN.number}" in output
+        assert system.end("node") == 0, system.logs()
+        log = (system.directory / "node.log").read_text()
+        assert "event=node-stopped" in log
+        assert "Traceback" not in log
+
     def test_port_in_use(self, system):
         taken = socket.socket()
         with taken:
