--- a/rattanridge/calls/headers.py
+++ b/rattanridge/calls/headers.py
@@ -36,8 +36,11 @@
 
 def forwardable(source: multidict.CIMultiDictProxy) -> multidict.CIMultiDict:
     """Copy the headers that travel on: neither hop-by-hop nor the system's own."""
-    named = source.get("Connection")
-    listed = {item.strip() for item in named.lower().split(",")} if named else ()
+    listed = {
+        item.strip()
+        for named in source.getall("Connection", ())
+        for item in named.lower().split(",")
+    }
     kept = multidict.CIMultiDict()
     for name, value in source.items():
         lower = name.lower()
@@ -62,3 +65,10 @@
     except UnicodeEncodeError:
         return False
     return True
+
+
+def host_of(value: str) -> str:
+    """Return the host that a ``Host`` header names, without port, lower case."""
+    if value.startswith("["):
+        return value.partition("]")[0].lower() + "]"
+    return value.partition(":")[0].rstrip(".").lower()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,6 +1,7 @@
 """Whatever bytes callers send: a coded refusal, and the node goes on."""
 
 import hypothesis
+import multidict
 import pytest
 from hypothesis import strategies
 
@@ -151,6 +152,66 @@
         assert bench.host.upstream.runs[-1].path == "/workshop/b?c=1"
 
 
+class TestPipelining:
+    def test_each_request_gets_its_own_answer_in_order(self, bench):
+        head = b"GET /workshop/%d HTTP/1.1\r\nHost: a\r\n%s\r\n"
+        data = b"".join(head % (number, b"") for number in range(9))
+        answer = send(bench, data + head % (9, b"Connection: close\r\n"))
+        places = [answer.find(b" /workshop/%d " % number) for number in range(10)]
+        assert -1 not in places
+        assert places == sorted(places)
+
+    def test_unreadable_request_behind_good_ones(self, bench):
+        runs = len(bench.host.upstream.runs)
+        good = b"GET /workshop/a HTTP/1.1\r\nHost: a\r\n\r\n"
+        answer = send(bench, good + good + b"nonsense\r\n\r\n" + good)
+        # The library drops all that it read at once; then none of them ran.
+        assert answer.count(b"HTTP/1.1 200") == len(bench.host.upstream.runs) - runs
+        assert answer.count(b"Rattanridge-Code: 4002") == 1
+
+
+class TestHeaders:
+    def test_hop_by_hop_and_own_ones_end_here(self):
+        came = multidict.CIMultiDict(
+            [
+                ("Connection", "close, X-First"),
+                ("X-First", "1"),
+                ("connection", "x-second"),
+                ("X-Second", "2"),
+                ("Keep-Alive", "5"),
+                ("TE", "trailers"),
+                ("rattanridge-retry", "1"),
+                ("RATTANRIDGE-ANY", "1"),
+                ("X-Kept", "a"),
+                ("X-Kept", "b"),
+            ]
+        )
+        kept = headers.forwardable(multidict.CIMultiDictProxy(came))
+        assert list(kept.items()) == [("X-Kept", "a"), ("X-Kept", "b")]
+
+
+class TestHost:
+    @pytest.mark.parametrize(
+        ("value", "host"),
+        [
+            ("crest.example", "crest.example"),
+            ("Crest.Example.:8080", "crest.example"),
+            ("127.0.0.1:80", "127.0.0.1"),
+            ("[::1]:80", "[::1]"),
+            ("[FE80::1]", "[fe80::1]"),
+            ("", ""),
+            (":80", ""),
+            ("[", "[]"),
+        ],
+    )
+    def test_name(self, value, host):
+        assert headers.host_of(value) == host
+
+    def test_two_are_refused(self, bench):
+        answer = send(bench, HEAD + b"Host: b\r\n\r\n")
+        assert benches.header_of(answer, headers.CODE) == str(codes.BAD_REQUEST.number)
+
+
 class TestFuzz:
     part = strategies.one_of(
         strategies.sampled_from(STRANGE), strategies.binary(max_size=30)
