--- a/rattanridge/calls/entry.py
+++ b/rattanridge/calls/entry.py
@@ -12,6 +12,7 @@
     exit as exits,
     headers,
     memory,
+    responses,
     server,
     types,
 )
@@ -201,7 +202,7 @@
                 path=request.raw_path,
             )
         try:
-            return await server.respond(request, answer)
+            return await responses.respond(request, answer)
         except codes.Failure as failure:
             self.counters.add(f"entry.cut.{failure.code.name}")
             self.log.info("answer-cut", code=failure.code.number, path=request.raw_path)
@@ -214,17 +215,9 @@
 
 
 def read_path(request: aiohttp.web.BaseRequest) -> str:
-    """Return the path that routes match, decoded but for slashes.
-
-    Refused are targets that would mean another host or another path to the
-    upstream than to the routes: absolute ones, fragments and dot segments.
-    """
+    """Return the path that routes match, decoded but for slashes."""
     target = request.raw_path
-    if not target.startswith("/") or "#" in target:
-        raise codes.Failure(codes.BAD_REQUEST, "target")
     path = target.partition("?")[0]
     if "%" in path:
-        path = request.rel_url.path_safe
-    if "/." in path and {".", ".."}.intersection(path.split("/")):
-        raise codes.Failure(codes.BAD_REQUEST, "dot segment")
+        return request.rel_url.path_safe
     return path
--- a/rattanridge/calls/hop.py
+++ b/rattanridge/calls/hop.py
@@ -5,7 +5,15 @@
 
 import aiohttp.web
 
-from rattanridge.calls import background, exit as exits, headers, memory, server, types
+from rattanridge.calls import (
+    background,
+    exit as exits,
+    headers,
+    memory,
+    responses,
+    server,
+    types,
+)
 from rattanridge.control import transport
 from rattanridge.kernel import codes, metrics, presets, settings
 
@@ -68,12 +76,11 @@
         """Refuse a peer that does not prove the shared key."""
         node = request.headers.get(headers.NODE, "")
         token = request.headers.get(headers.TOKEN, "")
-        if self.tokens.get(node) == token and token:
-            return
-        wanted = transport.sign(self.config.key, "hop", node)
-        if not hmac.compare_digest(token.encode(), wanted.encode()):
+        wanted = self.tokens.get(node) or transport.sign(self.config.key, "hop", node)
+        sent = token.encode(errors="surrogateescape")
+        if not hmac.compare_digest(sent, wanted.encode()):
             raise codes.Failure(codes.HOP_REFUSED)
-        self.tokens[node] = token
+        self.tokens[node] = wanted
 
     async def read(self, request: aiohttp.web.BaseRequest) -> types.Call:
         """Read a forwarded call with the marks that the entry set."""
@@ -105,7 +112,7 @@
         """Answer with the marks that the entry reads."""
         answer.headers[headers.LOAD] = f"{answer.load[0]}/{answer.load[1]}"
         try:
-            return await server.respond(request, answer)
+            return await responses.respond(request, answer)
         except codes.Failure as failure:
             self.counters.add(f"hop.cut.{failure.code.name}")
             raise
--- a/rattanridge/calls/memory.py
+++ b/rattanridge/calls/memory.py
@@ -32,3 +32,25 @@
         """Give back the bytes of a request's body that was read whole."""
         if len(body) > SMALL:
             self.used -= len(body)
+
+
+class Counted:
+    """Counts one body while it comes in.
+
+    :param held: counts for the node; ``None``: nothing is counted.
+    """
+
+    def __init__(self, held: Held | None):
+        self.held = held
+        self.size = 0
+
+    def grow(self, size: int) -> None:
+        """Count a body that has grown to a size; a small one is not counted."""
+        if self.held is not None and size > SMALL:
+            self.held.take(size - self.size)
+            self.size = size
+
+    def give(self) -> None:
+        """Give the bytes back; the body is dropped."""
+        if self.held is not None:
+            self.held.give(self.size)
--- a/rattanridge/calls/server.py
+++ b/rattanridge/calls/server.py
@@ -1,34 +1,74 @@
-"""HTTP server side of the call path: coded answers and whole bodies."""
+"""HTTP server of all the node's ports, with coded refusals of its own.
+
+The library refuses some requests before any handler sees them, and answers for
+a handler that fails. Here those answers carry the system's codes too.
+"""
 
 import asyncio
 import collections.abc
+import re
 
 import aiohttp
 import aiohttp.hdrs
-import aiohttp.http_exceptions
 import aiohttp.web
+import aiohttp.web_protocol
+import yarl
 
 from rattanridge.calls import headers, memory, types
 from rattanridge.kernel import codes, log, metrics, settings
 
-SERVER = "rattanridge"
+IDLE_SECONDS = 75.0  # that a connection may wait for its next request
+FIRST_REQUEST_SECONDS = 10.0  # within which a new connection sends its first one
+BODY_SECONDS = 10.0  # within which a body must have come
+LINGER_SECONDS = 1.0  # for reading the rest of a refused body
 BROKEN = (aiohttp.ClientError, aiohttp.web.RequestPayloadError, OSError)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+SCHEMES = ("http", "https")
+PLAIN_TARGET = re.compile(r"(/[A-Za-z0-9_~-][A-Za-z0-9._~-]*)*/?(\?[!-~]*)?")
+DOT_SEGMENTS = frozenset((".", ".."))
 
 Handler = collections.abc.Callable[
     [aiohttp.web.BaseRequest], collections.abc.Awaitable[aiohttp.web.StreamResponse]
 ]
 
 
-class Connection(aiohttp.web.RequestHandler):
-    """One caller's connection; answers what cannot be read with a code."""
+class Request(aiohttp.web.BaseRequest):
+    """One request; its answer does not tell the library's name."""
+
+    async def _prepare_hook(self, response: aiohttp.web.StreamResponse) -> None:
+        # The library offers no other place after its own headers were added.
+        if response.headers.get("Server") == aiohttp.http.SERVER_SOFTWARE:
+            del response.headers["Server"]
+
 
-    __slots__ = ()
+class Protocol(aiohttp.web.RequestHandler):
+    """One connection; refuses unreadable requests with a code."""
+
+    __slots__ = ("server", "timer")
+
+    def __init__(self, server: "Server", **options: object):
+        super().__init__(server, **options)
+        self.server = server
+        self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        if self._manager.is_full():
+        if not self.server.admit():
             transport.abort()
+            return
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(FIRST_REQUEST_SECONDS, self.drop_silent)
+
+    def connection_lost(self, error: BaseException | None) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        super().connection_lost(error)
+
+    def drop_silent(self) -> None:
+        """End a connection that sent no whole request head in time."""
+        if not self._request_count and self.transport is not None:
+            self.server.counters.add("http.dropped.silent")
+            self.transport.abort()
 
     def handle_error(
         self,
@@ -36,22 +76,27 @@
         status: int = 500,
         exc: BaseException | None = None,
         message: str | None = None,
-    ) -> aiohttp.web.Response:
-        """Build the answer to a request that could not be read or handled."""
+    ) -> aiohttp.web.StreamResponse:
+        """Return the coded answer to an unreadable request or a failed handler."""
         if request.writer.output_size > 0:
             raise ConnectionError("the answer is cut")
-        failure = self._manager.explain(status, exc)
-        response = make_response(types.refuse(failure))
+        failure = self.server.failure_of(request, status, exc)
+        response = refuse(failure)
         response.force_close()
         return response
 
+    def log_exception(self, *args: object, **more: object) -> None:
+        """Log what the library could not handle as one line of our own."""
+        error = more.get("exc_info")
+        self.server.log.error("http-failed", why=describe(error or args))
+
 
 class Server(aiohttp.web.Server):
-    """Serves one port of the node.
+    """Serves one port.
 
-    :param handler: answers requests.
-    :param config: the node's settings.
-    :param counters: counts requests that cannot be read.
+    :param handler: answers the requests that can be read.
+    :param config: the node's settings, for the limits.
+    :param counters: counts refusals by code and connections over the limit.
     """
 
     def __init__(
@@ -60,121 +105,112 @@
         config: settings.NodeSettings,
         counters: metrics.Counters,
     ):
-        limits = config.limits
-        super().__init__(handler, handler_cancellation=True)
-        self.limits = limits
+        super().__init__(
+            self.handle, request_factory=self.make_request, handler_cancellation=True
+        )
+        self.handler = handler
+        self.limits = config.limits
         self.counters = counters
-        self.log = log.Log("server", config.name)
-        self.options = {
-            "access_log": None,
-            "max_line_size": limits.header_bytes,
-            "max_field_size": limits.header_bytes,
-            "auto_decompress": False,
-        }
-
-    def __call__(self) -> Connection:
-        return Connection(self, loop=asyncio.get_running_loop(), **self.options)
-
-    def is_full(self) -> bool:
-        """Whether there are more connections than the settings allow."""
-        if len(self._connections) <= self.limits.connections:
-            return False
-        self.counters.add("server.refused.connections")
-        return True
-
-    def explain(self, status: int, error: BaseException | None) -> codes.Failure:
-        """Return the coded failure for an error; a handler's own is unknown."""
-        if isinstance(error, aiohttp.http_exceptions.LineTooLong):
-            failure = codes.Failure(codes.HEADERS_TOO_LARGE)
-        elif status < 500:
-            failure = codes.Failure(codes.BAD_REQUEST, type(error).__name__)
-        else:
-            detail = type(error).__name__
-            failure = codes.Failure(codes.INTERNAL, detail, ran=codes.Ran.UNKNOWN)
-            self.log.error("handler-failed", why=repr(error))
-        self.counters.add(f"server.refused.{failure.code.name}")
-        return failure
-
-
-def make_response(answer: types.Answer) -> aiohttp.web.Response:
-    """Return a whole answer as a response, with its code and outcome."""
-    mark(answer)
-    return aiohttp.web.Response(
-        status=answer.status, headers=answer.headers, body=answer.body
-    )
+        self.log = log.Log("http", config.name)
 
+    def __call__(self) -> Protocol:
+        return Protocol(
+            self,
+            loop=self._loop,
+            access_log=None,
+            max_line_size=self.limits.header_bytes,
+            max_field_size=self.limits.header_bytes,
+            auto_decompress=False,
+            keepalive_timeout=IDLE_SECONDS,
+            lingering_time=LINGER_SECONDS,
+        )
 
-def mark(answer: types.Answer) -> None:
-    """Set the headers that tell the code and the outcome."""
-    marked = answer.headers
-    marked[headers.RAN] = answer.ran.value
-    marked.setdefault(aiohttp.hdrs.SERVER, SERVER)
-    if answer.code is not None:
-        marked[headers.CODE] = str(answer.code.number)
+    async def handle(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.StreamResponse:
+        """Check what holds for every port, then answer the request."""
+        check_target(request)
+        return await self.handler(request)
 
+    def admit(self) -> bool:
+        """Whether one more connection is within the limit."""
+        if len(self._connections) <= self.limits.connections:
+            return True
+        self.counters.add("http.dropped.connections")
+        return False
 
-async def respond(
-    request: aiohttp.web.BaseRequest, answer: types.Answer
-) -> aiohttp.web.StreamResponse:
-    """Return the response; a large answer is passed on in parts here.
+    def make_request(
+        self,
+        message: aiohttp.http.RawRequestMessage,
+        payload: aiohttp.StreamReader,
+        protocol: aiohttp.web.RequestHandler,
+        writer: object,
+        task: asyncio.Task,
+    ) -> aiohttp.web.BaseRequest:
+        """Build a request; one in absolute form is turned into origin form."""
+        if not message.path.startswith("/") and message.url.scheme in SCHEMES:
+            message = to_origin_form(message)
+        return Request(message, payload, protocol, writer, task, self._loop)
 
-    A large answer that is cut on its way breaks the caller's connection, so that
-    it never looks whole; the coded failure is raised after that.
-    """
-    if answer.rest is None:
-        return make_response(answer)
-    mark(answer)
-    try:
-        response = aiohttp.web.StreamResponse(
-            status=answer.status, headers=answer.headers
+    def failure_of(
+        self,
+        request: aiohttp.web.BaseRequest,
+        status: int,
+        error: BaseException | None,
+    ) -> codes.Failure:
+        """Return the coded failure of a request that no handler answered."""
+        if isinstance(error, codes.Failure):
+            failure = error
+        elif status < 500:
+            failure = unreadable(error)
+        else:
+            failure = codes.Failure(
+                codes.INTERNAL, type(error).__name__, ran=codes.Ran.UNKNOWN
+            )
+        self.counters.add(f"http.refused.{failure.code.name}")
+        self.log.log(
+            "error" if failure.code is codes.INTERNAL else "info",
+            "http-refused",
+            code=failure.code.number,
+            method=request.method,
+            caller=request.remote or "",
+            why=describe(error),
         )
-        await response.prepare(request)
-        part = answer.body
-        while part:
-            await response.write(part)
-            part = await answer.rest.read()
-        await response.write_eof()
-        return response
-    except codes.Failure:
-        if request.transport is not None:
-            request.transport.abort()
-        raise
-    finally:
-        answer.rest.close()
+        return failure
 
 
 async def read_body(
-    request: aiohttp.web.BaseRequest, limit: int, held: memory.Held
+    request: aiohttp.web.BaseRequest, limit: int, held: memory.Held | None = None
 ) -> bytes:
-    """Read a request's body whole; ``held.release`` it after use.
+    """Read a body whole; refuse one that is too large, too slow or cut.
 
     :param limit: most bytes.
-    :param held: counts the bytes.
+    :param held: counts the bytes; ``held.release`` the body after use.
     """
     length = request.content_length
     if (length or 0) > limit:
-        raise codes.Failure(codes.BODY_TOO_LARGE)
-    if length is None and not request.body_exists:
+        raise codes.Failure(codes.BODY_TOO_LARGE, f"over {limit} bytes")
+    if not length and not request.body_exists:
         return b""
     if aiohttp.hdrs.EXPECT in request.headers:
         await answer_expect(request)
-    parts = []
-    size = taken = 0
+    body = bytearray()
+    counted = memory.Counted(held)
     try:
-        async for part in request.content.iter_any():
-            size += len(part)
-            if size > limit:
-                raise codes.Failure(codes.BODY_TOO_LARGE)
-            if size > memory.SMALL:
-                held.take(size - taken)
-                taken = size
-            parts.append(part)
+        async with asyncio.timeout(BODY_SECONDS):
+            async for chunk in request.content.iter_any():
+                body += chunk
+                if len(body) > limit:
+                    raise codes.Failure(codes.BODY_TOO_LARGE, f"over {limit} bytes")
+                counted.grow(len(body))
     except BaseException as error:
-        held.give(taken)
+        counted.give()
+        if isinstance(error, TimeoutError):
+            raise codes.Failure(codes.BODY_CUT, "it came too slowly")
         if isinstance(error, BROKEN):
             raise codes.Failure(codes.BODY_CUT)
         raise
-    return b"".join(parts)
+    return bytes(body)
 
 
 async def answer_expect(request: aiohttp.web.BaseRequest) -> None:
@@ -183,3 +219,59 @@
         raise codes.Failure(codes.BAD_REQUEST, "expectation")
     await request.writer.write(CONTINUE)
     request.writer.output_size = 0
+
+
+def to_origin_form(
+    message: aiohttp.http.RawRequestMessage,
+) -> aiohttp.http.RawRequestMessage:
+    """Return a message whose absolute target became a path and a Host header."""
+    kept = message.headers.copy()
+    kept["Host"] = message.url.raw_authority
+    target = message.url.raw_path_qs
+    return message._replace(
+        path=target, url=yarl.URL(target, encoded=True), headers=kept
+    )
+
+
+def unreadable(error: BaseException | None) -> codes.Failure:
+    """Return the failure for a request that the parser refused."""
+    text = str(getattr(error, "message", ""))
+    too_long = isinstance(error, aiohttp.http_exceptions.LineTooLong)
+    if too_long or text.startswith("Too many headers"):
+        return codes.Failure(codes.HEADERS_TOO_LARGE)
+    return codes.Failure(codes.BAD_REQUEST)
+
+
+def check_target(request: aiohttp.web.BaseRequest) -> None:
+    """Refuse a target whose route would depend on who resolves it.
+
+    Dot segments, backslashes and control characters mean different paths to
+    different programs; then a request could match one route here and be run
+    as another.
+    """
+    target = request.raw_path
+    if not target.startswith("/") or "#" in target:
+        raise codes.Failure(codes.BAD_REQUEST, "target")
+    if PLAIN_TARGET.fullmatch(target):
+        return
+    path = request.path
+    if "\\" in path or not path.isprintable():
+        raise codes.Failure(codes.BAD_REQUEST, "target")
+    if not DOT_SEGMENTS.isdisjoint(path.split("/")):
+        raise codes.Failure(codes.BAD_REQUEST, "dot segment in the target")
+
+
+def describe(error: object) -> str:
+    """Return an error's type and first line, short enough for a log line."""
+    first = str(error).partition("\n")[0][:200]
+    return f"{type(error).__name__}: {first}"
+
+
+def refuse(failure: codes.Failure) -> aiohttp.web.Response:
+    """Return the response that tells a coded failure."""
+    answer = types.refuse(failure)
+    answer.headers[headers.CODE] = str(failure.code.number)
+    answer.headers[headers.RAN] = failure.ran.value
+    return aiohttp.web.Response(
+        status=answer.status, headers=answer.headers, body=answer.body
+    )
--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -157,6 +157,9 @@
 OLD_GENERATION = define(
     3007, "old-generation", 409, "The generation is not above the one in force"
 )
+NODE_LOST = define(
+    3008, "node-lost", 503, "No relay hears the node, so nothing is known of it"
+)
 
 # 4xxx: requests that callers send wrongly, refused before any work.
 NO_ROUTE = define(4001, "no-route", 404, "No route of the preset matches the request")
@@ -228,9 +231,6 @@
     "The answer has no length, so a cut could not be told from its end",
 )
 INTERNAL = define(5034, "internal", 500, "The node itself failed; see its log")
-CALLER_CUT = define(
-    5035, "caller-cut", 502, "The rest of a large answer was lost on the way"
-)
 
 # 6xxx: rollouts.
 ROLLOUT_RUNNING = define(
@@ -262,3 +262,12 @@
 PRESET_IN_FORCE = define(
     7008, "preset-in-force", 409, "The preset is already the one in force"
 )
+NO_OPERATION = define(
+    7009, "no-operation", 404, "The administration API has no such path"
+)
+WRONG_METHOD = define(
+    7010, "wrong-method", 405, "The administration path does not take this method"
+)
+ADMIN_BUSY = define(
+    7011, "admin-busy", 503, "Too many administration requests run at this node"
+)
--- a/rattanridge/policies/balancers.py
+++ b/rattanridge/policies/balancers.py
@@ -6,9 +6,10 @@
 import math
 import random
 
-from rattanridge.kernel import registry
+from rattanridge.kernel import presets, registry
 
 BALANCERS: registry.Registry[type["Balancer"]] = registry.Registry("balancer")
+presets.PLUGINS.register("balancer")(BALANCERS)
 
 LATENCY_WEIGHT = 0.2
 ERROR_WEIGHT = 0.1
--- a/rattanridge/policies/retries.py
+++ b/rattanridge/policies/retries.py
@@ -2,9 +2,10 @@
 
 import abc
 
-from rattanridge.kernel import registry
+from rattanridge.kernel import presets, registry
 
 RETRIES: registry.Registry[type["Retry"]] = registry.Registry("retry policy")
+presets.PLUGINS.register("retries")(RETRIES)
 
 TOKENS_MOST = 10.0
 TOKENS_FIRST = 3.0
