Place refused calls anew at a tenth of a retry's cost

An attempt that is proved not to have run made no upstream work and no further calls, so each hop of a chain may place it on another endpoint; work itself is repeated by the first hop alone. A queue refuses by the mean time of requests, so that a call still has time for another endpoint.

Ruled out: lowering the slots in use where a crowd slows requests down. Under lasting overload there is no quiet sample to compare with, and a trial lowered an honest endpoint from 6 slots to 4.

--- a/rattanridge/calls/admission.py
+++ b/rattanridge/calls/admission.py
@@ -125,7 +125,7 @@
         index = bisect.bisect_left(self.waiting, place, key=get_place)
         before = len(self.waiting) - index
         wait = (before + 1) / self.slots * self.service_time.mean
-        if now + wait + self.service_time.least > deadline:
+        if now + wait + self.service_time.mean > deadline:
             raise codes.Failure(codes.TOO_LATE, retry_after=wait)
         if len(self.waiting) >= self.queue:
             self.displace(rank, wait)
--- a/rattanridge/calls/retries.py
+++ b/rattanridge/calls/retries.py
@@ -1,12 +1,15 @@
 """Retries: which failed calls are sent again, and the counters of why."""
 
+import asyncio
+
 from rattanridge.calls import types
 from rattanridge.kernel import codes, metrics, presets
 from rattanridge.policies import retries as policies
 
 ATTEMPTS_MOST = 3
 RUNS_MOST = 2  # attempts of one call that may have reached an upstream
-FINAL = (codes.DEADLINE, codes.TOO_LATE, codes.QUARANTINED, codes.ANSWER_TOO_LARGE)
+PLACEMENT_COST = 0.1  # of a retry's; a refused attempt made no upstream work
+FINAL = (codes.DEADLINE, codes.QUARANTINED, codes.ANSWER_TOO_LARGE, codes.MEMORY_FULL)
 RANKS = {codes.Ran.NOT_RUN: 0, codes.Ran.UNKNOWN: 1, codes.Ran.RAN: 2}
 
 
@@ -47,7 +50,7 @@
             return False
         if not retryable(call, answer):
             return False
-        reason = self.refusal(call, policy, attempts, runs)
+        reason = self.refusal(call, answer, policy, attempts, runs)
         if reason:
             self.counters.add(f"retry.refused.{reason}")
             return False
@@ -56,16 +59,26 @@
         return True
 
     def refusal(
-        self, call: types.Call, policy: policies.Retry, attempts: int, runs: int
+        self,
+        call: types.Call,
+        answer: types.Answer,
+        policy: policies.Retry,
+        attempts: int,
+        runs: int,
     ) -> str:
-        """Return why a retryable call is not sent again, or nothing."""
-        if call.retried:
-            return "earlier-hop"
+        """Return why a retryable call is not sent again, or nothing.
+
+        An attempt that did not run may be placed anew at each hop of a chain, for
+        it caused no further calls; work is repeated by the first hop alone.
+        """
+        ran = answer.ran is not codes.Ran.NOT_RUN
         if attempts >= ATTEMPTS_MOST:
             return "attempts"
-        if runs >= RUNS_MOST:
+        if ran and call.retried:
+            return "earlier-hop"
+        if ran and runs >= RUNS_MOST:
             return "runs"
-        if not policy.spend():
+        if not policy.spend(1.0 if ran else PLACEMENT_COST):
             return codes.RETRY_BUDGET.name
         return ""
 
@@ -78,9 +91,20 @@
     """Whether the kind of failure allows a second sending at all."""
     if answer.code in FINAL:
         return False
+    if answer.code is codes.TOO_LATE and not has_time(call):
+        return False
     return call.idempotent or answer.ran is codes.Ran.NOT_RUN
 
 
+def has_time(call: types.Call) -> bool:
+    """Whether half of the route's time is left, so that a call that is too late
+    for one endpoint may be in time at another."""
+    if call.route is None:
+        return False
+    left = call.deadline - asyncio.get_running_loop().time()
+    return left > call.route.timeout / 2
+
+
 def merge(earlier: types.Answer | None, later: types.Answer) -> types.Answer:
     """Return the answer to a call of several attempts.
 
--- a/rattanridge/policies/retries.py
+++ b/rattanridge/policies/retries.py
@@ -19,8 +19,11 @@
         """Note a success that pays for a fraction of an extra attempt."""
 
     @abc.abstractmethod
-    def spend(self) -> bool:
-        """Take one extra attempt; return whether there was one."""
+    def spend(self, cost: float = 1.0) -> bool:
+        """Take one extra attempt; return whether there was one.
+
+        :param cost: what it costs; less than 1 for one that follows a refusal.
+        """
 
 
 @RETRIES.register("budget")
@@ -34,10 +37,10 @@
     def earn(self, fraction):
         self.tokens = min(self.tokens + fraction, TOKENS_MOST)
 
-    def spend(self):
-        if self.tokens < 1.0:
+    def spend(self, cost=1.0):
+        if self.tokens < cost:
             return False
-        self.tokens -= 1.0
+        self.tokens -= cost
         return True
 
 
@@ -48,5 +51,5 @@
     def earn(self, fraction):
         pass
 
-    def spend(self):
+    def spend(self, cost=1.0):
         return False
