--- a/rattanridge/cli/node.py
+++ b/rattanridge/cli/node.py
@@ -1,6 +1,7 @@
 """Command that runs one node."""
 
 import asyncio
+import collections.abc
 import os
 import signal
 
@@ -10,6 +11,8 @@
 from rattanridge.cli import main
 from rattanridge.kernel import log, settings
 
+KILLED_EXIT = 1  # exit status after a second signal
+
 
 @main.COMMANDS.register("node")
 @click.command("node")
@@ -23,18 +26,28 @@
 
 async def serve(config: settings.NodeSettings) -> None:
     """Run a node; the first signal stops it gracefully."""
-    stopping = asyncio.Event()
-
-    def on_signal() -> None:
-        if stopping.is_set():
-            os._exit(1)
-        stopping.set()
-
+    signals = Signals()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal)
+        loop.add_signal_handler(number, signals.take)
     node = nodes.Node(config)
     await node.start()
     nodes.settle_memory()
-    await stopping.wait()
+    await signals.stopping.wait()
     await node.stop()
+
+
+class Signals:
+    """Counts signals: the first one asks to stop, the second ends at once.
+
+    :param end: ends the process with an exit status.
+    """
+
+    def __init__(self, end: collections.abc.Callable[[int], object] = os._exit):
+        self.stopping = asyncio.Event()
+        self.end = end
+
+    def take(self) -> None:
+        if self.stopping.is_set():
+            self.end(KILLED_EXIT)
+        self.stopping.set()
--- a/rattanridge/measure/processes.py
+++ b/rattanridge/measure/processes.py
@@ -7,6 +7,8 @@
 import dataclasses
 import multiprocessing
 import multiprocessing.connection
+import os
+import pathlib
 import typing
 
 import aiohttp
@@ -131,6 +133,10 @@
     def __init__(self):
         self.started: list[tuple[multiprocessing.Process, object]] = []
 
+    def processor(self) -> list[float]:
+        """Return the processor seconds that each process used so far."""
+        return [read_processor(process.pid) for process, _ in self.started]
+
     async def __aenter__(self) -> "Processes":
         return self
 
@@ -155,6 +161,13 @@
         return ours.recv()
 
 
+def read_processor(number: int) -> float:
+    """Return a process's user and system seconds."""
+    text = pathlib.Path(f"/proc/{number}/stat").read_text()
+    user, system = text.rpartition(")")[2].split()[11:13]
+    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
+
 def make_settings(name: str, platform: str, **more: object) -> settings.NodeSettings:
     """Return a node's settings for a measurement."""
     return settings.NodeSettings(
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -329,6 +329,32 @@
                     for writer in upstream.writers if late else ():
                         writer.write(mesh.make_answer(upstream.requests[-1]))
 
+    async def test_limit_of_the_upstream(self):
+        """However many slots an upstream claims, its connections are not overrun."""
+        release = asyncio.Event()
+
+        class Holding(mesh.Upstream):
+            async def script(self, request, writer):
+                await release.wait()
+                await super().script(request, writer)
+
+        async def get(url):
+            async with mesh.Caller(url) as caller:
+                caller.request("GET", "/workshop/a")
+                return await caller.reply()
+
+        upstream = Holding()
+        async with mesh.pair(mesh.make_preset(), upstream) as running:
+            beside = running.nodes["beside"]
+            await running.attach(beside, upstream, slots=9, connections=2)
+            tasks = [asyncio.create_task(get(beside.caller_url)) for _ in range(6)]
+            assert await mesh.settled(lambda: beside.exit.admission.running == 6)
+            assert await mesh.settled(lambda: upstream.begun == 2)
+            release.set()
+            for got in await asyncio.gather(*tasks):
+                assert got.status == 200
+        assert upstream.connections == 2
+
     async def test_refused_at_once(self):
         """An upstream that closes each new connection gets nothing, and it shows."""
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from rattanridge.calls import headers, retries, types
+from rattanridge.cli import node as daemon
 from rattanridge.kernel import codes, metrics, presets
 from rattanridge.policies import balancers, retries as policies
 from tests import mesh
@@ -298,6 +299,15 @@
         assert outer.header(headers.CODE) == str(codes.STOPPING.number)
         assert outer.header(headers.RAN) == codes.Ran.NOT_RUN
 
+    async def test_second_signal_ends_at_once(self):
+        ended = []
+        signals = daemon.Signals(ended.append)
+        signals.take()
+        assert signals.stopping.is_set()
+        assert not ended
+        signals.take()
+        assert ended == [daemon.KILLED_EXIT]
+
     async def test_bound(self):
         """A stop waits for requests in progress, but not for ever."""
         slow = Slow()
