--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -243,9 +243,6 @@
     "The answer has no length, so a cut could not be told from its end",
 )
 INTERNAL = define(5034, "internal", 500, "The node itself failed; see its log")
-CALLER_CUT = define(
-    5035, "caller-cut", 502, "The rest of a large answer was lost on the way"
-)
 
 # 6xxx: rollouts.
 ROLLOUT_RUNNING = define(
