--- a/rattanridge/control/subscriber.py
+++ b/rattanridge/control/subscriber.py
@@ -61,6 +61,11 @@
             raise transport.as_failure(error)
         except asyncio.InvalidStateError:
             raise codes.Failure(codes.NO_RELAY, "stream closed")
+        except asyncio.CancelledError:
+            # The library raises it too where the sender has ended the call.
+            if asyncio.current_task().cancelling():
+                raise
+            raise codes.Failure(codes.NO_RELAY, "call cancelled")
         finally:
             self.relay = ""
             self.heard = float("-inf")
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -422,6 +422,28 @@
         subscriber.handle(messages.Rejected(why))
         assert subscriber.state.report().rejection == why
 
+    async def test_cancelled_call_is_a_lost_relay(self, subscriber):
+        """grpc tells of a call that this side cancelled by ``CancelledError``."""
+
+        class Call:
+            async def write(self, data):
+                pass
+
+            async def read(self):
+                raise asyncio.CancelledError
+
+            def cancel(self):
+                pass
+
+        class Streams:
+            def stream(self, address, method):
+                return Call()
+
+        subscriber.channels = Streams()
+        with pytest.raises(codes.Failure) as caught:
+            await subscriber.run("two:1")
+        assert caught.value.code is codes.NO_RELAY
+
     crossing = strategies.lists(strategies.integers(0, 11), max_size=40)
 
     @hypothesis.given(crossing)
