--- a/rattanridge/control/peers.py
+++ b/rattanridge/control/peers.py
@@ -87,7 +87,7 @@
     async def look(self) -> None:
         """Read all relay leases, as far as the platform lets."""
         try:
-            listing = await self.platform.list("leases/relay-")
+            listing = await self.platform.list(learning.LEASES)
         except codes.Failure:
             # Nothing is known of any lease now, so none may count as stale.
             self.renewals.clear()
@@ -220,4 +220,5 @@
 
 
 def relay_roles(zone: str) -> list[str]:
+    """Return the names of a zone's relay roles."""
     return [f"relay-{zone}-{number}" for number in range(RELAYS_IN_ZONE)]
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -1,12 +1,26 @@
 """One node: all parts on one host, put together."""
 
 import asyncio
+import gc
 
 import aiohttp.web
 
 from rattanridge import admin as operations, policies
 from rattanridge.admin import server as admin
-from rattanridge.calls import entry, exit as exits, hop, local, memory, observer, server
+from rattanridge.calls import (
+    claims,
+    delivery,
+    entry,
+    exit as exits,
+    hop,
+    ledger,
+    local,
+    memory,
+    observer,
+    owners,
+    poison,
+    server,
+)
 from rattanridge.control import (
     collector,
     coordinator,
@@ -17,7 +31,7 @@
     roster,
     transport,
 )
-from rattanridge.kernel import log, metrics, registry, settings
+from rattanridge.kernel import addresses, codes, log, metrics, registry, settings
 from rattanridge.platform import client
 
 DRAIN_STEP = 0.02  # seconds between looks at what still runs
@@ -25,6 +39,13 @@
 LOOPBACK = "127.0.0.1"
 
 
+def settle_memory() -> None:
+    """Keep the collector from walking over modules and settings again and again,
+    which would hold up calls for milliseconds."""
+    gc.collect()
+    gc.freeze()
+
+
 class Node:
     """The process beside an upstream.
 
@@ -51,6 +72,7 @@
         self.entry = entry.Entry(
             config, self.state, self.exit, self.counters, self.held
         )
+        self.guard_calls()
         self.collector = collector.Collector(config, self.state, self.counters)
         self.observer = observer.Observer(config, self.entry.attempts, self.collector)
         self.pool = pool.Pool(config, self.state, self.counters)
@@ -66,13 +88,33 @@
         self.local_url = ""
         self.admin_url = ""
 
+    def guard_calls(self) -> None:
+        """Put claims and quarantine before the entry's work."""
+        config = self.config
+        self.ledger = ledger.Ledger(
+            config, self.platform, self.counters, self.member.incarnation
+        )
+        self.control.add_unary("Claim", self.ledger.serve_claim)
+        self.control.add_unary("Outcome", self.ledger.serve_outcome)
+        holders = owners.Owners(config, self.state, self.member.channels, self.ledger)
+        self.claims = claims.Claims(config, holders, self.counters)
+        self.poison = poison.Poison(self.state, self.counters, config.name)
+        self.entry.guard = self.claims.guard
+        self.entry.gates.append(self.poison.gate)
+        self.entry.observers.append(self.poison.observe)
+
+    async def serve_caller(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.StreamResponse:
+        return await delivery.serve(self.entry.serve, request)
+
     async def start(self) -> None:
         """Listen on all ports and begin to subscribe."""
         config = self.config
         await self.entry.start()
-        await self.control.start()
+        self.ledger.address = await self.control.start()
         self.caller_url = await self.listen(
-            self.entry.serve, config.address, config.caller_port
+            self.serve_caller, config.address, config.caller_port
         )
         hop_url = await self.listen(self.hop.serve, config.address, config.hop_port)
         self.local_url = await self.listen(
@@ -98,10 +140,14 @@
         served = server.Server(handler, self.config, self.counters)
         runner = aiohttp.web.ServerRunner(served, shutdown_timeout=1.0)
         await runner.setup()
-        await aiohttp.web.TCPSite(runner, address, port).start()
         self.runners.append(runner)
+        try:
+            await aiohttp.web.TCPSite(runner, address, port).start()
+        except OSError as error:
+            where = addresses.join(address, port)
+            raise codes.Failure(codes.CANNOT_LISTEN, error.strerror or "", where=where)
         bound = runner.addresses[0]
-        return f"http://{bound[0]}:{bound[1]}"
+        return f"http://{addresses.join(bound[0], bound[1])}"
 
     async def stop(self) -> None:
         """Graceful shutdown: withdraw, finish what runs, hand over, end."""
@@ -111,6 +157,7 @@
         await asyncio.sleep(WITHDRAW_PAUSE)
         self.exit.admission.close()
         await self.finish(self.config.control.drain_bound)
+        await self.ledger.hand_over()
         self.announcer.change("gone")
         await asyncio.sleep(self.config.control.batch_interval * 2)
         await self.member.leave()
@@ -129,11 +176,14 @@
     def busy(self) -> int:
         """Return the requests in progress on all ports."""
         hop = self.hop.active + len(self.hop.background.tasks)
-        return self.entry.busy() + hop + self.exit.admission.running
+        claimed = len(self.claims.tasks)
+        return self.entry.busy() + hop + claimed + self.exit.admission.running
 
     async def close(self) -> None:
         """End everything at once."""
         await self.local.stop()
+        await self.claims.close()
+        await self.ledger.close()
         await self.reporter.stop()
         await self.member.stop()
         for runner in self.runners:
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -9,6 +9,7 @@
 from rattanridge import node as nodes
 from rattanridge.control import messages
 from rattanridge.kernel import presets, settings, snapshot
+from rattanridge.standin import platform as platforms
 
 KEY = "tests-shared-key"
 HANG = 20.0  # seconds after which a test counts as hanging
@@ -124,18 +125,24 @@
 
 
 class Mesh:
-    """Nodes that know each other's endpoints at once; no platform, no relays."""
+    """Nodes that know each other's endpoints at once, without relays.
+
+    The platform is there for claims; each node owns the slices that it uses.
+    """
 
     def __init__(self):
+        self.platform = platforms.Platform()
         self.nodes: dict[str, nodes.Node] = {}
         self.upstreams: list[Upstream] = []
         self.generation = 0
 
     async def add(self, name: str, zone: str = "a", **limits: object) -> nodes.Node:
+        if not self.platform.url:
+            await self.platform.start()
         config = settings.NodeSettings(
             name=name,
             zone=zone,
-            platform=["http://127.0.0.1:9"],
+            platform=[self.platform.url],
             key=KEY,
             limits=settings.Limits(**limits),
         )
@@ -144,7 +151,8 @@
         node.caller_url = await node.listen(node.entry.serve, "127.0.0.1", 0)
         hop = await node.listen(node.hop.serve, "127.0.0.1", 0)
         node.local_url = await node.listen(node.local.serve, "127.0.0.1", 0)
-        await node.local.start(hop.removeprefix("http://"))
+        # Not started: announcements of tests hold without renewal.
+        node.local.hop = hop.removeprefix("http://")
         node.state.table.listeners.append(self.share)
         self.nodes[name] = node
         return node
@@ -182,6 +190,7 @@
             await upstream.stop()
         for name in list(self.nodes):
             await self.close(name)
+        await self.platform.stop()
 
 
 async def end(node: nodes.Node) -> None:
