--- a/rattanridge/control/subscriber.py
+++ b/rattanridge/control/subscriber.py
@@ -14,6 +14,15 @@
 Handler = collections.abc.Callable[[messages.Message], None]
 
 
+def as_failure(error: BaseException) -> codes.Failure:
+    """Return why a stream ended, as a coded failure."""
+    if isinstance(error, codes.Failure):
+        return error
+    if isinstance(error, grpc.aio.AioRpcError):
+        return transport.as_failure(error)
+    return codes.Failure(codes.NO_RELAY, f"stream ended: {type(error).__name__}")
+
+
 class Subscriber:
     """Keeps the replica up to date from one relay's stream.
 
@@ -57,15 +66,17 @@
         self.state.listeners.append(self.report)
         try:
             await self.receive(call)
-        except grpc.aio.AioRpcError as error:
-            raise transport.as_failure(error)
-        except asyncio.InvalidStateError:
-            raise codes.Failure(codes.NO_RELAY, "stream closed")
-        except asyncio.CancelledError:
-            # The library raises it too where the sender has ended the call.
+        except (
+            grpc.aio.AioRpcError,
+            asyncio.InvalidStateError,
+            asyncio.CancelledError,
+            codes.Failure,
+        ) as error:
+            # A read that is cancelled may raise any of these, and a read of a
+            # call that the sender ended raises CancelledError: ask the task.
             if asyncio.current_task().cancelling():
-                raise
-            raise codes.Failure(codes.NO_RELAY, "call cancelled")
+                raise asyncio.CancelledError
+            raise as_failure(error)
         finally:
             self.relay = ""
             self.heard = float("-inf")
--- a/rattanridge/measure/convergence.py
+++ b/rattanridge/measure/convergence.py
@@ -25,17 +25,30 @@
 
 
 async def run(seed: int, sizes: tuple[int, ...]) -> dict[str, float]:
+    """Run the largest size alone, and the others and the baseline together."""
     figures: dict[str, float] = {}
-    for size in sizes:
-        base.progress(f"convergence: {size} nodes")
-        async with controls.Pool(seed) as pool:
-            await measure_size(pool, size, figures)
-    base.progress(f"convergence: {DIRECT} nodes that watch the platform themselves")
+    *small, largest = sizes
+    base.progress(f"convergence: {small} nodes, and {DIRECT} that watch the platform")
+    await asyncio.gather(
+        *(run_size(seed, size, figures) for size in small),
+        run_direct(seed, figures),
+    )
+    base.progress(f"convergence: {largest} nodes")
+    await run_size(seed, largest, figures)
+    return figures
+
+
+async def run_size(seed: int, size: int, figures: dict) -> None:
+    async with controls.Pool(seed) as pool:
+        await measure_size(pool, size, figures)
+
+
+async def run_direct(seed: int, figures: dict) -> None:
+    """Run the baseline: every node watches the platform itself."""
     async with controls.Pool(seed) as pool:
         for part in controls.split(controls.make_specs(DIRECT, controls.ZONES), 2):
             pool.add(part, direct=True)
         await measure_changes(pool, f"direct{DIRECT}", figures)
-    return figures
 
 
 async def measure_size(pool: controls.Pool, size: int, figures: dict) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -422,24 +422,43 @@
         subscriber.handle(messages.Rejected(why))
         assert subscriber.state.report().rejection == why
 
-    async def test_cancelled_call_is_a_lost_relay(self, subscriber):
-        """grpc tells of a call that this side cancelled by ``CancelledError``."""
-
+    def answer_reads(self, subscriber, read):
         class Call:
             async def write(self, data):
                 pass
 
-            async def read(self):
-                raise asyncio.CancelledError
-
             def cancel(self):
                 pass
 
         class Streams:
             def stream(self, address, method):
-                return Call()
+                call = Call()
+                call.read = read
+                return call
 
         subscriber.channels = Streams()
+
+    async def test_cancelled_task_ends_whatever_the_library_raises(self, subscriber):
+        async def read():
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                raise asyncio.InvalidStateError("closed")
+
+        self.answer_reads(subscriber, read)
+        task = asyncio.create_task(subscriber.run("two:1"))
+        await clock.settle()
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    async def test_cancelled_call_is_a_lost_relay(self, subscriber):
+        """grpc tells of a call that this side cancelled by ``CancelledError``."""
+
+        async def read():
+            raise asyncio.CancelledError
+
+        self.answer_reads(subscriber, read)
         with pytest.raises(codes.Failure) as caught:
             await subscriber.run("two:1")
         assert caught.value.code is codes.NO_RELAY
