--- a/rattanridge/control/zone.py
+++ b/rattanridge/control/zone.py
@@ -115,12 +115,14 @@
         self.log = log.Log("zone", config.name)
         self.presences: typing.Callable[[], list[messages.Presence]] = list
         self.missing: dict[str, float] = {}
+        self.former_left = False
         self.is_writer: typing.Callable[[], bool] = lambda: True
         self.zone_alive: typing.Callable[[str], bool] = lambda zone: True
 
     async def run(self, lease: leases.Lease) -> None:
         """Judge, tell other relays, and write while the lease is held."""
         self.missing.clear()
+        self.former_left = lease.given_back
         slot = lease.role.rpartition("-")[2]
         status = self.writer(f"status/{self.config.zone}/{slot}", ZoneStatus)
         roster = self.writer(f"roster/{self.config.zone}", list[messages.Endpoint])
@@ -160,10 +162,16 @@
             self.state.table.merge(record)
 
     def take_status(self, former: ZoneStatus) -> None:
-        """Count the nodes of the slot's former holder as lost until they show up."""
+        """Count the nodes of the slot's former holder as lost until they show up.
+
+        Not the former holder itself, if it stopped as planned.
+        """
         now = self.time.monotonic()
+        known = {self.config.name, *self.relay.nodes}
+        if self.former_left:
+            known.add(former.relay)
         for name, node in former.nodes.items():
-            if name in self.relay.nodes or name == self.config.name:
+            if name in known:
                 continue
             lost_at = node.lost_at or self.time.wall()
             self.relay.nodes[name] = msgspec.structs.replace(node, lost_at=lost_at)
--- a/rattanridge/platform/leases.py
+++ b/rattanridge/platform/leases.py
@@ -43,6 +43,8 @@
     :param holder: this node's name.
     :param address: this node's control address.
     :param term: seconds.
+
+    ``given_back`` tells whether the holder before this node left as planned.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.expires = float("-inf")
         self.seen: Seen | None = None
         self.attempts: dict[str, Attempt] = {}
+        self.given_back = False
 
     def held(self) -> bool:
         """Whether this node may act in the role now."""
@@ -123,6 +126,7 @@
         if self.held():
             return
         self.observe(stored)
+        self.given_back = not self.seen.value.holder
         if own or stored.version == self.version or self.vacant():
             await self.write(self.seen.value.epoch + 1, 0, stored.version)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -15,10 +15,12 @@
     messages,
     outbox,
     relay as relays,
+    replica,
     roster,
     source as sources,
     subscriber as subscribers,
     tables,
+    transport,
     zone as zones,
 )
 from rattanridge.kernel import clock, codes, metrics, snapshot
@@ -398,6 +400,23 @@
         zone.judge()
         assert set(zone.status().nodes) == {"one"}
 
+    @pytest.mark.parametrize("planned", [True, False])
+    async def test_relay_that_stopped_as_planned_is_not_lost(
+        self, platform, time, planned
+    ):
+        former = leases.Lease(platform, "relay-a-0", "gone", "gone:1", 3.0, time)
+        await former.step()
+        lease = leases.Lease(platform, "relay-a-0", "one", "one:1", 3.0, time)
+        await lease.step()
+        if planned:
+            await former.release()
+        time.now += 4
+        assert await lease.step()
+        zone = self.make(platform, time)
+        zone.former_left = lease.given_back
+        zone.take_status(zones.ZoneStatus("gone", {"gone": messages.NodeState(3)}))
+        assert ("gone" in zone.relay.nodes) is not planned
+
 
 class TestSubscriber:
     @pytest.fixture
@@ -463,6 +482,26 @@
             await subscriber.run("two:1")
         assert caught.value.code is codes.NO_RELAY
 
+    async def test_frozen_relay_is_left(self):
+        """A relay that accepts the stream and then says nothing."""
+
+        async def freeze(node, context):
+            await asyncio.Event().wait()
+
+        config = fakes.make_settings()
+        config.control.stream_timeout = 0.1
+        server = transport.Server(config)
+        server.add_stream("Subscribe", freeze)
+        address = await server.start()
+        state = replica.Replica(config, metrics.Counters())
+        channels = transport.Channels(config)
+        node = subscribers.Subscriber(config, state, channels, state.counters, 1)
+        with pytest.raises(codes.Failure) as caught:
+            await asyncio.wait_for(node.run(address), 30)
+        assert caught.value.code is codes.NO_RELAY
+        await channels.close()
+        await server.stop()
+
     crossing = strategies.lists(strategies.integers(0, 11), max_size=40)
 
     @hypothesis.given(crossing)
