--- a/rattanridge/control/relay.py
+++ b/rattanridge/control/relay.py
@@ -354,4 +354,5 @@
 
 
 def frame_records(records: typing.Iterable[messages.Record]) -> messages.Frame:
+    """Encode records as one message for many streams."""
     return messages.frame(messages.Records(list(records)))
--- a/rattanridge/policies/queues.py
+++ b/rattanridge/policies/queues.py
@@ -2,9 +2,10 @@
 
 import abc
 
-from rattanridge.kernel import registry
+from rattanridge.kernel import presets, registry
 
 QUEUES: registry.Registry[type["Order"]] = registry.Registry("queue order")
+presets.PLUGINS.register("order")(QUEUES)
 
 
 class Order(abc.ABC):
