Foreign objects in the platform: one bad object hides no other

A spoilt pointer kept the relay's source from taking any other object, and a deleted one (null) was not known as such, because a Raw never equals bytes; a choice after either took generation 1, which nodes at a higher one pass over. Now each object is taken by itself, and the generation goes on from the history.

--- a/rattanridge/admin/presets.py
+++ b/rattanridge/admin/presets.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+import typing
 import uuid
 
 import msgspec
@@ -14,6 +15,8 @@
 from rattanridge.kernel import codes, presets, snapshot
 from rattanridge.platform import client, objects
 
+T = typing.TypeVar("T")
+
 HISTORY_KEPT = 200
 PAST_KEPT = 20  # former choices that the pointer itself carries
 POINTER = source.POINTER
@@ -134,8 +137,8 @@
         """
         revision = (await self.show(name, revision)).revision
         stored = await self.platform.find(POINTER)
-        current = client.value_of(stored, objects.InForce) if stored else None
-        generation = current.generation if current else 0
+        current = readable(stored, objects.InForce)
+        generation = current.generation if current else await self.last_generation()
         if expected is not None and expected != generation:
             raise conflict(current)
         if current and (current.preset, current.revision) == (name, revision):
@@ -148,6 +151,16 @@
         chosen.past = []
         return chosen
 
+    async def last_generation(self) -> int:
+        """Return the newest generation of the history; 0 if there is none.
+
+        It counts if the pointer was deleted or spoilt: nodes would pass over a
+        generation that is not above theirs.
+        """
+        stored = await self.platform.find(HISTORY)
+        past = readable(stored, list[objects.Choice]) or []
+        return max((choice.generation for choice in past), default=0)
+
     async def point(self, chosen: objects.InForce, if_version: int) -> None:
         """Write the pointer; raise a conflict only if the choice lost."""
         try:
@@ -159,7 +172,8 @@
             # A later choice may stand over this one, which took effect before.
             if as_choice(chosen) in [*found.past, as_choice(found)]:
                 return
-            if found.generation >= chosen.generation:
+            lost = failure.code is codes.PLATFORM_CONFLICT
+            if lost or found.generation >= chosen.generation:
                 raise conflict(found)
             raise failure
 
@@ -178,7 +192,7 @@
     async def add_to_history(self, choices: list[objects.Choice]) -> bool:
         """Merge choices into the history; return whether no other write won."""
         stored = await self.platform.find(HISTORY)
-        past = client.value_of(stored, list[objects.Choice]) if stored else []
+        past = readable(stored, list[objects.Choice]) or []
         kept = merge(past, choices)[-HISTORY_KEPT:]
         if kept == past:
             return True
@@ -198,11 +212,21 @@
             if stored.key == POINTER:
                 current = client.value_of(stored, objects.InForce)
                 found = merge(found, [*current.past, as_choice(current)])
-            else:
+            elif stored.key == HISTORY:
                 found = merge(found, client.value_of(stored, list[objects.Choice]))
         return found
 
 
+def readable(stored: objects.Stored | None, kind: type[T]) -> T | None:
+    """Return an object's value; ``None`` if there is none or it can't be read."""
+    if stored is None:
+        return None
+    try:
+        return client.value_of(stored, kind)
+    except codes.Failure:
+        return None
+
+
 def merge(
     first: list[objects.Choice], second: list[objects.Choice]
 ) -> list[objects.Choice]:
--- a/rattanridge/control/source.py
+++ b/rattanridge/control/source.py
@@ -79,19 +79,29 @@
 
     async def take(self, listing: objects.Listing) -> None:
         for stored in listing.objects:
-            if stored.key == POINTER:
-                await self.choose(stored)
-            else:
-                self.rollout_seen(stored)
+            try:
+                await self.take_one(stored)
+            except codes.Failure as failure:
+                if failure.code in UNREACHABLE:
+                    raise
+                # One bad object must not hide the others.
+                self.log.warn("object-unreadable", key=stored.key, why=failure.detail)
         self.revision = listing.revision
 
+    async def take_one(self, stored: objects.Stored) -> None:
+        """Take one object that is new or changed."""
+        if stored.key == POINTER:
+            await self.choose(stored)
+        else:
+            self.rollout_seen(stored)
+
     async def choose(self, stored: objects.Stored) -> None:
         """Apply the preset that the pointer names, if its generation is new.
 
         An invalid one is rejected; the newest valid choice before it stays, or
         comes, in force.
         """
-        if stored.value == b"null":
+        if bytes(stored.value) == b"null":
             return
         pointer = client.value_of(stored, objects.InForce)
         if pointer.generation <= self.state.generation:
@@ -120,10 +130,18 @@
         resources = snapshot.split(preset, pointer.revision)
         return snapshot.build(pointer.generation, resources)
 
+    async def read_history(self) -> list[objects.InForce]:
+        """Return the former choices; none if the history can't be read."""
+        stored = await self.platform.find(HISTORY)
+        try:
+            return client.value_of(stored, list[objects.InForce]) if stored else []
+        except codes.Failure as failure:
+            self.log.warn("object-unreadable", key=HISTORY, why=failure.detail)
+            return []
+
     async def fetch_former(self, generation: int) -> snapshot.Snapshot | None:
         """Return the newest valid choice below a generation that is not known."""
-        stored = await self.platform.find(HISTORY)
-        choices = client.value_of(stored, list[objects.InForce]) if stored else []
+        choices = await self.read_history()
         choices.sort(key=lambda choice: choice.generation, reverse=True)
         for choice in choices:
             if choice.generation <= self.state.generation:
--- a/tests/test_presets.py
+++ b/tests/test_presets.py
@@ -117,6 +117,20 @@
             failure = await refused(presets.use("day", "olga", revision=revision))
             assert failure.code is codes.NO_PRESET
 
+    @pytest.mark.parametrize("spoilt", [None, "text", {"generation": "x"}])
+    async def test_pointer_that_was_deleted_or_spoilt(self, spoilt):
+        async with presets_on() as (presets, _):
+            await presets.put("day", DAY, "olga")
+            await presets.put("peak", PEAK, "olga")
+            await presets.use("day", "olga")
+            await presets.use("peak", "olga")
+            stored = await presets.platform.get(store.POINTER)
+            if spoilt is None:
+                await presets.platform.delete(store.POINTER, stored.version)
+            else:
+                await presets.platform.put(store.POINTER, spoilt, stored.version)
+            assert (await presets.use("day", "olga")).generation == 3
+
     async def test_expected_generation_that_is_old(self):
         async with presets_on() as (presets, _):
             await presets.put("day", DAY, "olga")
