--- a/rattanridge/calls/endpoints.py
+++ b/rattanridge/calls/endpoints.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from rattanridge.calls import versions
 from rattanridge.control import messages, replica
 from rattanridge.kernel import codes, presets, settings
 from rattanridge.policies import balancers
@@ -26,6 +27,7 @@
         self.config = config
         self.state = state
         self.random = rng or random.Random()
+        self.versions = versions.Versions(state, self.random)
         self.services: dict[str, dict[str, balancers.Candidate]] = {}
         self.lists: dict[str, list[balancers.Candidate]] = {}
         self.balancers: dict[str, tuple[presets.Service, balancers.Balancer]] = {}
@@ -58,13 +60,15 @@
         )
 
     def choose(
-        self, service: str, idempotent: bool, avoid: frozenset[str] = frozenset()
+        self,
+        service: str,
+        idempotent: bool,
+        avoid: frozenset[str] = frozenset(),
+        route: presets.Route | None = None,
     ) -> balancers.Candidate:
         """Choose an endpoint: first the version, then the least loaded of two."""
         found = self.candidates(service)
-        if avoid:
-            found = [item for item in found if item.name not in avoid]
-        found = self.by_version(service, found, idempotent)
+        found = self.versions.keep(service, found, idempotent, avoid, route)
         if not found:
             raise codes.Failure(codes.NO_ENDPOINT, service, retry_after=1.0)
         now = asyncio.get_running_loop().time()
@@ -78,22 +82,6 @@
             self.lists[service] = found
         return found
 
-    def by_version(
-        self, service: str, found: list[balancers.Candidate], idempotent: bool
-    ) -> list[balancers.Candidate]:
-        """Keep the endpoints of one version, drawn by the rollout's share."""
-        stage = self.state.table.records.get(("stage", service))
-        if stage is None:
-            return found
-        share = stage.share
-        if stage.state == "taken-back" or (stage.idempotent_only and not idempotent):
-            share = 0.0
-        wanted = stage.new if self.random.random() < share else stage.old
-        kept = [item for item in found if item.version == wanted]
-        if kept or stage.state != "done":
-            return kept or [item for item in found if item.version == stage.old]
-        return found
-
     def service(self, name: str) -> presets.Service:
         """Return what the preset in force says of a service."""
         snapshot = self.state.snapshot
--- a/rattanridge/calls/entry.py
+++ b/rattanridge/calls/entry.py
@@ -215,17 +215,8 @@
 
 
 def read_path(request: aiohttp.web.BaseRequest) -> str:
-    """Return the path that routes match, decoded but for slashes.
-
-    Refused are targets that would mean another host or another path to the
-    upstream than to the routes: absolute ones, fragments and dot segments.
-    """
-    target = request.raw_path
-    if not target.startswith("/") or "#" in target:
-        raise codes.Failure(codes.BAD_REQUEST, "target")
-    path = target.partition("?")[0]
+    """Return the path that routes match, decoded but for slashes."""
+    path = request.raw_path.partition("?")[0]
     if "%" in path:
-        path = request.rel_url.path_safe
-    if "/." in path and {".", ".."}.intersection(path.split("/")):
-        raise codes.Failure(codes.BAD_REQUEST, "dot segment")
+        return request.rel_url.path_safe
     return path
--- a/rattanridge/calls/exit.py
+++ b/rattanridge/calls/exit.py
@@ -112,6 +112,7 @@
         else:
             gate.leave(self.lasted(began))
         answer.load = gate.load()
+        answer.spent = self.lasted(began)
         return answer
 
     def lasted(self, began: float) -> float:
--- a/rattanridge/control/relay.py
+++ b/rattanridge/control/relay.py
@@ -16,6 +16,7 @@
 BUSY_SPREAD = 2.0  # seconds over which refused subscribers are told to return
 BEGIN_SPREAD = 0.5  # the same while the relay does not serve (yet)
 CONFIGS_KEPT = 4  # former snapshots that deltas can start from
+BEAT_PARTS = 8  # parts of the subscribers that get their heartbeats in turn
 OUTBOX_LIMIT = 256  # messages that may wait for one subscriber
 
 
@@ -71,6 +72,7 @@
         self.batch: list[tuple[messages.Record, str]] = []
         self.origin = ""
         self.flushing: asyncio.Task | None = None
+        self.beating: asyncio.Task | None = None
         self.handlers: dict[type, Handler] = {}
         state.table.listeners.append(self.collect)
         state.listeners.append(self.spread)
@@ -78,10 +80,13 @@
     def begin(self) -> None:
         """Admit subscribers from now on."""
         self.serving = True
+        self.beating = asyncio.create_task(self.beat())
 
     def end(self) -> None:
         """Send every subscriber away and forget what was known of them."""
         self.serving = False
+        if self.beating is not None:
+            self.beating.cancel()
         for member in self.members.values():
             member.outbox.close()
         self.nodes.clear()
@@ -188,29 +193,43 @@
     async def write_all(
         self, member: Member, context: grpc.aio.ServicerContext
     ) -> None:
-        """Write what waits for the subscriber, and heartbeats."""
-        limit = self.config.control.stream_timeout
-        while True:
-            try:
-                message = await member.outbox.get(self.config.control.report_interval)
-            except TimeoutError:
-                message = messages.Beat(self.state.generation)
-            if message is None:
-                return
-            if self.time.monotonic() - member.heard > limit:
-                self.counters.add("control.dropped.silent-subscriber")
-                self.log.info("member-silent", member=member.hello.node)
-                return
+        """Write what waits for the subscriber until its outbox is closed."""
+        while (message := await member.outbox.get()) is not None:
             await self.write(context, message)
 
-    async def write(self, context: grpc.aio.ServicerContext, message: object) -> None:
+    async def beat(self) -> None:
+        """Send heartbeats to all subscribers in turn, and drop silent ones."""
+        pause = self.config.control.beat_interval / BEAT_PARTS
+        while True:
+            members = list(self.members.values())
+            for part in range(BEAT_PARTS):
+                heartbeat = messages.frame(messages.Beat(self.state.generation))
+                for member in members[part::BEAT_PARTS]:
+                    self.beat_one(member, heartbeat)
+                await self.time.sleep(pause)
+
+    def beat_one(self, member: Member, heartbeat: messages.Frame) -> None:
+        silence = self.time.monotonic() - member.heard
+        if silence > self.config.control.silence_limit:
+            self.counters.add("control.dropped.silent-subscriber")
+            self.log.info("member-silent", member=member.hello.node)
+            member.outbox.close()
+        else:
+            member.outbox.put(heartbeat)
+
+    async def write(
+        self,
+        context: grpc.aio.ServicerContext,
+        message: messages.Message | messages.Frame,
+    ) -> None:
         """Write one message; a subscriber that does not take it is sent away."""
-        kind = "records" if type(message) is bytes else type(message).__name__.lower()
-        data = messages.encode(message)
-        self.counters.add(f"control.sent.{kind}")
-        self.counters.add(f"control.sent-bytes.{kind}", len(data))
+        encoded = message
+        if not isinstance(message, messages.Frame):
+            encoded = messages.frame(message)
+        self.counters.add(f"control.sent.{encoded.kind}")
+        self.counters.add(f"control.sent-bytes.{encoded.kind}", len(encoded.data))
         async with asyncio.timeout(self.config.control.stream_timeout):
-            await context.write(data)
+            await context.write(encoded)
 
     async def read(self, member: Member, context: grpc.aio.ServicerContext) -> None:
         """Read what the subscriber sends, until its stream ends."""
@@ -285,20 +304,20 @@
         if not batch:
             return
         senders = {origin for _, origin in batch}
-        shared = encode_records(record for record, _ in batch)
+        shared = frame_records(record for record, _ in batch)
         for name, member in self.members.items():
             if name not in senders:
                 member.outbox.put(shared)
                 continue
             others = [record for record, origin in batch if origin != name]
             if others:
-                member.outbox.put(encode_records(others))
+                member.outbox.put(frame_records(others))
 
     def spread(self) -> None:
         """Send a new configuration or rejection to every subscriber."""
         current = self.state.snapshot
         if self.serving and self.state.rejection is not None:
-            rejected = messages.Rejected(self.state.rejection)
+            rejected = messages.frame(messages.Rejected(self.state.rejection))
             for member in self.members.values():
                 member.outbox.put(rejected)
         if current is None or current.digest in self.former:
@@ -311,28 +330,29 @@
 
     def spread_config(self, current: snapshot.Snapshot) -> None:
         """Send deltas, made once for each base that subscribers have."""
-        shared: dict[str, messages.Config] = {}
+        shared: dict[str, messages.Frame] = {}
         for member in self.members.values():
             base = member.config_sent
             if member.report.generation >= current.generation:
                 member.config_sent = member.report.digest
                 continue
+            if base == current.digest:
+                continue
             if base not in shared:
-                shared[base] = self.next_change(member)
-            if shared[base] is not None:
-                member.outbox.put(shared[base])
+                shared[base] = messages.frame(self.next_change(member))
+            member.outbox.put(shared[base])
             member.config_sent = current.digest
 
     def tell_presence(self) -> None:
         """Tell other relays of this one's nodes if that changed."""
         presence = messages.Presence(self.config.name, dict(self.nodes))
-        data = messages.encode(presence)
+        told = messages.frame(presence)
         for member in self.members.values():
-            if member.hello.relay and member.presence_sent != data:
-                member.presence_sent = data
-                member.outbox.put(presence)
+            if member.hello.relay and member.presence_sent != told.data:
+                member.presence_sent = told.data
+                member.outbox.put(told)
 
 
-def encode_records(records: typing.Iterable[messages.Record]) -> bytes:
-    """Encode records as one message."""
-    return messages.encode(messages.Records(list(records)))
+def frame_records(records: typing.Iterable[messages.Record]) -> messages.Frame:
+    """Encode records as one message for many streams."""
+    return messages.frame(messages.Records(list(records)))
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -18,6 +18,9 @@
 
 PRIORITIES = ("high", "normal", "low")
 
+# Filled by the plug-ins of ``policies``.
+KEY_SOURCES: registry.Registry[type] = registry.Registry("key source")
+
 # Registries by the field of ``Service`` that names one of their plug-ins; the
 # modules of ``policies`` fill it.
 PLUGINS: registry.Registry[registry.Registry] = registry.Registry("kind of plug-in")
@@ -82,6 +85,10 @@
     key: KeySource = msgspec.field(default_factory=KeySource)
     hedge: typing.Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
 
+    def label(self) -> str:
+        """Return what the route matches; the same under every preset."""
+        return f"{','.join(self.methods)} {self.host}{self.prefix}"
+
 
 class Preset(settings.Struct, kw_only=True):
     """One preset's content; revisions of it never change."""
@@ -119,6 +126,7 @@
         place = f"{where}: routes[{index}]"
         if route.service not in preset.services:
             raise codes.Failure(codes.MISSING_SERVICE, route.service, where=place)
+        check_key(route.key, place)
         for method in route.methods:
             match = (route.host, route.prefix.rstrip("/"), method)
             if match in seen:
@@ -127,6 +135,17 @@
             seen.add(match)
 
 
+def check_key(key: KeySource, place: str) -> None:
+    """Refuse a key source that is not registered or lacks the name it reads."""
+    try:
+        kind = KEY_SOURCES.get(key.source)
+    except KeyError as error:
+        raise codes.Failure(codes.BAD_FIELD, str(error.args[0]), where=place)
+    if kind.needs_name and not key.name:
+        detail = f"key source {key.source!r} needs a name"
+        raise codes.Failure(codes.BAD_FIELD, detail, where=place)
+
+
 def check_plugins(service: Service, place: str) -> None:
     """Refuse a service that names a plug-in which is not registered."""
     for field in PLUGINS.names():
