--- a/rattanridge/admin/rollouts.py
+++ b/rattanridge/admin/rollouts.py
@@ -144,6 +144,7 @@
 
 
 def running(known: rollouts.Rollout) -> codes.Failure:
+    """Return the failure that names the rollout in the way."""
     detail = (
         f"rollout {known.number} of {known.service} from {known.old} to {known.new}, "
         f"started by {known.operator}, is {known.state}"
@@ -152,11 +153,13 @@
 
 
 def of(served: server.Server) -> Rollouts:
+    """Return the rollouts of a server."""
     return Rollouts(served.config, served.platform, served.state)
 
 
 @server.operation("PUT", "/rollouts/<service>", "operator")
 async def start_rollout(served: server.Server, request: server.Request) -> object:
+    """Start a rollout."""
     try:
         asked = msgspec.json.decode(request.body, type=Start)
     except (msgspec.MsgspecError, RecursionError) as error:
@@ -167,14 +170,17 @@
 
 @server.operation("GET", "/rollouts", "viewer")
 async def list_rollouts(served: server.Server, request: server.Request) -> object:
+    """Return the newest rollout of each service."""
     return await of(served).list()
 
 
 @server.operation("GET", "/rollouts/<service>", "viewer")
 async def show_rollout(served: server.Server, request: server.Request) -> object:
+    """Return the newest rollout of a service."""
     return await of(served).show(request.arguments["service"])
 
 
 @server.operation("POST", "/rollouts/<service>/cancel", "operator")
 async def cancel_rollout(served: server.Server, request: server.Request) -> object:
+    """Take a running rollout back."""
     return await of(served).cancel(request.arguments["service"], request.operator)
--- a/rattanridge/calls/answers.py
+++ b/rattanridge/calls/answers.py
@@ -43,5 +43,6 @@
 
 
 def size_of(answer: claimed.Recorded) -> int:
+    """Return the bytes that a recorded answer takes."""
     headers = sum(len(name) + len(value) for name, value in answer.headers)
     return len(answer.body) + headers + OVERHEAD_BYTES
--- a/rattanridge/calls/claimed.py
+++ b/rattanridge/calls/claimed.py
@@ -171,14 +171,17 @@
 
 
 def new_attempt() -> str:
+    """Return the random name of one sending of a request."""
     return secrets.token_hex(ATTEMPT_BYTES)
 
 
 def slice_of(key: str, slices: int) -> int:
+    """Return the number of the slice that holds a key."""
     return int(key, 16) % slices
 
 
 def pack(message: msgspec.Struct) -> messages.Embedded:
+    """Wrap a message so that control streams carry it."""
     return messages.Embedded(msgspec.Raw(msgspec.msgpack.encode(message)))
 
 
--- a/rattanridge/calls/delivery.py
+++ b/rattanridge/calls/delivery.py
@@ -74,6 +74,7 @@
 
 
 async def poll(descriptor: int) -> bool:
+    """Wait until all bytes are acknowledged; return whether they were in time."""
     pause, waited = POLL_FIRST, 0.0
     while unacknowledged(descriptor):
         if waited >= WAIT_MOST:
--- a/rattanridge/calls/versions.py
+++ b/rattanridge/calls/versions.py
@@ -76,10 +76,12 @@
 
 
 def rank(item: balancers.Candidate) -> bytes:
+    """Return a candidate's fixed place in a random order."""
     return hashlib.blake2b(item.name.encode(), digest_size=8).digest()
 
 
 def without(found: Found, avoid: frozenset[str]) -> Found:
+    """Return the candidates whose names are not to be avoided."""
     if not avoid:
         return found
     return [item for item in found if item.name not in avoid]
--- a/rattanridge/cli/preset.py
+++ b/rattanridge/cli/preset.py
@@ -6,8 +6,9 @@
 
 import click
 
+from rattanridge import policies
 from rattanridge.cli import main, remote
-from rattanridge.kernel import codes, documents, presets
+from rattanridge.kernel import codes, documents, presets, registry
 
 POLL = 0.1  # seconds
 SHOWN = 5  # nodes that are named
@@ -24,6 +25,7 @@
 @remote.options
 def put(file: str, remote: remote.Remote) -> None:
     """Check a preset FILE and store it as the next revision."""
+    registry.load_plugins(policies)
     text = documents.read(file)
     name = presets.parse(text, file).name
     answer = remote.call("PUT", f"/presets/{name}", text.encode())
--- a/rattanridge/control/pool.py
+++ b/rattanridge/control/pool.py
@@ -155,6 +155,7 @@
 
 
 def add_to(sums: collector.Counted, delta: samples.RouteCounts) -> None:
+    """Add one route's counts to the sums by route."""
     known = sums.get(delta.route)
     if known is None:
         sums[delta.route] = delta.copy()
--- a/rattanridge/control/rollouts.py
+++ b/rattanridge/control/rollouts.py
@@ -94,6 +94,7 @@
 
 
 def key_of(service: str) -> str:
+    """Return the key of a service's rollout."""
     return f"{PREFIX}{service}"
 
 
@@ -142,18 +143,22 @@
 
 
 def take_back(rollout: Rollout, reason: str) -> Rollout:
+    """Return a rollout that was taken back, with the reason."""
     return change(rollout, state=TAKEN_BACK, trial=False, reason=reason)
 
 
 def begin_trial(rollout: Rollout) -> Rollout:
+    """Return a rollout whose old version is tried again."""
     return change(rollout, trial=True)
 
 
 def end_trial(rollout: Rollout) -> Rollout:
+    """Return a rollout whose trial of the old version is over."""
     return change(rollout, trial=False)
 
 
 def change(rollout: Rollout, **fields: object) -> Rollout:
+    """Return a rollout with other fields, one turn further."""
     return msgspec.structs.replace(rollout, turn=rollout.turn + 1, **fields)
 
 
--- a/rattanridge/measure/node_cost.py
+++ b/rattanridge/measure/node_cost.py
@@ -256,6 +256,7 @@
 def per_event(
     before: Reading, after: Reading, began: float, rest: float, count: int
 ) -> float:
+    """Return milliseconds of processor time for one event, without those of rest."""
     spent = after.processor - before.processor
     return 1000 * (spent - rest * (time.monotonic() - began)) / count
 
--- a/rattanridge/measure/rollout_model.py
+++ b/rattanridge/measure/rollout_model.py
@@ -4,147 +4,19 @@
 version, the counts go to the verdict, and the schedule decides on the share.
 """
 
-import bisect
-import collections.abc
 import dataclasses
 import functools
-import itertools
 import math
 import random
 
 from rattanridge.control import coordinator, rollouts
+from rattanridge.measure import rollout_cases, sampling
 from rattanridge.policies import samples, schedules, verdicts
 
 SPREAD_DELAY = 1.0  # seconds from a verdict until every node follows it
 FULL_LOAD = 0.8  # part of an endpoint's traffic at 100% from which a fault shows
 CRASH_PAUSE = 5.0  # seconds for which a crashed endpoint is away
 PAUSE_FACTOR = 8.0  # on the latency of calls that hit a pause
-SIGMA = 0.5  # of the logarithm of latencies
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Route:
-    """Traffic of one route.
-
-    :param rate: calls a second.
-    :param median: seconds.
-    """
-
-    name: str
-    rate: float
-    once: bool = False
-    median: float = 0.02
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Deployment:
-    """One service of a deployment, with as many endpoints of either version.
-
-    :param window: seconds from the start to the deadline.
-    :param tick: seconds of one step of virtual time, and between reports.
-    """
-
-    name: str
-    endpoints: int
-    routes: tuple[Route, ...]
-    window: float
-    tick: float = 4.0
-    error_rate: float = 0.001
-
-
-DEPLOYMENTS = (
-    Deployment(
-        "consortium",
-        4,
-        (
-            Route("GET lineage", 6.0),
-            Route("GET dies", 2.0),
-            Route("POST commissions", 1.5, once=True, median=0.06),
-            Route("POST plates", 0.3, once=True, median=0.06),
-        ),
-        3600.0,
-    ),
-    Deployment(
-        "cooperative",
-        4,
-        (
-            Route("GET templates", 4.0, median=0.01),
-            Route("GET batches", 1.0),
-            Route("POST runs", 0.8, once=True, median=0.08),
-            Route("POST series", 0.2, once=True),
-        ),
-        3600.0,
-    ),
-    Deployment(
-        "letter",
-        31,
-        (
-            Route("GET pages", 1400.0),
-            Route("GET records", 600.0, median=0.01),
-            Route("POST payments", 140.0, once=True, median=0.06),
-            Route("GET rare", 0.5),
-        ),
-        900.0,
-        tick=1.0,
-    ),
-)
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Scenario:
-    """What goes wrong, with the new version or with both.
-
-    Rates are fractions of calls, times are seconds or, where the name says so,
-    parts of the window.
-
-    :param errors: errors of the new version.
-    :param slow: factor on its latency.
-    :param from_part: when its fault begins.
-    :param loaded_only: its fault shows only near full load of an endpoint.
-    :param rare_only: its fault shows only on the rarest route.
-    :param crashes: requests that crash its endpoint.
-    :param cold: seconds in which a new endpoint answers three times slower.
-    :param overload: errors of both versions, while both are thrice slower.
-    :param noise: part of the seconds in which an endpoint of either version
-        pauses.
-    :param traffic: factor on the rates.
-    :param outage_part: when the platform goes down for the rest.
-    :param delay: seconds by which reports are late.
-    """
-
-    name: str
-    bad: bool = False
-    errors: float = 0.0
-    slow: float = 1.0
-    from_part: float = 0.0
-    loaded_only: bool = False
-    rare_only: bool = False
-    crashes: float = 0.0
-    cold: float = 0.0
-    overload: float = 0.0
-    noise: float = 0.0
-    traffic: float = 1.0
-    outage_part: float = 2.0
-    delay: int = 0
-
-
-SCENARIOS = (
-    Scenario("plain"),
-    Scenario("cold_starts", cold=20.0),
-    Scenario("shared_overload", overload=0.15),
-    Scenario("noisy_latency", noise=0.05),
-    Scenario("low_traffic", traffic=0.25),
-    Scenario("errors_at_once", bad=True, errors=0.3),
-    Scenario("slow_at_once", bad=True, slow=2.5),
-    Scenario("errors_later", bad=True, errors=0.3, from_part=0.5),
-    Scenario("slow_in_bake", bad=True, slow=2.5, from_part=0.82),
-    Scenario("under_load", bad=True, errors=0.5, loaded_only=True),
-    Scenario("rare_route", bad=True, errors=0.5, rare_only=True),
-    Scenario("one_percent", bad=True, errors=0.01),
-    Scenario("crashes", bad=True, crashes=0.02),
-    Scenario("platform_down", bad=True, errors=0.3, from_part=0.3, outage_part=0.25),
-    Scenario("late_reports", bad=True, errors=0.3, delay=10),
-)
 
 
 @dataclasses.dataclass(slots=True)
@@ -182,8 +54,8 @@
 
     def __init__(
         self,
-        deployment: Deployment,
-        scenario: Scenario,
+        deployment: rollout_cases.Deployment,
+        scenario: rollout_cases.Scenario,
         verdict: str,
         schedule: str,
         rng: random.Random,
@@ -218,7 +90,7 @@
         total = sum(route.rate for route in deployment.routes) * scenario.traffic
         self.outcome = Outcome(calls=total * deployment.window)
         self.rarest = min(deployment.routes, key=lambda route: route.rate)
-        self.shape = functools.lru_cache(maxsize=256)(latency_shape)
+        self.shape = functools.lru_cache(maxsize=256)(sampling.latency_shape)
 
     def run(self) -> Outcome:
         """Run until the rollout ends, at most for twice the window."""
@@ -247,15 +119,15 @@
     def platform_up(self) -> bool:
         return self.now < self.scenario.outage_part * self.deployment.window
 
-    def share_of(self, route: Route) -> float:
+    def share_of(self, route: rollout_cases.Route) -> float:
         return self.stage.share_for(not route.once, route.name)
 
-    def offer(self, route: Route) -> None:
+    def offer(self, route: rollout_cases.Route) -> None:
         """Draw one tick of a route's calls."""
         rate = route.rate * self.scenario.traffic * self.deployment.tick
         share = self.share_of(route)
-        new = poisson(self.random, rate * share)
-        old = poisson(self.random, rate * (1.0 - share))
+        new = sampling.poisson(self.random, rate * share)
+        old = sampling.poisson(self.random, rate * (1.0 - share))
         counts = samples.RouteCounts(
             route.name,
             route.once,
@@ -285,7 +157,7 @@
         else:
             known.add(counts)
 
-    def note(self, route: Route, new: samples.Counts) -> None:
+    def note(self, route: rollout_cases.Route, new: samples.Counts) -> None:
         outcome = self.outcome
         outcome.reached += new.calls
         outcome.once_reached += new.calls * route.once
@@ -295,7 +167,7 @@
         elif outcome.shown >= 0 and self.now > outcome.shown + 2.0:
             outcome.after += new.calls
 
-    def faulty(self, route: Route) -> bool:
+    def faulty(self, route: rollout_cases.Route) -> bool:
         """Whether the new version's fault shows on a route now."""
         scenario = self.scenario
         if not scenario.bad or self.now < scenario.from_part * self.deployment.window:
@@ -313,7 +185,7 @@
         )
         return share / used >= FULL_LOAD / self.deployment.endpoints
 
-    def draw(self, route: Route, calls: int, new: bool) -> samples.Counts:
+    def draw(self, route: rollout_cases.Route, calls: int, new: bool) -> samples.Counts:
         """Draw the outcomes of one version's calls."""
         if not calls:
             return samples.Counts()
@@ -326,14 +198,20 @@
         if new and self.faulty(route):
             errors += scenario.errors + self.crash(calls)
             factor *= scenario.slow
-        counts = samples.Counts(calls, binomial(self.random, calls, min(errors, 1.0)))
+        counts = samples.Counts(
+            calls, sampling.binomial(self.random, calls, min(errors, 1.0))
+        )
         if new and scenario.cold and self.now < scenario.cold:
             return counts  # the endpoints are in their warm-up and not timed
         median = route.median * factor
         paused = self.paused(calls)
-        counts.buckets = spread_over(self.random, calls - paused, self.shape(median))
+        counts.buckets = sampling.spread_over(
+            self.random, calls - paused, self.shape(median)
+        )
         if paused:
-            slow = spread_over(self.random, paused, self.shape(median * PAUSE_FACTOR))
+            slow = sampling.spread_over(
+                self.random, paused, self.shape(median * PAUSE_FACTOR)
+            )
             counts.add(samples.Counts(buckets=slow))
         return counts
 
@@ -342,8 +220,8 @@
         if not self.scenario.noise:
             return 0
         used = self.stage.spread or self.deployment.endpoints
-        paused = binomial(self.random, used, self.scenario.noise)
-        return binomial(self.random, calls, paused / used)
+        paused = sampling.binomial(self.random, used, self.scenario.noise)
+        return sampling.binomial(self.random, calls, paused / used)
 
     def crash(self, calls: int) -> float:
         """Return the rate of errors by crashes; a crashed endpoint is away."""
@@ -352,7 +230,7 @@
         standing = [index for index, until in enumerate(self.away) if until <= self.now]
         if not standing:
             return 0.0
-        crashed = binomial(self.random, calls, self.scenario.crashes)
+        crashed = sampling.binomial(self.random, calls, self.scenario.crashes)
         for index in standing[:crashed]:
             self.away[index] = self.now + CRASH_PAUSE
         return min(crashed, len(standing)) / calls
@@ -370,7 +248,7 @@
         self.outcome.reason = str(finding)
         for route in self.deployment.routes:
             rate = route.rate * self.scenario.traffic * self.share_of(route)
-            late = poisson(self.random, rate * SPREAD_DELAY)
+            late = sampling.poisson(self.random, rate * SPREAD_DELAY)
             self.note(route, samples.Counts(late))
             if late:
                 self.outcome.last = SPREAD_DELAY
@@ -412,74 +290,3 @@
         self.stage = rollouts.stage_of(rollout)
         self.totals.clear()
         self.verdict.turn(self.now)
-
-
-def latency_shape(median: float) -> tuple[tuple[int, ...], tuple[float, ...]]:
-    """Return buckets and the cumulative probabilities of log-normal latencies."""
-    buckets = []
-    sums = []
-    low = 0.0
-    for bucket, bound in enumerate([*samples.BOUNDS, math.inf]):
-        spread = (math.log(bound) - math.log(median)) / SIGMA
-        high = 0.5 * math.erfc(-spread / math.sqrt(2))
-        if high - low > 1e-6:
-            buckets.append(bucket)
-            sums.append(high)
-        low = high
-    sums[-1] = 1.0
-    return tuple(buckets), tuple(sums)
-
-
-def spread_over(
-    rng: random.Random,
-    calls: int,
-    shape: tuple[collections.abc.Sequence[int], collections.abc.Sequence[float]],
-) -> dict[int, int]:
-    """Draw the number of calls in each latency bucket."""
-    buckets, sums = shape
-    found: dict[int, int] = {}
-    if calls <= 20:
-        for _ in range(calls):
-            bucket = buckets[bisect.bisect_left(sums, rng.random())]
-            found[bucket] = found.get(bucket, 0) + 1
-        return found
-    left, passed = calls, 0.0
-    for bucket, high in zip(buckets, sums, strict=True):
-        count = binomial(rng, left, min((high - passed) / (1.0 - passed), 1.0))
-        if count:
-            found[bucket] = count
-        left -= count
-        passed = high
-        if not left:
-            break
-    return found
-
-
-def binomial(rng: random.Random, calls: int, rate: float) -> int:
-    """Draw a binomial number; a normal approximation for large ones."""
-    if rate <= 0.0 or not calls:
-        return 0
-    if rate >= 1.0:
-        return calls
-    mean = calls * rate
-    if calls <= 20:
-        return sum(rng.random() < rate for _ in range(calls))
-    if mean < 20:
-        return min(poisson(rng, mean), calls)
-    drawn = round(rng.gauss(mean, math.sqrt(mean * (1.0 - rate))))
-    return min(max(drawn, 0), calls)
-
-
-def poisson(rng: random.Random, mean: float) -> int:
-    """Draw a Poisson number; a normal approximation for large means."""
-    if mean <= 0.0:
-        return 0
-    if mean > 50.0:
-        return max(round(rng.gauss(mean, math.sqrt(mean))), 0)
-    limit = math.exp(-mean)
-    product = rng.random()
-    for count in itertools.count():
-        if product <= limit:
-            return count
-        product *= rng.random()
-    raise AssertionError("unreachable")
--- a/rattanridge/measure/rollouts.py
+++ b/rattanridge/measure/rollouts.py
@@ -13,7 +13,7 @@
 from rattanridge.admin import rollouts as admin_rollouts
 from rattanridge.control import messages, rollouts
 from rattanridge.kernel import registry, settings
-from rattanridge.measure import base, fleet, rollout_model
+from rattanridge.measure import base, fleet, rollout_cases, rollout_model
 from rattanridge.standin import platform as platforms, upstream as upstreams
 
 SECONDS = 45.0
@@ -57,7 +57,7 @@
     :param in_time: runs that ended as done before the deadline.
     """
 
-    scenario: rollout_model.Scenario
+    scenario: rollout_cases.Scenario
     outcomes: list[rollout_model.Outcome] = dataclasses.field(default_factory=list)
     in_time: int = 0
 
@@ -124,7 +124,7 @@
     """Run every scenario in every deployment, round by round until ``end``."""
     groups = {
         scenario.name: Group(scenario)
-        for scenario in rollout_model.SCENARIOS
+        for scenario in rollout_cases.SCENARIOS
         if only is None or scenario.name in only
     }
     for number in range(rounds):
@@ -132,7 +132,7 @@
             break
         base.progress(f"rollouts: {'/'.join(policy)} round {number + 1}")
         for group in groups.values():
-            for deployment in rollout_model.DEPLOYMENTS:
+            for deployment in rollout_cases.DEPLOYMENTS:
                 name = f"{seed}/{number}/{deployment.name}/{group.scenario.name}"
                 rng = random.Random(name)
                 run = rollout_model.Run(deployment, group.scenario, *policy, rng)
--- a/rattanridge/policies/blocks.py
+++ b/rattanridge/policies/blocks.py
@@ -128,4 +128,5 @@
 
 
 def clamp(rate: float) -> float:
+    """Return a rate within the bounds of the test."""
     return min(max(rate, RATE_FLOOR), RATE_CEILING)
--- a/rattanridge/policies/keys.py
+++ b/rattanridge/policies/keys.py
@@ -83,4 +83,5 @@
 
 
 def bounded(text: str) -> str:
+    """Return a key; empty if it is too long."""
     return text if len(text) <= KEY_LENGTH_MOST else ""
--- a/rattanridge/policies/verdicts.py
+++ b/rattanridge/policies/verdicts.py
@@ -234,6 +234,7 @@
 
 
 def add(sums: list[float], steps: list[float]) -> list[float]:
+    """Return the sums, each with its step added."""
     return [old + step for old, step in zip(sums, steps, strict=True)]
 
 
--- a/tests/test_rollout_policies.py
+++ b/tests/test_rollout_policies.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 
 from rattanridge.kernel import codes
-from rattanridge.measure import rollout_model
+from rattanridge.measure import rollout_cases, rollout_model
 from rattanridge.policies import samples, schedules, verdicts
 
 STAGED = schedules.SCHEDULES.get("staged")()
@@ -15,27 +15,27 @@
 
 
 def run(deployment: int, scenario: str, seed: int = 1) -> rollout_model.Outcome:
-    (found,) = [item for item in rollout_model.SCENARIOS if item.name == scenario]
-    where = rollout_model.DEPLOYMENTS[deployment]
+    (found,) = [item for item in rollout_cases.SCENARIOS if item.name == scenario]
+    where = rollout_cases.DEPLOYMENTS[deployment]
     rng = random.Random(f"{seed}/{deployment}/{scenario}")
     return rollout_model.Run(where, found, "mixture", "staged", rng).run()
 
 
-GOOD = [item.name for item in rollout_model.SCENARIOS if not item.bad]
+GOOD = [item.name for item in rollout_cases.SCENARIOS if not item.bad]
 BAD = [
     item.name
-    for item in rollout_model.SCENARIOS
+    for item in rollout_cases.SCENARIOS
     if item.bad and item.name != "one_percent"
 ]
 
 
-@pytest.mark.parametrize("deployment", range(len(rollout_model.DEPLOYMENTS)))
+@pytest.mark.parametrize("deployment", range(len(rollout_cases.DEPLOYMENTS)))
 class TestScenarios:
     @pytest.mark.parametrize("scenario", GOOD)
     def test_good_version_is_done_in_time(self, deployment, scenario):
         outcome = run(deployment, scenario)
         assert outcome.state == "done"
-        assert outcome.at <= rollout_model.DEPLOYMENTS[deployment].window
+        assert outcome.at <= rollout_cases.DEPLOYMENTS[deployment].window
 
     @pytest.mark.parametrize("scenario", BAD)
     def test_bad_version_is_taken_back(self, deployment, scenario):
