--- a/rattanridge/measure/latency.py
+++ b/rattanridge/measure/latency.py
@@ -16,6 +16,7 @@
 WAYS = ("direct", "local", "two_hop", "bare_two_hop")
 NODES = ("beside", "apart")  # started right after the platform
 COST_CALLS = 1500
+CONNECTIONS = 500  # of idle callers
 BLOCKS = 6  # turns of each way at each rate, so that noise hits all alike
 WARM_CALLS = 200
 PERCENTILES = (("p50", 0.5), ("p99", 0.99), ("p999", 0.999))
@@ -48,6 +49,7 @@
             samples = await sample(session, urls, rate, seconds / len(RATES), rng)
             add_figures(figures, rate, samples)
         figures |= await cost(started, session, urls)
+        figures |= await connection_cost(started, urls)
     return figures
 
 
@@ -99,6 +101,29 @@
     return figures
 
 
+async def connection_cost(
+    started: processes.Processes, urls: dict[str, str]
+) -> dict[str, float]:
+    """Return the memory of a node, and of one idle caller's connection to it."""
+    place = 1 + NODES.index("beside")
+    before = started.memory()[place]
+    host, _, port = urls["local"].removeprefix("http://").partition(":")
+    request = f"GET /{SERVICE}/crest/17 HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+    writers = []
+    for _ in range(CONNECTIONS):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request)
+        await reader.readuntil(b"\r\n\r\n")
+        writers.append(writer)
+    after = started.memory()[place]
+    for writer in writers:
+        writer.close()
+    return {
+        "node_memory_mb": round(before / 1000, 1),
+        "idle_connection_kb": round((after - before) / CONNECTIONS, 1),
+    }
+
+
 async def sample(
     session: aiohttp.ClientSession,
     urls: dict[str, str],
--- a/rattanridge/measure/processes.py
+++ b/rattanridge/measure/processes.py
@@ -137,6 +137,10 @@
         """Return the processor seconds that each process used so far."""
         return [read_processor(process.pid) for process, _ in self.started]
 
+    def memory(self) -> list[float]:
+        """Return the private memory of each process in kB."""
+        return [read_memory(process.pid) for process, _ in self.started]
+
     async def __aenter__(self) -> "Processes":
         return self
 
@@ -161,6 +165,14 @@
         return ours.recv()
 
 
+def read_memory(number: int) -> float:
+    """Return a process's private memory in kB."""
+    for line in pathlib.Path(f"/proc/{number}/status").read_text().splitlines():
+        if line.startswith("RssAnon:"):
+            return float(line.split()[1])
+    return 0.0
+
+
 def read_processor(number: int) -> float:
     """Return a process's user and system seconds."""
     text = pathlib.Path(f"/proc/{number}/stat").read_text()
