--- a/rattanridge/calls/attempts.py
+++ b/rattanridge/calls/attempts.py
@@ -86,7 +86,9 @@
         runs = 0
         while True:
             try:
-                chosen = self.endpoints.choose(call.service, call.idempotent, tried)
+                chosen = self.endpoints.choose(
+                    call.service, call.idempotent, tried, call.route
+                )
             except codes.Failure as failure:
                 return kept or types.refuse(failure)
             if tried:
@@ -136,7 +138,7 @@
         if call.retried:
             return None
         try:
-            found = self.endpoints.choose(call.service, True, tried)
+            found = self.endpoints.choose(call.service, True, tried, call.route)
         except codes.Failure:
             return None
         if not self.retries.policy(call.service, wanted).spend():
@@ -231,6 +233,7 @@
         answer.code = codes.TABLE.get(int(number), codes.PEER_FAILED)
     running, _, queued = marks.get(headers.LOAD, "0/0").partition("/")
     answer.load = (int(running), int(queued))
+    answer.spent = int(marks.get(headers.SPENT, "0")) / 1e6
     return answer
 
 
@@ -256,5 +259,6 @@
 
 
 def close_answer(task: asyncio.Task) -> None:
+    """Close an answer that nobody will read."""
     if not task.cancelled() and task.exception() is None:
         task.result().close()
--- a/rattanridge/calls/headers.py
+++ b/rattanridge/calls/headers.py
@@ -12,9 +12,11 @@
 TOKEN = "Rattanridge-Token"
 NODE = "Rattanridge-Node"
 LOAD = "Rattanridge-Load"  # running/queued at the exit
+SPENT = "Rattanridge-Spent"  # microseconds that the upstream took
 PRIORITY = "Rattanridge-Priority"
 TARGET = "Rattanridge-Target"  # service of the endpoint that the entry chose
 ONCE = "Rattanridge-Once"  # 1: the work must not run more than once
+RECORDED = "Rattanridge-Recorded"  # 1: a repeat got the recorded answer
 
 # Hop-by-hop headers of RFC 9110, and those that the HTTP library writes itself.
 HOP_BY_HOP = frozenset(
@@ -44,8 +46,7 @@
 def forwardable(source: multidict.CIMultiDictProxy) -> multidict.CIMultiDict:
     """Copy the headers that travel on: neither hop-by-hop nor the system's own."""
     kept = multidict.CIMultiDict(source)
-    named = source.get("Connection")
-    if named is not None:
+    for named in source.getall("Connection", ()):
         for item in named.split(","):
             kept.popall(item.strip(), None)
     for name, value in source.items():
@@ -71,3 +72,10 @@
         return value
     except UnicodeEncodeError:
         return value.encode("utf-8", "surrogateescape").decode("latin-1")
+
+
+def host_of(value: str) -> str:
+    """Return the host that a ``Host`` header names, without port, lower case."""
+    if value.startswith("["):
+        return value.partition("]")[0].lower() + "]"
+    return value.partition(":")[0].rstrip(".").lower()
--- a/rattanridge/calls/types.py
+++ b/rattanridge/calls/types.py
@@ -64,6 +64,7 @@
     :param code: set when the system itself answers instead of the upstream.
     :param ran: what is known of the work.
     :param load: running and queued requests at the exit.
+    :param spent: seconds that the upstream took; 0 if it gave no answer.
     :param marks: all headers of the answer as they came.
     """
 
@@ -73,6 +74,7 @@
     ran: codes.Ran
     code: codes.Code | None = None
     load: tuple[int, int] = (0, 0)
+    spent: float = 0.0
     rest: Rest | None = None
     marks: multidict.CIMultiDictProxy | None = None
 
--- a/rattanridge/cli/node.py
+++ b/rattanridge/cli/node.py
@@ -9,7 +9,7 @@
 
 from rattanridge import node as nodes
 from rattanridge.cli import main
-from rattanridge.kernel import log, settings
+from rattanridge.kernel import codes, log, settings
 
 KILLED_EXIT = 1  # exit status after a second signal
 
@@ -31,7 +31,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.take)
     node = nodes.Node(config)
-    await node.start()
+    try:
+        await node.start()
+    except codes.Failure:
+        await node.close()
+        raise
     nodes.settle_memory()
     await signals.stopping.wait()
     await node.stop()
--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -122,6 +122,9 @@
     "Two routes match exactly the same requests",
     exit_code=2,
 )
+CANNOT_LISTEN = define(
+    1008, "cannot-listen", 500, "A port of the settings cannot be listened on"
+)
 
 # 2xxx: the platform's object API.
 PLATFORM_DOWN = define(
@@ -211,6 +214,15 @@
 )
 CLAIMS_FULL = define(5018, "claims-full", 503, "The claims of the slice are full")
 CANCELLED = define(5019, "cancelled", 499, "The caller went away")
+KEY_CONFLICT = define(
+    5020, "key-conflict", 409, "The same key was used for another request"
+)
+CLAIM_UNCHECKED = define(
+    5021,
+    "claim-unchecked",
+    503,
+    "Claims cannot be read: this sending did not run, an earlier one may have",
+)
 
 PEER_UNREACHABLE = define(
     5030,
