--- a/rattanridge/calls/entry.py
+++ b/rattanridge/calls/entry.py
@@ -202,7 +202,10 @@
                 path=request.raw_path,
             )
         try:
-            return await responses.respond(request, answer)
+            response = await responses.respond(request, answer)
+            if self.stopping:
+                response.force_close()
+            return response
         except codes.Failure as failure:
             self.counters.add(f"entry.cut.{failure.code.name}")
             self.log.info("answer-cut", code=failure.code.number, path=request.raw_path)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -298,6 +298,7 @@
         assert inner.status == 200
         assert outer.header(headers.CODE) == str(codes.STOPPING.number)
         assert outer.header(headers.RAN) == codes.Ran.NOT_RUN
+        assert outer.header("Connection") == "close"
 
     async def test_second_signal_ends_at_once(self):
         ended = []
