--- a/rattanridge/measure/rollout_cost.py
+++ b/rattanridge/measure/rollout_cost.py
@@ -54,6 +54,7 @@
 def make_node(
     config: settings.NodeSettings, manual: clock.Clock, stage: messages.Stage
 ) -> collector.Collector:
+    """Return one node's collector under a running rollout."""
     state = replica.Replica(config, metrics.Counters())
     made = collector.Collector(config, state, state.counters, manual)
     state.table.merge(stage)
@@ -61,6 +62,7 @@
 
 
 def add_calls(node: collector.Collector, rng: random.Random) -> None:
+    """Let a node count calls of both versions on all routes."""
     for number in range(CALLS):
         version = "v2" if rng.random() < 0.1 else "v1"
         route = f"GET */workshop/{number % ROUTES}"
@@ -68,6 +70,7 @@
 
 
 def take_all(pooled: pool.Pool, data: list[bytes]) -> None:
+    """Let a relay decode and pool reports."""
     for item in data:
         pooled.take(messages.decode(item), direct=True)
 
@@ -80,4 +83,5 @@
 
 
 def per(seconds: float, count: int) -> float:
+    """Return microseconds for each of a number of acts."""
     return round(seconds / count * MICROSECONDS, 2)
