--- a/rattanridge/measure/control_bytes.py
+++ b/rattanridge/measure/control_bytes.py
@@ -33,6 +33,7 @@
 
 
 async def run(seed: int, size: int) -> dict[str, float]:
+    """Run all parts on one fleet; return the figures."""
     async with controls.Pool(seed) as pool:
         base.progress(f"control-bytes: {size} nodes")
         specs = controls.make_specs(size, controls.ZONES)
@@ -52,6 +53,7 @@
 
 
 async def count(pool: controls.Pool) -> collections.Counter[str]:
+    """Return the bytes sent so far, by message kind."""
     return controls.sent_bytes(await pool.usages())
 
 
--- a/rattanridge/measure/convergence.py
+++ b/rattanridge/measure/convergence.py
@@ -39,6 +39,7 @@
 
 
 async def run_size(seed: int, size: int, figures: dict) -> None:
+    """Run all cases at one size on a fleet of its own."""
     async with controls.Pool(seed) as pool:
         await measure_size(pool, size, figures)
 
@@ -106,5 +107,6 @@
 
 
 def add_figures(figures: dict, name: str, times: list[float]) -> None:
+    """Add percentiles of times in seconds."""
     for label, part in (("p50", 0.5), ("p99", 0.99), ("max", 1.0)):
         figures[f"{name}_{label}_s"] = round(base.percentile(times, part), 3)
--- a/rattanridge/measure/node_cost.py
+++ b/rattanridge/measure/node_cost.py
@@ -256,6 +256,7 @@
 def per_event(
     before: Reading, after: Reading, began: float, rest: float, count: int
 ) -> float:
+    """Return milliseconds for each event, less what the time at rest takes."""
     spent = after.processor - before.processor
     return 1000 * (spent - rest * (time.monotonic() - began)) / count
 
--- a/rattanridge/measure/reconnect.py
+++ b/rattanridge/measure/reconnect.py
@@ -76,6 +76,7 @@
 
 
 async def run(seed: int, size: int) -> dict[str, float]:
+    """Restart a zone and then the fleet; return the figures."""
     figures: dict[str, float] = {"nodes": size}
     async with controls.Pool(seed) as pool:
         specs = controls.make_specs(size, controls.ZONES)
@@ -107,6 +108,7 @@
 
 
 async def measure_idle(pool: controls.Pool, figures: dict) -> None:
+    """Count the platform\'s calls while nothing happens."""
     async with Meter(pool) as meter:
         await asyncio.sleep(IDLE)
     figures["idle_reads_per_s"] = round(meter.rate(0), 1)
@@ -139,5 +141,6 @@
 
 
 def add_peaks(figures: dict, name: str, meter: Meter) -> None:
+    """Add the most calls of any second."""
     figures[f"{name}_peak_reads_per_s"] = meter.peak(0)
     figures[f"{name}_peak_writes_per_s"] = meter.peak(1)
