--- a/tests/test_rollouts_path.py
+++ b/tests/test_rollouts_path.py
@@ -1,6 +1,7 @@
 """Rollouts over the whole path, on real sockets, in one process."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 import pytest
@@ -13,6 +14,7 @@
 from rattanridge.standin import upstream as upstreams
 
 TIMES = settings.RolloutSettings(least_hold=0.2, warmup=0.01, keep_progress=0.1)
+FLIGHT = 0.3  # seconds for a call that was on its way
 CONTROL = settings.ControlSettings(report_interval=0.1, lease_term=2.0)
 
 
@@ -32,11 +34,23 @@
         yield made
 
 
-async def send(made: fleet.Fleet, stop: asyncio.Event, broken: list[str]) -> None:
-    """Send calls through every node until told to stop."""
+@contextlib.asynccontextmanager
+async def calling(made: fleet.Fleet):
+    """Send calls through every node; yield the codes of refusals."""
+    broken: list[str] = []
+    task = asyncio.create_task(send(made, broken))
+    try:
+        yield broken
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def send(made: fleet.Fleet, broken: list[str]) -> None:
     number = 0
-    async with aiohttp.ClientSession() as session:
-        while not stop.is_set():
+    timeout = aiohttp.ClientTimeout(total=20.0)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while True:
             for host in list(made.hosts.values()):
                 number += 1
                 method = "POST" if number % 3 == 0 else "GET"
@@ -82,16 +96,14 @@
 class TestRollout:
     async def test_good_version_takes_over(self, running):
         assert runs(running, "v2") == 0
-        stop, broken = asyncio.Event(), []
-        calling = asyncio.create_task(send(running, stop, broken))
         asked = admin_rollouts.Start(old="v1", new="v2", deadline=8.0, bake=0.5)
-        await admin_of(running).start("workshop", asked, "olga")
-        await wait_state(running, "done")
-        before = runs(running, "v1")
-        await asyncio.sleep(0.2)
-        stop.set()
-        await calling
-        assert runs(running, "v1") == before
+        async with calling(running) as broken:
+            await admin_of(running).start("workshop", asked, "olga")
+            await wait_state(running, "done")
+            await asyncio.sleep(FLIGHT)
+            before = runs(running, "v1")
+            await asyncio.sleep(FLIGHT)
+            assert runs(running, "v1") == before
         assert runs(running, "v2") > 0
         assert not broken
         shown = await admin_of(running).show("workshop")
@@ -100,16 +112,14 @@
     async def test_bad_version_is_taken_back(self, running):
         for name in ("v2-1", "v2-2"):
             running.hosts[name].upstream.faults.error_rate = 1.0
-        stop, broken = asyncio.Event(), []
-        calling = asyncio.create_task(send(running, stop, broken))
-        asked = admin_rollouts.Start(old="v1", new="v2", deadline=120.0)
-        await admin_of(running).start("workshop", asked, "olga")
-        await wait_state(running, "taken-back")
-        before = runs(running, "v2")
-        await asyncio.sleep(0.2)
-        stop.set()
-        await calling
-        assert runs(running, "v2") == before
+        asked = admin_rollouts.Start(old="v1", new="v2", deadline=30.0)
+        async with calling(running):
+            await admin_of(running).start("workshop", asked, "olga")
+            await wait_state(running, "taken-back")
+            await asyncio.sleep(FLIGHT)
+            before = runs(running, "v2")
+            await asyncio.sleep(FLIGHT)
+            assert runs(running, "v2") == before
         await running.wait(
             lambda: (
                 b"taken-back"
