--- a/rattanridge/control/relay.py
+++ b/rattanridge/control/relay.py
@@ -95,8 +95,8 @@
 
     async def subscribe(self, node: str, context: grpc.aio.ServicerContext) -> None:
         """Serve one subscriber until its stream ends."""
-        hello = await context.read()
-        if not isinstance(hello, messages.Hello) or hello.node != node:
+        hello = await self.read_hello(node, context)
+        if hello is None:
             self.counters.add("control.refused.bad-message")
             return
         if not self.serving or self.admitting >= self.config.control.admissions:
@@ -120,6 +120,19 @@
             reader.cancel()
             self.remove(member)
 
+    async def read_hello(
+        self, node: str, context: grpc.aio.ServicerContext
+    ) -> messages.Hello | None:
+        """Return the first message if it is the subscriber's own hello."""
+        try:
+            async with asyncio.timeout(self.config.control.stream_timeout):
+                hello = await context.read()
+        except (TimeoutError, codes.Failure):
+            return None
+        if isinstance(hello, messages.Hello) and hello.node == node:
+            return hello
+        return None
+
     def add(self, hello: messages.Hello) -> Member:
         """Enter a subscriber; an older stream of the same node is closed."""
         former = self.members.get(hello.node)
@@ -242,6 +255,8 @@
                 self.handle(member, message)
         except codes.Failure as failure:
             self.counters.add(f"control.refused.{failure.code.name}")
+        except grpc.aio.BaseError as error:
+            self.log.debug("stream-broken", member=member.hello.node, why=str(error))
         finally:
             member.outbox.close()
 
--- a/rattanridge/measure/reconnect.py
+++ b/rattanridge/measure/reconnect.py
@@ -4,12 +4,13 @@
 
 from rattanridge.measure import base, controls
 
-SIZE = 414
-NODES_IN_WORKER = 70
+SIZE = 830
+NODES_IN_WORKER = 140
 TARGET_READS = 2000  # a second, of the platform
 TARGET_WRITES = 300  # a second, of the platform
 IDLE = 5.0  # seconds
 SETTLE = 2.0  # seconds
+REST = 8.0  # seconds until the last candidates for relay roles gave up
 LOOK = 0.1  # seconds between looks at the platform's counts
 READS = ("get", "list", "watch")
 WRITES = ("put", "delete")
@@ -89,7 +90,7 @@
         generation, _ = await pool.choose()
         await pool.wait_applied(generation)
         await pool.wait_endpoints(size)
-        await asyncio.sleep(SETTLE)
+        await asyncio.sleep(REST)
         await measure_idle(pool, figures)
         base.progress(f"reconnect: {len(zone)} nodes of a zone restart")
         await restart(pool, workers[:1], "zone", generation, figures)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -283,6 +283,12 @@
         assert "two" not in relay.members
         assert relay.nodes["two"].lost_at
 
+    @pytest.mark.parametrize("said", [(), (messages.Beat(1),), (hello("three"),)])
+    async def test_stream_without_a_proper_hello_ends(self, relay, said):
+        relay.config.control.stream_timeout = 0.05
+        await asyncio.wait_for(relay.subscribe("two", Context(*said)), 10)
+        assert not relay.members
+
     async def test_admissions_are_bounded(self, relay, state):
         relay.config.control.admissions = 1
         relay.admitting = 1
