Records gather longer in a storm

With two fleets of 830 nodes restarting on one busy machine the last node was ready after 20 s, and one run of measure reconnect timed out at 40 s: processor time, for each small batch of records costs every node.

--- a/rattanridge/control/relay.py
+++ b/rattanridge/control/relay.py
@@ -16,6 +16,8 @@
 BUSY_SPREAD = 2.0  # seconds over which refused subscribers are told to return
 BEGIN_SPREAD = 0.5  # the same while the relay does not serve (yet)
 CONFIGS_KEPT = 4  # former snapshots that deltas can start from
+STORM_RECORDS = 4  # records in a batch from which the next ones gather longer
+STORM_STRETCH = 10  # how many times longer they gather at most
 BEAT_PARTS = 8  # parts of the subscribers that get their heartbeats in turn
 OUTBOX_LIMIT = 256  # messages that may wait for one subscriber
 
@@ -71,6 +73,7 @@
         self.former: dict[str, snapshot.Snapshot] = {}
         self.batch: list[tuple[messages.Record, str]] = []
         self.origin = ""
+        self.gathering = config.control.batch_interval
         self.flushing: asyncio.Task | None = None
         self.beating: asyncio.Task | None = None
         self.handlers: dict[type, Handler] = {}
@@ -312,10 +315,18 @@
             self.flushing = asyncio.create_task(self.flush())
 
     async def flush(self) -> None:
-        """Send the gathered records; encoded once for all but their senders."""
-        await self.time.sleep(self.config.control.batch_interval)
+        """Send the gathered records; encoded once for all but their senders.
+
+        In a storm the time to gather grows, for each message costs every node.
+        """
+        await self.time.sleep(self.gathering)
         self.flushing = None
         batch, self.batch = self.batch, []
+        shortest = self.config.control.batch_interval
+        if len(batch) >= STORM_RECORDS:
+            self.gathering = min(self.gathering * 2, shortest * STORM_STRETCH)
+        else:
+            self.gathering = max(self.gathering / 2, shortest)
         if not batch:
             return
         senders = {origin for _, origin in batch}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -274,6 +274,21 @@
                 await asyncio.sleep(0.01)
         assert messages.Records([endpoint("two")]) not in sender.got
 
+    async def test_storm_gathers_longer_and_calm_ends_it(self, state):
+        relay = relays.Relay(state.config, state, state.counters, clock.ManualClock())
+        relay.serving = True
+        shortest = state.config.control.batch_interval
+        longest = shortest * relays.STORM_STRETCH
+        for sequence in range(1, 9):
+            for number in range(relays.STORM_RECORDS):
+                state.table.merge(endpoint(f"n{number}", sequence=sequence))
+            await relay.time.advance(longest)
+        assert relay.gathering == longest
+        for sequence in range(9, 17):
+            state.table.merge(endpoint("n0", sequence=sequence))
+            await relay.time.advance(longest)
+        assert relay.gathering == shortest
+
     async def test_stuck_subscriber_is_sent_away(self, state, relay):
         relay.config.control.stream_timeout = 0.05
         context, task = await self.join(relay, hello())
