Docs of control messages, operations and headers are compared with the code; odd rollouts

The command rollout quotes its service in the path. measure list prints whole sentences. Fuzzed further: rollout requests, rollout objects, packed messages.

--- a/rattanridge/cli/measure.py
+++ b/rattanridge/cli/measure.py
@@ -69,8 +69,9 @@
 
 
 def explain(experiment: base.Experiment) -> str:
-    """Return the first line of an experiment's docstring."""
-    return (inspect.getdoc(experiment) or "").partition("\n")[0]
+    """Return the first paragraph of an experiment's docstring as one line."""
+    paragraph = (inspect.getdoc(experiment) or "").partition("\n\n")[0]
+    return " ".join(paragraph.split())
 
 
 def run_all(parameters: base.Parameters, as_json: bool, out: str) -> int:
--- a/rattanridge/cli/rollout.py
+++ b/rattanridge/cli/rollout.py
@@ -55,7 +55,9 @@
 ) -> None:
     """Start a rollout of SERVICE."""
     body = {"old": old, "new": new, "deadline": deadline, "bake": bake}
-    answer = remote.call("PUT", f"/rollouts/{service}", msgspec.json.encode(body))
+    answer = remote.call(
+        "PUT", f"/rollouts/{remote.quote(service)}", msgspec.json.encode(body)
+    )
     click.echo(format_rollout(answer))
 
 
@@ -72,7 +74,7 @@
 @remote.options
 def show(service: str, remote: remote.Remote) -> None:
     """Show the newest rollout of SERVICE and its steps."""
-    answer = remote.call("GET", f"/rollouts/{service}")
+    answer = remote.call("GET", f"/rollouts/{remote.quote(service)}")
     click.echo(format_rollout(answer))
     for index, step in enumerate(answer["plan"]):
         mark = ">" if answer["state"] == "running" and index == answer["step"] else " "
@@ -88,7 +90,9 @@
 @remote.options
 def cancel(service: str, remote: remote.Remote) -> None:
     """Take the running rollout of SERVICE back."""
-    click.echo(format_rollout(remote.call("POST", f"/rollouts/{service}/cancel")))
+    click.echo(
+        format_rollout(remote.call("POST", f"/rollouts/{remote.quote(service)}/cancel"))
+    )
 
 
 @rollout.command()
@@ -118,7 +122,7 @@
 def read_patiently(remote: remote.Remote, service: str) -> dict | None:
     """Return the rollout, or ``None`` while the platform does not answer."""
     try:
-        return remote.call("GET", f"/rollouts/{service}")
+        return remote.call("GET", f"/rollouts/{remote.quote(service)}")
     except codes.Failure as failure:
         if failure.code in (codes.PLATFORM_DOWN, codes.PLATFORM_BUSY):
             return None
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -54,6 +54,9 @@
             ("GET", "/presets", OLGA.secret.upper(), codes.NO_TOKEN),
             ("PUT", "/presets/day", VICTOR.secret, codes.WRONG_ROLE),
             ("POST", "/presets/day/use", VICTOR.secret, codes.WRONG_ROLE),
+            ("PUT", "/rollouts/workshop", VICTOR.secret, codes.WRONG_ROLE),
+            ("POST", "/rollouts/workshop/cancel", VICTOR.secret, codes.WRONG_ROLE),
+            ("GET", "/rollouts/none", OLGA.secret, codes.ROLLOUT_MISSING),
             ("GET", "/nowhere", OLGA.secret, codes.NO_OPERATION),
             ("GET", "/presets/", OLGA.secret, codes.NO_OPERATION),
             ("GET", "/presets/day/use/now", OLGA.secret, codes.NO_OPERATION),
@@ -107,6 +110,23 @@
         assert status < 500
         assert code or (method, path) == ("GET", "/presets")
 
+    rollout_fields = strategies.dictionaries(
+        strategies.sampled_from(["old", "new", "deadline", "bake"]),
+        strategies.none()
+        | strategies.sampled_from(["v1", "v2", "", -1, 0.001, 60, 1e9, 1e308, True])
+        | strategies.integers()
+        | strategies.text(max_size=5),
+    )
+
+    @hypothesis.given(rollout_fields)
+    def test_any_rollout(self, bench, fields):
+        good = {"old": "v1", "new": "v2", "deadline": 600.0}
+        for body in (fields, good | fields):
+            raw = msgspec.json.encode(body)
+            status, code = ask(bench, "PUT", "/rollouts/workshop", body=raw)
+            assert status in (400, 409)
+            assert code in codes.TABLE
+
     def test_bounded_number_at_once(self, bench, monkeypatch):
         monkeypatch.setattr(server, "ACTIVE_MOST", 0)
         code = codes.ADMIN_BUSY
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -3,11 +3,15 @@
 import ast
 import pathlib
 import re
+import typing
 
 import click
 import pytest
 
+from rattanridge.admin import server
+from rattanridge.calls import headers
 from rattanridge.cli import main
+from rattanridge.control import messages
 from rattanridge.kernel import codes
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -112,6 +116,36 @@
         assert told, f"no page under docs/operations explains {event}"
 
 
+class TestProtocols:
+    text = (ROOT / "docs/PROTOCOLS.md").read_text()
+
+    @pytest.mark.parametrize("kind", typing.get_args(messages.Any))
+    def test_control_message(self, kind):
+        assert f"`{kind.__struct_config__.tag}`" in self.text
+
+    @pytest.mark.parametrize("item", sorted(server.OPERATIONS.items))
+    def test_operation(self, item):
+        written = re.sub(r"<(\w+)>", lambda match: match[1].upper(), item)
+        assert re.search(rf"`{re.escape(written)}[`?,]", self.text)
+
+    @pytest.mark.parametrize(
+        "header",
+        [value for value in vars(headers).values() if str(value).startswith("Rattan")],
+    )
+    def test_header(self, header):
+        assert f"`{header}`" in self.text
+
+
+class TestMap:
+    def test_files_to_open_exist(self):
+        text = (ROOT / "CONTRIBUTING.md").read_text()
+        named = re.findall(r"`((?:[a-z]+/)+[a-z_]+\.(?:py|md))`", text)
+        assert named
+        for path in named:
+            places = (ROOT / path, ROOT / "rattanridge" / path)
+            assert any(place.exists() for place in places), path
+
+
 class TestCodes:
     @pytest.mark.parametrize("number", sorted(codes.TABLE))
     def test_well_formed(self, number):
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -11,7 +11,8 @@
 
 
 def met(parameters):
-    """Meets its target.
+    """Meets
+    its target.
 
     More that the list leaves out.
     """
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -37,7 +37,14 @@
     "rollouts/other",
     "unknown/key",
 )
-PATHS = ("/status", "/presets", "/presets/day", "/history")
+PATHS = (
+    "/status",
+    "/presets",
+    "/presets/day",
+    "/history",
+    "/rollouts",
+    "/rollouts/workshop",
+)
 ASK = (
     "GET {} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
     f"Authorization: Bearer {fleet.TOKENS[0].secret}\r\n\r\n"
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import zlib
 
 import grpc
 import grpc.aio
@@ -167,7 +168,15 @@
             assert failure.code is codes.BAD_MESSAGE
 
     @pytest.mark.parametrize(
-        "data", [b"\x91" * 500_000, b"\xdd\xff\xff\xff\xff", b"\xc6\xff\xff\xff\xff"]
+        "data",
+        [
+            b"\x91" * 500_000,
+            b"\xdd\xff\xff\xff\xff",
+            b"\xc6\xff\xff\xff\xff",
+            messages.encoder.encode(messages.Packed(b"not compressed")),
+            messages.encoder.encode(messages.Packed(zlib.compress(bytes(50_000_000)))),
+        ],
+        ids=["nested", "array", "extension", "packed", "bomb"],
     )
     def test_decode_hostile(self, data):
         with pytest.raises(codes.Failure) as caught:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -241,6 +241,8 @@
             ("preset", "list", "--token", "a\nb"),
             ("preset", "put", "none.yaml"),
             ("rollout",),
+            ("rollout", "show", "../presets"),
+            ("rollout", "start", "a", "--from", "1", "--to", "2", "--deadline", "x"),
         ],
     )
     def test_odd_arguments(self, system, arguments):
