Tests: raw upstreams listen on a loopback address of their own

Two runs of the matrix in some forty failed (late-wait-POST, never-connect-POST): the raw upstream read a head of one word, and counted two requests too many. That is what an HTTP/2 preface looks like to it (PRI line, then SM): a channel of another test run on the machine that reconnected to a port it once had.

--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import os
 
 import msgspec
 
@@ -13,6 +14,9 @@
 
 KEY = "tests-shared-key"
 HANG = 20.0  # seconds after which a test counts as hanging
+# A loopback address of this process alone: other test runs on the machine send
+# to ports of 127.0.0.1 that were theirs a moment ago.
+HOST = f"127.{os.getpid() % 200 + 1}.{os.getpid() // 200 % 250}.1"
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,7 +60,7 @@
         self.address = ""
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.accept, HOST, 0)
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
@@ -148,9 +152,9 @@
         )
         node = nodes.Node(config)
         await node.entry.start()
-        node.caller_url = await node.listen(node.entry.serve, "127.0.0.1", 0)
-        hop = await node.listen(node.hop.serve, "127.0.0.1", 0)
-        node.local_url = await node.listen(node.local.serve, "127.0.0.1", 0)
+        node.caller_url = await node.listen(node.entry.serve, HOST, 0)
+        hop = await node.listen(node.hop.serve, HOST, 0)
+        node.local_url = await node.listen(node.local.serve, HOST, 0)
         # Not started: announcements of tests hold without renewal.
         node.local.hop = hop.removeprefix("http://")
         node.state.table.listeners.append(self.share)
