Tell a stale connection from an upstream that closes each one

The pool's used connections are known, so that a fresh connection closed by the upstream is a refusal at once (sixteen connections were tried before), and any number of stale ones are passed over. A failed exchange also ends the writing of its request.

--- a/rattanridge/calls/forward.py
+++ b/rattanridge/calls/forward.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import select
+import weakref
 
 import aiohttp
 import aiohttp.hdrs
@@ -18,7 +19,6 @@
 
 WHOLE_BYTES = 262_144  # a larger answer is passed on in parts where allowed
 READ_BYTES = 65_536  # buffered from one connection before reading pauses
-STALE_MOST = 16  # connections found closed in a row before giving up
 SKIPPED = multidict.CIMultiDict({"Content-Type": None})
 WITHOUT_BODY = frozenset((204, 304))
 NO_TIMEOUT = aiohttp.ClientTimeout(total=None, connect=None, sock_connect=None)
@@ -68,6 +68,7 @@
             keepalive_timeout=idle,
             ttl_dns_cache=None,
         )
+        self.used: weakref.WeakSet = weakref.WeakSet()
         self.active = 0
         self.retired = False
 
@@ -140,13 +141,16 @@
         self, request: aiohttp.ClientRequest
     ) -> aiohttp.connector.Connection:
         """Return a connection that is open and has nothing unread."""
-        for _ in range(STALE_MOST):
+        while True:
             connection = await self.connector.connect(request, [], NO_TIMEOUT)
+            protocol = connection.protocol
             if is_fresh(connection):
                 self.prepare(request, connection)
+                self.used.add(protocol)
                 return connection
             connection.close()
-        raise codes.Failure(codes.CONNECT_FAILED, "closed before use")
+            if protocol not in self.used:
+                raise codes.Failure(codes.CONNECT_FAILED, "closed before use")
 
     def prepare(
         self, request: aiohttp.ClientRequest, connection: aiohttp.connector.Connection
@@ -260,10 +264,13 @@
 ) -> aiohttp.ClientResponse:
     """Send a request and read the head of its answer; any failure on the way
     closes the connection, so that it is never used again."""
+    response = None
     try:
         response = await request.send(connection)
         return await response.start(connection)
     except BaseException:
+        if response is not None:
+            response.close()
         connection.close()
         raise
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -370,3 +370,23 @@
                 got = await caller.reply()
         assert got.status >= 500
         assert not upstream.begun
+        assert upstream.connections == 1
+
+    async def test_all_stale_at_once(self):
+        """After an upstream closed all its idle connections, a call that must not
+        repeat goes over a new one."""
+        upstream = mesh.Upstream()
+        async with mesh.pair(mesh.make_preset(), upstream) as running:
+            url = running.nodes["beside"].caller_url
+            callers = [mesh.Caller(url) for _ in range(4)]
+            for caller in callers:
+                await caller.__aenter__()
+                caller.request("GET", "/workshop/a")
+            for caller in callers:
+                assert (await caller.reply()).status == 200
+            for writer in upstream.writers:
+                writer.close()
+            callers[0].request("POST", "/workshop/b")
+            assert (await callers[0].reply()).status == 200
+            for caller in callers:
+                await caller.__aexit__()
