--- a/rattanridge/admin/server.py
+++ b/rattanridge/admin/server.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from rattanridge.admin import presets as preset_store, status
-from rattanridge.calls import server as http
+from rattanridge.calls import bodies
 from rattanridge.control import replica
 from rattanridge.kernel import codes, log, metrics, registry, settings
 from rattanridge.platform import client
@@ -133,7 +133,7 @@
             raise codes.Failure(codes.WRONG_ROLE, f"{token.name} is {token.role}")
         if self.active > ACTIVE_MOST:
             raise codes.Failure(codes.ADMIN_BUSY)
-        body = await http.read_body(request, BODY_BYTES)
+        body = await bodies.read_body(request, BODY_BYTES)
         asked = Request(token.name, arguments, dict(request.query), body)
         result = await found.handler(self, asked)
         self.counters.add("admin.done")
--- a/rattanridge/calls/claims.py
+++ b/rattanridge/calls/claims.py
@@ -103,7 +103,7 @@
             key=claimed.identify(call, f"{keyed:d}{key}"),
             digest=claimed.digest(call),
             attempt=claimed.new_attempt(),
-            ends=int(self.time.wall() + left) + 1,
+            ends=int(self.time.wall() + left + self.config.limits.late) + 1,
         )
         return Sending(call, claim, keyed)
 
@@ -282,7 +282,8 @@
 
 def record(answer: types.Answer) -> claimed.Recorded | None:
     """Return an answer for the record, unless it is too large."""
-    if len(answer.body) > ANSWER_MOST or answer.code is not None:
+    whole = answer.rest is None and answer.code is None
+    if not whole or len(answer.body) > ANSWER_MOST:
         return None
     # The header library's own kind of text can't be encoded.
     kept = [(str(name), str(value)) for name, value in answer.headers.items()]
