--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -83,10 +83,10 @@
     :param answer_bytes: bytes of recorded answers that an owner keeps.
     """
 
-    slices: Count = 32
+    slices: Count = 16
     writes_per_second: Count = 250
     keep: Seconds = 900.0
-    slice_bytes: typing.Annotated[int, msgspec.Meta(ge=1024, le=10_000_000)] = 1_000_000
+    slice_bytes: typing.Annotated[int, msgspec.Meta(ge=1024, le=10_000_000)] = 2_000_000
     answer_bytes: Bytes = 4_000_000
 
 
