--- a/rattanridge/calls/hop.py
+++ b/rattanridge/calls/hop.py
@@ -111,6 +111,7 @@
     ) -> aiohttp.web.StreamResponse:
         """Answer with the marks that the entry reads."""
         answer.headers[headers.LOAD] = f"{answer.load[0]}/{answer.load[1]}"
+        answer.headers[headers.SPENT] = f"{answer.spent * 1e6:.0f}"
         try:
             return await responses.respond(request, answer)
         except codes.Failure as failure:
--- a/rattanridge/calls/server.py
+++ b/rattanridge/calls/server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import re
 
 import aiohttp
 import aiohttp.web
@@ -19,6 +20,7 @@
 FIRST_REQUEST_SECONDS = 10.0  # within which a new connection sends its first one
 LINGER_SECONDS = 1.0  # for reading the rest of a refused body
 SCHEMES = ("http", "https")
+PLAIN_TARGET = re.compile(r"(/[A-Za-z0-9_~-][A-Za-z0-9._~-]*)*/?(\?[!-~]*)?")
 DOT_SEGMENTS = frozenset((".", ".."))
 
 Handler = collections.abc.Callable[
@@ -128,7 +130,7 @@
 
     def admit(self) -> bool:
         """Whether one more connection is within the limit."""
-        if len(self.connections) <= self.limits.connections:
+        if len(self._connections) <= self.limits.connections:
             return True
         self.counters.add("http.dropped.connections")
         return False
@@ -201,9 +203,12 @@
     different programs; then a request could match one route here and be run
     as another.
     """
-    path = request.path
-    if not request.raw_path.startswith("/"):
+    target = request.raw_path
+    if not target.startswith("/") or "#" in target:
         raise codes.Failure(codes.BAD_REQUEST, "target")
+    if PLAIN_TARGET.fullmatch(target):
+        return
+    path = request.path
     if "\\" in path or not path.isprintable():
         raise codes.Failure(codes.BAD_REQUEST, "target")
     if not DOT_SEGMENTS.isdisjoint(path.split("/")):
--- a/rattanridge/cli/preset.py
+++ b/rattanridge/cli/preset.py
@@ -6,8 +6,9 @@
 
 import click
 
+from rattanridge import policies
 from rattanridge.cli import main, remote
-from rattanridge.kernel import codes, documents, presets
+from rattanridge.kernel import codes, documents, presets, registry
 
 POLL = 0.1  # seconds
 SHOWN = 5  # nodes that are named
@@ -24,6 +25,7 @@
 @remote.options
 def put(file: str, remote: remote.Remote) -> None:
     """Check a preset FILE and store it as the next revision."""
+    registry.load_plugins(policies)
     text = documents.read(file)
     name = presets.parse(text, file).name
     answer = remote.call("PUT", f"/presets/{name}", text.encode())
@@ -35,7 +37,8 @@
 def list_presets(remote: remote.Remote) -> None:
     """List the presets and their newest revisions."""
     for item in remote.call("GET", "/presets"):
-        click.echo(f"{item['name']} revision {item['revision']}")
+        by = f" by {item['operator']}" if item["operator"] else ""
+        click.echo(f"{item['name']} revision {item['revision']}{by}")
 
 
 @preset.command()
@@ -45,7 +48,7 @@
 def show(name: str, revision: int, remote: remote.Remote) -> None:
     """Show a preset's routes."""
     query = urllib.parse.urlencode({"revision": revision})
-    answer = remote.call("GET", f"/presets/{name}?{query}")
+    answer = remote.call("GET", f"/presets/{remote.quote(name)}?{query}")
     click.echo(f"preset {name} revision {answer['revision']}")
     for route in answer["content"]["routes"]:
         once = "idempotent" if route["idempotent"] else "once"
@@ -76,7 +79,9 @@
     query = {"revision": str(revision)}
     if generation >= 0:
         query["generation"] = str(generation)
-    answer = remote.call("POST", f"/presets/{name}/use?{urllib.parse.urlencode(query)}")
+    answer = remote.call(
+        "POST", f"/presets/{remote.quote(name)}/use?{urllib.parse.urlencode(query)}"
+    )
     chosen = answer["generation"]
     click.echo(f"generation {chosen}: preset {name} revision {answer['revision']}")
     if wait:
--- a/rattanridge/control/subscriber.py
+++ b/rattanridge/control/subscriber.py
@@ -14,6 +14,15 @@
 Handler = collections.abc.Callable[[messages.Message], None]
 
 
+def as_failure(error: BaseException) -> codes.Failure:
+    """Return why a stream ended, as a coded failure."""
+    if isinstance(error, codes.Failure):
+        return error
+    if isinstance(error, grpc.aio.AioRpcError):
+        return transport.as_failure(error)
+    return codes.Failure(codes.NO_RELAY, f"stream ended: {type(error).__name__}")
+
+
 class Subscriber:
     """Keeps the replica up to date from one relay's stream.
 
@@ -57,10 +66,17 @@
         self.state.listeners.append(self.report)
         try:
             await self.receive(call)
-        except grpc.aio.AioRpcError as error:
-            raise transport.as_failure(error)
-        except asyncio.InvalidStateError:
-            raise codes.Failure(codes.NO_RELAY, "stream closed")
+        except (
+            grpc.aio.AioRpcError,
+            asyncio.InvalidStateError,
+            asyncio.CancelledError,
+            codes.Failure,
+        ) as error:
+            # A read that is cancelled may raise any of these, and a read of a
+            # call that the sender ended raises CancelledError: ask the task.
+            if asyncio.current_task().cancelling():
+                raise asyncio.CancelledError
+            raise as_failure(error)
         finally:
             self.relay = ""
             self.heard = float("-inf")
@@ -87,7 +103,7 @@
         )
 
     async def send(self, call: grpc.aio.StreamStreamCall) -> None:
-        """Write the hello, then all that waits, and a report as heartbeat."""
+        """Write the hello, then all that waits, and heartbeats."""
         try:
             await self.write(call, self.hello())
             while True:
@@ -102,19 +118,19 @@
 
     async def next_message(self) -> messages.Message | None:
         try:
-            return await self.outbox.get(self.config.control.report_interval)
+            async with asyncio.timeout(self.config.control.node_beat_interval):
+                return await self.outbox.get()
         except TimeoutError:
-            return self.state.report()
+            return messages.Beat(self.state.generation)
 
     async def write(
         self, call: grpc.aio.StreamStreamCall, message: messages.Message
     ) -> None:
-        kind = type(message).__name__.lower()
-        data = messages.encode(message)
-        self.counters.add(f"control.sent.{kind}")
-        self.counters.add(f"control.sent-bytes.{kind}", len(data))
+        encoded = messages.frame(message)
+        self.counters.add(f"control.sent.{encoded.kind}")
+        self.counters.add(f"control.sent-bytes.{encoded.kind}", len(encoded.data))
         async with asyncio.timeout(self.config.control.stream_timeout):
-            await call.write(data)
+            await call.write(encoded)
 
     async def receive(self, call: grpc.aio.StreamStreamCall) -> None:
         """Read until the stream ends or is silent for too long."""
@@ -127,7 +143,7 @@
             if message is grpc.aio.EOF:
                 raise codes.Failure(codes.NO_RELAY, "stream ended")
             self.heard = self.time.monotonic()
-            self.counters.add(f"control.received.{type(message).__name__.lower()}")
+            self.counters.add(f"control.received.{messages.kind_of(message)}")
             self.handle(message)
 
     def handle(self, message: messages.Message) -> None:
--- a/rattanridge/control/zone.py
+++ b/rattanridge/control/zone.py
@@ -115,12 +115,14 @@
         self.log = log.Log("zone", config.name)
         self.presences: typing.Callable[[], list[messages.Presence]] = list
         self.missing: dict[str, float] = {}
+        self.former_left = False
         self.is_writer: typing.Callable[[], bool] = lambda: True
         self.zone_alive: typing.Callable[[str], bool] = lambda zone: True
 
     async def run(self, lease: leases.Lease) -> None:
         """Judge, tell other relays, and write while the lease is held."""
         self.missing.clear()
+        self.former_left = lease.given_back
         slot = lease.role.rpartition("-")[2]
         status = self.writer(f"status/{self.config.zone}/{slot}", ZoneStatus)
         roster = self.writer(f"roster/{self.config.zone}", list[messages.Endpoint])
@@ -160,10 +162,16 @@
             self.state.table.merge(record)
 
     def take_status(self, former: ZoneStatus) -> None:
-        """Count the nodes of the slot's former holder as lost until they show up."""
+        """Count the nodes of the slot's former holder as lost until they show up.
+
+        Not the former holder itself, if it stopped as planned.
+        """
         now = self.time.monotonic()
+        known = {self.config.name, *self.relay.nodes}
+        if self.former_left:
+            known.add(former.relay)
         for name, node in former.nodes.items():
-            if name in self.relay.nodes or name == self.config.name:
+            if name in known:
                 continue
             lost_at = node.lost_at or self.time.wall()
             self.relay.nodes[name] = msgspec.structs.replace(node, lost_at=lost_at)
@@ -195,15 +203,22 @@
         """Mark endpoints lost that no relay hears, and forget old losses."""
         now = self.time.monotonic()
         attached = self.attached()
+        judged = self.judged_zones()
         for record in self.state.table.all(messages.Endpoint):
             if record.dead or record.name in attached:
                 self.missing.pop(record.name, None)
-            elif record.zone == self.config.zone or not self.zone_alive(record.zone):
+            elif record.zone in judged:
                 self.judge_missing(record, now)
         for name, since in list(self.relay.lost_at.items()):
             if name in attached or now - since >= self.config.control.forget_after:
                 self.relay.forget(name)
 
+    def judged_zones(self) -> set[str]:
+        """Return the own zone, and those that have no relay any more."""
+        zones = {r.zone for r in self.state.table.all(messages.Endpoint)}
+        judged = {zone for zone in zones if not self.zone_alive(zone)}
+        return judged | {self.config.zone}
+
     def judge_missing(self, record: messages.Endpoint, now: float) -> None:
         since = self.missing.setdefault(record.name, now)
         limit = self.config.control.orphan_after
--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -122,6 +122,9 @@
     "Two routes match exactly the same requests",
     exit_code=2,
 )
+CANNOT_LISTEN = define(
+    1008, "cannot-listen", 500, "A port of the settings cannot be listened on"
+)
 
 # 2xxx: the platform's object API.
 PLATFORM_DOWN = define(
@@ -220,6 +223,7 @@
     503,
     "Claims cannot be read: this sending did not run, an earlier one may have",
 )
+
 PEER_UNREACHABLE = define(
     5030,
     "peer-unreachable",
@@ -239,9 +243,6 @@
     "The answer has no length, so a cut could not be told from its end",
 )
 INTERNAL = define(5034, "internal", 500, "The node itself failed; see its log")
-CALLER_CUT = define(
-    5035, "caller-cut", 502, "The rest of a large answer was lost on the way"
-)
 
 # 6xxx: rollouts.
 ROLLOUT_RUNNING = define(
--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -49,7 +49,12 @@
 class ControlSettings(Struct):
     """Times of the control path, in seconds, and its bounds.
 
-    :param stream_timeout: silence after which either end leaves a stream.
+    :param report_interval: between a relay's judgements and status writes.
+    :param beat_interval: between a relay's heartbeats to each subscriber.
+    :param node_beat_interval: between heartbeats of a subscriber that is idle.
+    :param stream_timeout: a relay's silence after which a subscriber leaves it,
+        and the bound on a single write.
+    :param silence_limit: a subscriber's silence after which a relay drops it.
     :param lost_after: from a broken stream until the endpoint counts as lost.
     :param orphan_after: the same for an endpoint without any known stream.
     :param forget_after: from a broken stream until a node is no longer counted.
@@ -58,9 +63,12 @@
 
     lease_term: Seconds = 3.0
     report_interval: Seconds = 1.0
+    beat_interval: Seconds = 1.25
+    node_beat_interval: Seconds = 2.5
     batch_interval: Seconds = 0.05
     watch_wait: Seconds = 20.0
-    stream_timeout: Seconds = 2.5
+    stream_timeout: Seconds = 2.75
+    silence_limit: Seconds = 6.0
     lost_after: Seconds = 2.0
     orphan_after: Seconds = 8.0
     forget_after: Seconds = 60.0
@@ -90,6 +98,19 @@
     answer_bytes: Bytes = 4_000_000
 
 
+class RolloutSettings(Struct):
+    """Times of rollouts, in seconds.
+
+    :param least_hold: no step of a rollout is held for less.
+    :param warmup: a new endpoint's calls are not timed for so long.
+    :param keep_progress: least time between two writes of a step's progress.
+    """
+
+    least_hold: Seconds = 10.0
+    warmup: Seconds = 30.0
+    keep_progress: Seconds = 5.0
+
+
 class StatsdSettings(Struct):
     """Where counters go; an empty host keeps them in memory."""
 
@@ -145,6 +166,7 @@
     limits: Limits = msgspec.field(default_factory=Limits)
     control: ControlSettings = msgspec.field(default_factory=ControlSettings)
     claims: ClaimSettings = msgspec.field(default_factory=ClaimSettings)
+    rollouts: RolloutSettings = msgspec.field(default_factory=RolloutSettings)
     statsd: StatsdSettings = msgspec.field(default_factory=StatsdSettings)
 
 
@@ -165,10 +187,9 @@
 
 def check(settings: NodeSettings, where: str = "settings") -> None:
     """Check what types can't say: IP numbers, URLs, tokens, ports and times."""
-    try:
-        ipaddress.ip_address(settings.address)
-    except ValueError:
-        refuse(where, "address", f"{settings.address!r} is not an IP number")
+    check_number(settings.address, "address", where)
+    if settings.statsd.host:
+        check_number(settings.statsd.host, "statsd.host", where)
     for index, url in enumerate(settings.platform):
         if not URL.fullmatch(url):
             refuse(where, f"platform[{index}]", f"{url!r} is not an HTTP URL")
@@ -184,6 +205,14 @@
         refuse(where, "control.backoff_limit", "below backoff_first")
 
 
+def check_number(address: str, path: str, where: str) -> None:
+    """Refuse what is not an IP number."""
+    try:
+        ipaddress.ip_address(address)
+    except ValueError:
+        refuse(where, path, f"{address!r} is not an IP number")
+
+
 def check_tokens(tokens: list[Token], where: str) -> None:
     """Refuse tokens with one name or one secret."""
     names: set[str] = set()
@@ -206,4 +235,5 @@
 
 
 def refuse(where: str, path: str, detail: str) -> typing.NoReturn:
+    """Raise the failure of one field."""
     raise codes.Failure(codes.BAD_FIELD, detail, where=f"{where}: {path}")
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -1,10 +1,11 @@
 """One node: all parts on one host, put together."""
 
 import asyncio
+import gc
 
 import aiohttp.web
 
-from rattanridge import policies
+from rattanridge import admin as operations, policies
 from rattanridge.admin import server as admin
 from rattanridge.calls import (
     claims,
@@ -15,12 +16,22 @@
     ledger,
     local,
     memory,
+    observer,
     owners,
     poison,
     server,
 )
-from rattanridge.control import member, replica, roster, transport
-from rattanridge.kernel import log, metrics, registry, settings
+from rattanridge.control import (
+    collector,
+    coordinator,
+    member,
+    pool,
+    replica,
+    reporter,
+    roster,
+    transport,
+)
+from rattanridge.kernel import addresses, codes, log, metrics, registry, settings
 from rattanridge.platform import client
 
 DRAIN_STEP = 0.02  # seconds between looks at what still runs
@@ -28,6 +39,13 @@
 LOOPBACK = "127.0.0.1"
 
 
+def settle_memory() -> None:
+    """Keep the collector from walking over modules and settings again and again,
+    which would hold up calls for milliseconds."""
+    gc.collect()
+    gc.freeze()
+
+
 class Node:
     """The process beside an upstream.
 
@@ -36,6 +54,7 @@
 
     def __init__(self, config: settings.NodeSettings):
         registry.load_plugins(policies)
+        registry.load_plugins(operations)
         self.config = config
         self.log = log.Log("node", config.name)
         self.counters = metrics.Counters(
@@ -54,6 +73,13 @@
             config, self.state, self.exit, self.counters, self.held
         )
         self.guard_calls()
+        self.collector = collector.Collector(config, self.state, self.counters)
+        self.observer = observer.Observer(config, self.entry.attempts, self.collector)
+        self.pool = pool.Pool(config, self.state, self.counters)
+        self.reporter = reporter.Reporter(
+            config, self.member, self.collector, self.pool
+        )
+        self.coordinator = coordinator.Coordinator(self.member, self.pool)
         self.hop = hop.Hop(config, self.exit, self.counters, self.held)
         self.local = local.Local(config, self.entry, self.exit, self.announcer)
         self.admin = admin.Server(config, self.platform, self.state, self.counters)
@@ -99,6 +125,7 @@
         )
         await self.local.start(hop_url.removeprefix("http://"))
         await self.member.start()
+        self.reporter.start()
         self.log.info(
             "node-started",
             zone=config.zone,
@@ -113,10 +140,14 @@
         served = server.Server(handler, self.config, self.counters)
         runner = aiohttp.web.ServerRunner(served, shutdown_timeout=1.0)
         await runner.setup()
-        await aiohttp.web.TCPSite(runner, address, port).start()
         self.runners.append(runner)
+        try:
+            await aiohttp.web.TCPSite(runner, address, port).start()
+        except OSError as error:
+            where = addresses.join(address, port)
+            raise codes.Failure(codes.CANNOT_LISTEN, error.strerror or "", where=where)
         bound = runner.addresses[0]
-        return f"http://{bound[0]}:{bound[1]}"
+        return f"http://{addresses.join(bound[0], bound[1])}"
 
     async def stop(self) -> None:
         """Graceful shutdown: withdraw, finish what runs, hand over, end."""
@@ -145,14 +176,15 @@
     def busy(self) -> int:
         """Return the requests in progress on all ports."""
         hop = self.hop.active + len(self.hop.background.tasks)
-        calls = self.entry.busy() + len(self.claims.tasks)
-        return calls + hop + self.exit.admission.running
+        claimed = len(self.claims.tasks)
+        return self.entry.busy() + hop + claimed + self.exit.admission.running
 
     async def close(self) -> None:
         """End everything at once."""
         await self.local.stop()
         await self.claims.close()
         await self.ledger.close()
+        await self.reporter.stop()
         await self.member.stop()
         for runner in self.runners:
             await runner.cleanup()
--- a/rattanridge/policies/hedging.py
+++ b/rattanridge/policies/hedging.py
@@ -2,9 +2,10 @@
 
 import abc
 
-from rattanridge.kernel import registry
+from rattanridge.kernel import presets, registry
 
 HEDGES: registry.Registry[type["Hedge"]] = registry.Registry("hedge policy")
+presets.PLUGINS.register("hedging")(HEDGES)
 
 LATENCY_FACTOR = 3.0
 
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -125,12 +125,13 @@
 
 
 class Mesh:
-    """Nodes that know each other's endpoints at once; no relays.
+    """Nodes that know each other's endpoints at once, without relays.
 
-    The platform is there for claims only.
+    The platform is there for claims; each node owns the slices that it uses.
     """
 
     def __init__(self):
+        self.platform = platforms.Platform()
         self.nodes: dict[str, nodes.Node] = {}
         self.upstreams: list[Upstream] = []
         self.generation = 0
@@ -151,7 +152,8 @@
         node.caller_url = await node.listen(node.serve_caller, "127.0.0.1", 0)
         hop = await node.listen(node.hop.serve, "127.0.0.1", 0)
         node.local_url = await node.listen(node.local.serve, "127.0.0.1", 0)
-        await node.local.start(hop.removeprefix("http://"))
+        # Not started: announcements of tests hold without renewal.
+        node.local.hop = hop.removeprefix("http://")
         node.state.table.listeners.append(self.share)
         self.nodes[name] = node
         return node
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -15,10 +15,12 @@
     messages,
     outbox,
     relay as relays,
+    replica,
     roster,
     source as sources,
     subscriber as subscribers,
     tables,
+    transport,
     zone as zones,
 )
 from rattanridge.kernel import clock, codes, metrics, snapshot
@@ -153,15 +155,31 @@
         for number in range(5):
             box.put(messages.Beat(number))
         assert box.closed
-        assert await box.get(1.0) is None
+        assert await box.get() is None
 
     async def test_records_that_wait_go_as_one(self):
         box = outbox.Outbox(9)
         for sequence in (1, 2):
             box.put(messages.Records([endpoint(sequence=sequence)]))
         box.put(messages.Beat(1))
-        assert len((await box.get(1.0)).items) == 2
-        assert await box.get(1.0) == messages.Beat(1)
+        assert len((await box.get()).items) == 2
+        assert await box.get() == messages.Beat(1)
+
+
+class TestMessages:
+    @pytest.mark.parametrize("count", [1, 200])
+    def test_large_ones_are_packed(self, count):
+        sent = messages.Records([endpoint(f"n{number}") for number in range(count)])
+        data = messages.encode(sent)
+        assert messages.decode(data) == sent
+        assert len(data) < 30 * count + 100
+
+    def test_bomb_and_rubbish_are_refused(self):
+        bomb = messages.zlib.compress(bytes(messages.MAX_MESSAGE_BYTES + 1))
+        for data in (bomb, b"x"):
+            with pytest.raises(codes.Failure) as caught:
+                messages.decode(messages.encoder.encode(messages.Packed(data)))
+            assert caught.value.code is codes.BAD_MESSAGE
 
 
 class Context:
@@ -382,6 +400,23 @@
         zone.judge()
         assert set(zone.status().nodes) == {"one"}
 
+    @pytest.mark.parametrize("planned", [True, False])
+    async def test_relay_that_stopped_as_planned_is_not_lost(
+        self, platform, time, planned
+    ):
+        former = leases.Lease(platform, "relay-a-0", "gone", "gone:1", 3.0, time)
+        await former.step()
+        lease = leases.Lease(platform, "relay-a-0", "one", "one:1", 3.0, time)
+        await lease.step()
+        if planned:
+            await former.release()
+        time.now += 4
+        assert await lease.step()
+        zone = self.make(platform, time)
+        zone.former_left = lease.given_back
+        zone.take_status(zones.ZoneStatus("gone", {"gone": messages.NodeState(3)}))
+        assert ("gone" in zone.relay.nodes) is not planned
+
 
 class TestSubscriber:
     @pytest.fixture
@@ -399,13 +434,74 @@
     async def test_another_base_asks_for_the_whole(self, subscriber):
         delta = snapshot.diff(make_snapshot(1), make_snapshot(2, ["print"]))
         subscriber.handle(messages.Config(delta))
-        assert isinstance(await subscriber.outbox.get(1.0), messages.Want)
+        assert isinstance(await subscriber.outbox.get(), messages.Want)
 
     def test_rejection_is_reported(self, subscriber):
         why = messages.Rejection(2, 1004, "presets/day/00000002: no service")
         subscriber.handle(messages.Rejected(why))
         assert subscriber.state.report().rejection == why
 
+    def answer_reads(self, subscriber, read):
+        class Call:
+            async def write(self, data):
+                pass
+
+            def cancel(self):
+                pass
+
+        class Streams:
+            def stream(self, address, method):
+                call = Call()
+                call.read = read
+                return call
+
+        subscriber.channels = Streams()
+
+    async def test_cancelled_task_ends_whatever_the_library_raises(self, subscriber):
+        async def read():
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                raise asyncio.InvalidStateError("closed")
+
+        self.answer_reads(subscriber, read)
+        task = asyncio.create_task(subscriber.run("two:1"))
+        await clock.settle()
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    async def test_cancelled_call_is_a_lost_relay(self, subscriber):
+        """grpc tells of a call that this side cancelled by ``CancelledError``."""
+
+        async def read():
+            raise asyncio.CancelledError
+
+        self.answer_reads(subscriber, read)
+        with pytest.raises(codes.Failure) as caught:
+            await subscriber.run("two:1")
+        assert caught.value.code is codes.NO_RELAY
+
+    async def test_frozen_relay_is_left(self):
+        """A relay that accepts the stream and then says nothing."""
+
+        async def freeze(node, context):
+            await asyncio.Event().wait()
+
+        config = fakes.make_settings()
+        config.control.stream_timeout = 0.1
+        server = transport.Server(config)
+        server.add_stream("Subscribe", freeze)
+        address = await server.start()
+        state = replica.Replica(config, metrics.Counters())
+        channels = transport.Channels(config)
+        node = subscribers.Subscriber(config, state, channels, state.counters, 1)
+        with pytest.raises(codes.Failure) as caught:
+            await asyncio.wait_for(node.run(address), 30)
+        assert caught.value.code is codes.NO_RELAY
+        await channels.close()
+        await server.stop()
+
     crossing = strategies.lists(strategies.integers(0, 11), max_size=40)
 
     @hypothesis.given(crossing)
@@ -529,6 +625,36 @@
         member.failed["two:1"] = member.time.monotonic()
         assert await member.find_relay() == "three:1"
 
+    async def hold(self, member, slot, holder, version):
+        value = objects.LeaseValue(holder, f"{holder}:1", 1, 3.0)
+        await member.platform.put(f"leases/relay-a-{slot}", value, version)
+
+    async def test_dead_relays_of_stale_leases_are_not_tried_for_ever(self, member):
+        """Both relays died: the node must look at the leases, and win one."""
+        member.time = member.platform.time
+        member.state.hold()
+        for slot, holder in enumerate(("two", "three")):
+            await self.hold(member, slot, holder, 0)
+        for _ in range(8):
+            finding = asyncio.create_task(member.find_relay())
+            await clock.settle()
+            await member.time.advance(members.CANDIDATE_SPREAD)
+            if address := await finding:
+                member.failed[address] = member.time.monotonic()
+            await member.time.advance(member.config.control.backoff_limit)
+        assert member.lease is not None
+
+    async def test_relay_that_renews_its_lease_is_tried_again(self, member):
+        member.config.relay = False
+        await self.hold(member, 0, "two", 0)
+        assert await member.find_relay() == "two:1"
+        member.failed["two:1"] = member.next_look = member.time.monotonic()
+        stored = await member.platform.get("leases/relay-a-0")
+        await self.hold(member, 0, "two", stored.version)
+        assert member.zone_relays() == []
+        assert await member.find_relay() == "two:1"
+        assert member.zone_relays() == ["two:1"]
+
     async def test_other_zone_serves_while_the_own_has_none(self, member):
         member.platform.plan = ["down"] * 9
         role = messages.Role("relay-b-0", "far", "far:1", 1)
