--- a/rattanridge/calls/claims.py
+++ b/rattanridge/calls/claims.py
@@ -162,33 +162,43 @@
         avoid: set[str] = set()
         moves = 0
         running = False
-        while True:
+        while moves <= MOVES_MOST:
             left = sending.call.deadline - asyncio.get_running_loop().time()
-            if left <= LEAST_LEFT or moves > MOVES_MOST:
-                raise self.give_up(running)
+            if left <= LEAST_LEFT:
+                break
             ask.wait = min(ASK_WAIT, left - LEAST_LEFT)
-            address = self.owners.pick(number, avoid)
-            try:
-                reply = await self.owners.ask(address, ask)
-            except codes.Failure as failure:
-                self.counters.add(f"claims.owner-silent.{failure.code.name}")
-                self.owners.note_silent(number, address)
-                avoid.add(address)
-                ask.unreachable = address
-                moves += 1
-                await self.time.sleep(PAUSE)
-                continue
-            if reply.verdict is claimed.Verdict.MOVED:
+            reply = await self.ask(ask, avoid)
+            if reply is None:
                 moves += 1
-                if reply.address in avoid:
-                    ask.unreachable = reply.address
-                else:
-                    self.owners.learn(number, reply.address)
-                continue
-            self.owners.learn(number, address)
-            if reply.verdict not in (claimed.Verdict.RUNNING, claimed.Verdict.PENDING):
+            elif reply.verdict is claimed.Verdict.RUNNING:
+                running = True
+            elif reply.verdict is not claimed.Verdict.PENDING:
                 return reply
-            running = running or reply.verdict is claimed.Verdict.RUNNING
+        raise self.give_up(running)
+
+    async def ask(self, ask: claimed.Ask, avoid: set[str]) -> claimed.Reply | None:
+        """Ask one address; ``None`` if another one has to be asked.
+
+        :param avoid: addresses that did not answer; one more may be added.
+        """
+        address = self.owners.pick(ask.slice, avoid)
+        try:
+            reply = await self.owners.ask(address, ask)
+        except codes.Failure as failure:
+            self.counters.add(f"claims.owner-silent.{failure.code.name}")
+            self.owners.note_silent(ask.slice, address)
+            avoid.add(address)
+            ask.unreachable = address
+            await self.time.sleep(PAUSE)
+            return None
+        if reply.verdict is not claimed.Verdict.MOVED:
+            self.owners.learn(ask.slice, address)
+            return reply
+        if reply.address in avoid:
+            ask.unreachable = reply.address
+        else:
+            self.owners.learn(ask.slice, reply.address)
+        return None
 
     def closable(self, sending: Sending) -> str:
         """Return the attempt whose outcome this caller is known to have."""
--- a/rattanridge/calls/owners.py
+++ b/rattanridge/calls/owners.py
@@ -5,6 +5,7 @@
 not. All of this is a hint: a wrong address costs a question, never a grant.
 """
 
+import asyncio
 import hashlib
 
 from rattanridge.calls import claimed, ledger
@@ -95,9 +96,15 @@
         message: claimed.Ask | claimed.Outcome,
         timeout: float,
     ) -> messages.Embedded:
-        answer = await self.channels.call(
-            address, method, claimed.pack(message), timeout
-        )
+        try:
+            answer = await self.channels.call(
+                address, method, claimed.pack(message), timeout
+            )
+        except asyncio.CancelledError:
+            # Closing a connection cancels the calls on it.
+            if asyncio.current_task().cancelling():
+                raise
+            raise codes.Failure(codes.NO_RELAY, "connection closed")
         if not isinstance(answer, messages.Embedded):
             raise codes.Failure(codes.BAD_MESSAGE, type(answer).__name__)
         return answer
