--- a/rattanridge/calls/entry.py
+++ b/rattanridge/calls/entry.py
@@ -24,6 +24,16 @@
 MARGIN_SHARE = 0.1  # most of the timeout that the margin takes
 DEADLINE_DIGITS = 9
 
+SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
+# Refusals that the same request need not have met at an earlier time.
+PASSING_REFUSALS = (
+    codes.STOPPING,
+    codes.NOT_READY,
+    codes.NO_ROUTE,
+    codes.MEMORY_FULL,
+    codes.BODY_CUT,
+)
+
 Work = collections.abc.Callable[[], collections.abc.Awaitable[types.Answer]]
 Gate = collections.abc.Callable[[types.Call], None]
 Guard = collections.abc.Callable[
@@ -106,9 +116,7 @@
         """
         self.active += 1
         try:
-            if self.stopping and not inner:
-                raise codes.Failure(codes.STOPPING, retry_after=1.0)
-            call = await self.read(request, inner)
+            call = await self.admit(request, inner)
             try:
                 answer = await self.answer(call)
             finally:
@@ -122,6 +130,22 @@
             self.active -= 1
         return await self.respond(request, answer)
 
+    async def admit(self, request: aiohttp.web.BaseRequest, inner: bool) -> types.Call:
+        """Read a request, or refuse it before its claim was looked at.
+
+        Such a refusal does not say "not run" of a request that may be the second
+        sending of one that ran, unless it would have been refused then too.
+        """
+        try:
+            if self.stopping and not inner:
+                raise codes.Failure(codes.STOPPING, retry_after=1.0)
+            return await self.read(request, inner)
+        except codes.Failure as failure:
+            repeatable = request.method not in SAFE_METHODS
+            if repeatable and failure.code in PASSING_REFUSALS:
+                failure.ran = codes.Ran.UNKNOWN
+            raise
+
     async def answer(self, call: types.Call) -> types.Answer:
         """Run a call: through the guard if it must not repeat.
 
