--- a/rattanridge/calls/versions.py
+++ b/rattanridge/calls/versions.py
@@ -72,7 +72,7 @@
         """Keep the few endpoints that the stage uses; the same at every node."""
         if not stage.spread or stage.spread >= len(new):
             return new
-        return sorted(new, key=rank)[: stage.spread]
+        return sorted(new, key=lambda item: rank(item.name))[: stage.spread]
 
 
 def rank(item: balancers.Candidate) -> bytes:
--- a/tests/test_rollouts_path.py
+++ b/tests/test_rollouts_path.py
@@ -5,9 +5,11 @@
 
 import aiohttp
 import pytest
+from click import testing
 
 from rattanridge.admin import rollouts as admin_rollouts
 from rattanridge.calls import headers
+from rattanridge.cli import main
 from rattanridge.control import messages
 from rattanridge.kernel import codes, settings
 from rattanridge.measure import fleet
@@ -136,3 +138,34 @@
         await admin_of(running).cancel("workshop", "olga")
         again = await admin_of(running).start("workshop", asked, "olga")
         assert again.number == 2
+
+
+class TestCommands:
+    async def run(self, running, *words: str):
+        """Run the command line against the administration API."""
+        url = running.hosts["entry"].node.admin_url
+        options = ["--admin", url, "--token", fleet.TOKENS[0].secret]
+        runner = testing.CliRunner()
+        command = ["rollout", *words, *options]
+        return await asyncio.to_thread(runner.invoke, main.main, command)
+
+    async def test_start_list_show_cancel_watch(self, running):
+        start = ("start", "workshop", "--from", "v1", "--to", "v2", "--deadline")
+        refused = await self.run(running, *start, "1s")
+        assert refused.exit_code == 2
+        assert str(codes.ROLLOUT_DEADLINE.number) in refused.output
+        started = await self.run(running, *start, "1h")
+        assert started.exit_code == 0
+        assert "rollout 1 of workshop v1 -> v2: running" in started.output
+        listed = await self.run(running, "list")
+        assert "step 1 of 8 share 1%" in listed.output
+        shown = await self.run(running, "show", "workshop")
+        assert len(shown.output.splitlines()) == 9
+        again = await self.run(running, *start, "1h")
+        assert str(codes.ROLLOUT_RUNNING.number) in again.output
+        cancelled = await self.run(running, "cancel", "workshop")
+        assert "taken-back: cancelled by olga" in cancelled.output
+        watched = await self.run(running, "watch", "workshop")
+        assert watched.exit_code == 3
+        missing = await self.run(running, "show", "nothing")
+        assert str(codes.ROLLOUT_MISSING.number) in missing.output
