--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -108,3 +108,22 @@
         response = await post(session, running, "three", "/print", key="")
         assert response.status == 200
         assert [run.finished for run in upstream.runs] == [True]
+
+
+class TestRefusedBeforeTheClaim:
+    """A repeat that is refused before its claim was looked at may have run."""
+
+    @pytest.mark.parametrize("fault", ["not-ready", "stopping", "no-route"])
+    async def test_not_called_not_run(self, running, session, fault):
+        assert (await post(session, running, "two")).status == 200
+        node = running.hosts["three"].node
+        match fault:
+            case "not-ready":
+                node.state.snapshot = None
+            case "stopping":
+                node.entry.stopping = True
+            case "no-route":
+                node.state.snapshot.routes.clear()
+        response = await post(session, running, "three")
+        assert response.status != 200
+        assert response.headers[headers.RAN] == codes.Ran.UNKNOWN
