--- a/rattanridge/control/replica.py
+++ b/rattanridge/control/replica.py
@@ -1,6 +1,5 @@
 """What one node knows: the snapshot in force and the table of records."""
 
-import asyncio
 import collections.abc
 
 from rattanridge.control import messages, tables
@@ -29,7 +28,6 @@
         self.snapshot: snapshot.Snapshot | None = None
         self.rejection: messages.Rejection | None = None
         self.listeners: list[collections.abc.Callable[[], None]] = []
-        self.applied = asyncio.Event()
         self.floor: int | None = 0
         self.waiting: snapshot.Snapshot | None = None
 
@@ -92,7 +90,6 @@
             revision=new.head.revision,
             digest=new.digest,
         )
-        self.applied.set()
         self.notify()
         return True
 
--- a/rattanridge/control/roster.py
+++ b/rattanridge/control/roster.py
@@ -1,7 +1,5 @@
 """The node's own announcement of the endpoint beside it."""
 
-import asyncio
-
 import msgspec
 
 from rattanridge.control import messages, replica
@@ -81,12 +79,3 @@
         if self.wanted is not None:
             self.sequence = max(self.sequence, record.sequence)
             self.publish(self.wanted)
-
-
-async def wait_for_state(state: replica.Replica, name: str, wanted: str) -> None:
-    """Wait until an endpoint's record is in a state."""
-    while True:
-        record = state.table.records.get(("endpoint", name))
-        if record is not None and record.state == wanted:
-            return
-        await asyncio.sleep(0.01)
