--- a/rattanridge/calls/admission.py
+++ b/rattanridge/calls/admission.py
@@ -10,6 +10,7 @@
 
 FAST_WEIGHT = 0.3
 SLOW_WEIGHT = 0.05
+HOLD_MOST = 1.0  # seconds that free slots are held for higher priorities
 RANKS = {name: rank for rank, name in enumerate(presets.PRIORITIES)}
 
 
@@ -76,6 +77,7 @@
         self.waiting: list[Waiter] = []
         self.numbers = itertools.count()
         self.service_time = ServiceTime()
+        self.refused_at = [float("-inf")] * len(RANKS)
         self.closed = False
 
     def load(self) -> tuple[int, int]:
@@ -106,10 +108,12 @@
         now = loop.time()
         if now >= deadline:
             raise codes.Failure(codes.TOO_LATE)
+        rank = RANKS[priority]
         if self.running < self.slots and not self.waiting:
+            self.check_held(rank, now)
             self.running += 1
             return
-        waiter = self.push(RANKS[priority], deadline, now)
+        waiter = self.push(rank, deadline, now)
         timer = loop.call_at(deadline, self.expire, waiter)
         try:
             await waiter.ready
@@ -127,18 +131,31 @@
         before = len(self.waiting) - index
         wait = (before + 1) / self.slots * self.service_time.mean
         if now + wait + self.service_time.mean > deadline:
+            self.refused_at[rank] = now
             raise codes.Failure(codes.TOO_LATE, retry_after=wait)
         if len(self.waiting) >= self.queue:
-            self.displace(rank, wait)
+            self.displace(rank, wait, now)
             index -= 1
         ready = asyncio.get_running_loop().create_future()
         waiter = Waiter(place, rank, deadline, ready)
         self.waiting.insert(max(index, 0), waiter)
         return waiter
 
-    def displace(self, rank: int, wait: float) -> None:
+    def check_held(self, rank: int, now: float) -> None:
+        """Refuse a request if higher priorities were refused within the time of
+        one request.
+
+        Where requests run for long, nobody can wait for a slot in time, and a free
+        one would go to whoever comes next, whatever its priority.
+        """
+        hold = min(self.service_time.mean, HOLD_MOST)
+        if any(now - refused < hold for refused in self.refused_at[:rank]):
+            raise codes.Failure(codes.QUEUE_FULL, "held", retry_after=hold)
+
+    def displace(self, rank: int, wait: float, now: float) -> None:
         """Drop the last waiter if its priority is lower; else refuse."""
         if not self.waiting or self.waiting[0].rank <= rank:
+            self.refused_at[rank] = now
             raise codes.Failure(codes.QUEUE_FULL, retry_after=wait)
         last = self.waiting.pop(0)
         refuse(last, codes.Failure(codes.QUEUE_FULL, "displaced", retry_after=wait))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Admission: slots, queue bound, order, deadlines, on a virtual clock."""
 
 import asyncio
+import random
 import selectors
 
 import hypothesis
@@ -202,6 +203,33 @@
         assert got == [None, codes.QUEUE_FULL, None, codes.QUEUE_FULL]
 
 
+class TestHold:
+    def crowd(self, high):
+        """Return clients of both priorities whose requests are too long to wait."""
+        rng = random.Random(1)
+        priorities = ["high", "low"] if high else ["low"]
+        return [
+            Client(n, n / 8, rng.choice(priorities), 1.2, 1.0, 100.0)
+            for n in range(400)
+        ]
+
+    def test_free_slots_go_to_the_higher_priority(self):
+        """Also where nobody can wait in time, so that no queue sorts them."""
+        gate = admission.Admission(2, 10)
+        clients = self.crowd(True)
+        simulate(gate, clients)
+        ran = [item.priority for item in clients[40:] if item.entered is not None]
+        assert len(ran) > 70
+        assert ran.count("low") < len(ran) / 10
+
+    def test_nothing_is_held_for_nobody(self):
+        """Without higher work the slots are used in full."""
+        gate = admission.Admission(2, 10)
+        clients = self.crowd(False)
+        simulate(gate, clients)
+        assert sum(item.entered is not None for item in clients) >= 95
+
+
 class TestEstimate:
     def test_cold_start_refuses_nobody(self):
         """Before anything ran, nothing is known that could refuse a request."""
