--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -139,6 +139,7 @@
         self.nodes: dict[str, nodes.Node] = {}
         self.upstreams: list[Upstream] = []
         self.generation = 0
+        self.platform = platforms.Platform()
 
     async def add(self, name: str, zone: str = "a", **limits: object) -> nodes.Node:
         if not self.platform.url:
@@ -152,7 +153,7 @@
         )
         node = nodes.Node(config)
         await node.entry.start()
-        node.caller_url = await node.listen(node.entry.serve, HOST, 0)
+        node.caller_url = await node.listen(node.serve_caller, HOST, 0)
         hop = await node.listen(node.hop.serve, HOST, 0)
         node.local_url = await node.listen(node.local.serve, HOST, 0)
         # Not started: announcements of tests hold without renewal.
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -274,6 +274,21 @@
                 await asyncio.sleep(0.01)
         assert messages.Records([endpoint("two")]) not in sender.got
 
+    async def test_storm_gathers_longer_and_calm_ends_it(self, state):
+        relay = relays.Relay(state.config, state, state.counters, clock.ManualClock())
+        relay.serving = True
+        shortest = state.config.control.batch_interval
+        longest = shortest * relays.STORM_STRETCH
+        for sequence in range(1, 9):
+            for number in range(relays.STORM_RECORDS):
+                state.table.merge(endpoint(f"n{number}", sequence=sequence))
+            await relay.time.advance(longest)
+        assert relay.gathering == longest
+        for sequence in range(9, 17):
+            state.table.merge(endpoint("n0", sequence=sequence))
+            await relay.time.advance(longest)
+        assert relay.gathering == shortest
+
     async def test_stuck_subscriber_is_sent_away(self, state, relay):
         relay.config.control.stream_timeout = 0.05
         context, task = await self.join(relay, hello())
@@ -283,6 +298,12 @@
         assert "two" not in relay.members
         assert relay.nodes["two"].lost_at
 
+    @pytest.mark.parametrize("said", [(), (messages.Beat(1),), (hello("three"),)])
+    async def test_stream_without_a_proper_hello_ends(self, relay, said):
+        relay.config.control.stream_timeout = 0.05
+        await asyncio.wait_for(relay.subscribe("two", Context(*said)), 10)
+        assert not relay.members
+
     async def test_admissions_are_bounded(self, relay, state):
         relay.config.control.admissions = 1
         relay.admitting = 1
