--- a/rattanridge/control/transport.py
+++ b/rattanridge/control/transport.py
@@ -20,6 +20,7 @@
 from rattanridge.kernel import addresses, codes, settings
 
 SERVICE = "rattanridge.Control"
+STOP_GRACE = 0.1  # seconds for calls in progress when the server stops
 OPTIONS = [
     ("grpc.max_receive_message_length", messages.MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", messages.MAX_MESSAGE_BYTES),
@@ -111,7 +112,7 @@
 
     async def stop(self) -> None:
         if self.server is not None:
-            await self.server.stop(None)
+            await self.server.stop(STOP_GRACE)
 
 
 class Channels:
