--- a/rattanridge/calls/versions.py
+++ b/rattanridge/calls/versions.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import functools
 import hashlib
 import random
 
@@ -72,12 +73,13 @@
         """Keep the few endpoints that the stage uses; the same at every node."""
         if not stage.spread or stage.spread >= len(new):
             return new
-        return sorted(new, key=rank)[: stage.spread]
+        return sorted(new, key=lambda item: rank(item.name))[: stage.spread]
 
 
-def rank(item: balancers.Candidate) -> bytes:
-    """Return a candidate's fixed place in a random order."""
-    return hashlib.blake2b(item.name.encode(), digest_size=8).digest()
+@functools.lru_cache(maxsize=4096)
+def rank(name: str) -> bytes:
+    """Return an endpoint's fixed place in a random order."""
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
 
 
 def without(found: Found, avoid: frozenset[str]) -> Found:
