--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,11 +1,13 @@
 """Stand-ins at the interfaces of the control path, without sockets."""
 
+import asyncio
 import urllib.parse
 
 import msgspec
 
-from rattanridge.control import replica, transport
-from rattanridge.kernel import clock, codes, metrics, settings
+from rattanridge.control import messages, replica, transport
+from rattanridge.kernel import clock, codes, metrics, settings, snapshot
+from rattanridge.measure import fleet
 from rattanridge.platform import client, objects
 from rattanridge.standin import store as stores
 
@@ -80,3 +82,52 @@
     def __init__(self, config: settings.NodeSettings):
         super().__init__(config)
         self.address = f"{config.name}:1"
+
+
+def endpoint(name="one", state="up", incarnation=1, sequence=1, zone="a"):
+    return messages.Endpoint(
+        name, zone, "pay", "v1", "h:1", 6, 110, state, incarnation, sequence
+    )
+
+
+def make_snapshot(generation: int, services=("pay",)) -> snapshot.Snapshot:
+    preset = fleet.make_preset("day", list(services))
+    return snapshot.build(generation, snapshot.split(preset, generation))
+
+
+def hello(node="two", generation=0, digest="", table="", relay=False):
+    return messages.Hello(node, "a", 1, generation, digest, table, relay)
+
+
+class Context:
+    """A stream as the relay sees it."""
+
+    def __init__(self, *said):
+        self.said = asyncio.Queue()
+        for message in said:
+            self.said.put_nowait(message)
+        self.got = []
+        self.stuck = False
+
+    async def read(self):
+        return await self.said.get()
+
+    async def write(self, data):
+        if self.stuck:
+            await asyncio.Event().wait()
+        self.got.append(messages.decode(messages.encode(data)))
+
+    def kinds(self):
+        return [type(message) for message in self.got]
+
+
+class Channels:
+    """Answers questions to other nodes from a table."""
+
+    def __init__(self, answers):
+        self.answers = answers
+
+    async def call(self, address, method, message, timeout):
+        if address not in self.answers:
+            raise codes.Failure(codes.NO_RELAY)
+        return self.answers[address]
