Find relays in a module of its own

Conclusion: finder.py chooses the relay and tries vacant roles; member.py subscribes and serves. Behaviour and assertions are unchanged.

--- a/rattanridge/control/member.py
+++ b/rattanridge/control/member.py
@@ -1,14 +1,13 @@
-"""A node's part in control: find relays, subscribe, and serve roles.
+"""A node's part in control: subscribe to a relay, and serve roles.
 
-One task for each stream. A node without a relay looks at its zone's leases in
-the platform, and tries one that is vacant; a node with a relay costs the
-platform nothing.
+One task for each stream. A node with a relay costs the platform nothing.
 """
 
 import asyncio
 import random
 
 from rattanridge.control import (
+    finder as finders,
     learning,
     messages,
     peers,
@@ -20,11 +19,8 @@
     zone as zones,
 )
 from rattanridge.kernel import clock, codes, log, metrics, settings
-from rattanridge.platform import client, leases, objects
+from rattanridge.platform import client, leases
 
-LOOK_INTERVAL = 1.0  # seconds between reads of the zone's leases, on average
-CANDIDATE_SPREAD = 0.5  # seconds over which nodes try a vacant role
-AVOID = 30.0  # seconds for which a relay that failed is the last choice
 RETURN_INTERVAL = 5.0  # seconds between looks for a relay of the own zone
 TIDY_INTERVAL = 30.0  # seconds between drops of ended records
 LEAVE_PAUSE = 0.05  # seconds for a farewell to be written
@@ -78,11 +74,15 @@
         self.zone.zone_alive = self.peers.zone_alive
         self.lease: leases.Lease | None = None
         self.won = asyncio.Event()
-        self.candidates: dict[str, leases.Lease] = {}
-        self.failed: dict[str, float] = {}
-        self.versions: dict[str, int] = {}
-        self.renewed: set[str] = set()
-        self.next_look = float("-inf")
+        self.finder = finders.Finder(
+            config,
+            platform,
+            state,
+            self.peers,
+            self.learner,
+            lambda: self.server.address,
+            self.time,
+        )
         self.subscription: subscribers.Subscriber | None = None
         self.tasks: list[asyncio.Task] = []
         self.role_tasks: list[asyncio.Task] = []
@@ -146,7 +146,8 @@
     async def attend(self) -> None:
         """Serve as relay if a lease is held, else subscribe to a relay."""
         if self.lease is None:
-            address = await self.find_relay()
+            address = await self.finder.find()
+            self.lease = self.lease or self.finder.take_won()
         if self.lease is not None:
             await self.serve_role(self.lease)
             return
@@ -167,7 +168,7 @@
                 stream.result()
         except codes.Failure as failure:
             if failure.code is not codes.RELAY_BUSY:
-                self.failed[address] = self.time.monotonic()
+                self.finder.note_failed(address)
                 await self.channels.drop(address)
             raise
         finally:
@@ -182,7 +183,8 @@
             pause = RETURN_INTERVAL * random.uniform(0.5, 1.5)
             if await clock.wait_event(self.time, self.won, pause):
                 return
-            if address not in self.zone_addresses() and self.zone_relays():
+            own = address in self.finder.zone_addresses()
+            if not own and self.finder.zone_relays():
                 return
 
     def make_subscriber(self) -> subscribers.Subscriber:
@@ -198,103 +200,6 @@
             note(subscription)
         return subscription
 
-    async def find_relay(self) -> str:
-        """Return a relay's address, or none; a vacant lease is tried on the way.
-
-        Relays of other zones come last: they serve while the own zone has none.
-        While the platform is up, they are those that were seen to renew.
-        """
-        if self.state.floor is not None and (known := self.zone_relays()):
-            return random.choice(known)
-        try:
-            await self.look_at_leases()
-            others = self.sound([a for a in self.all_relays() if a in self.renewed])
-        except codes.Failure:
-            await self.learner.ask(self.all_relays())
-            others = self.sound(self.all_relays()) or self.all_relays()
-        if self.state.floor is None or self.lease is not None:
-            return ""
-        return random.choice(self.zone_relays() or others or [""])
-
-    def zone_relays(self) -> list[str]:
-        """Return addresses of the zone's relays that did not fail lately."""
-        return self.sound(self.zone_addresses())
-
-    def zone_addresses(self) -> list[str]:
-        names = peers.relay_roles(self.config.zone)
-        return [r.address for r in self.peers.roles() if r.role in names]
-
-    def all_relays(self) -> list[str]:
-        return [record.address for record in self.peers.roles()]
-
-    def sound(self, addresses: list[str]) -> list[str]:
-        """Drop this node's own address and those that failed lately."""
-        now = self.time.monotonic()
-        return [
-            address
-            for address in addresses
-            if address != self.server.address
-            and now - self.failed.get(address, float("-inf")) > AVOID
-        ]
-
-    async def look_at_leases(self) -> None:
-        """Read the zone's relay leases now and then; try one that is vacant."""
-        now = self.time.monotonic()
-        if now < self.next_look:
-            return
-        self.next_look = now + LOOK_INTERVAL * random.uniform(0.5, 1.5)
-        found = {stored.key: stored for stored in await self.learner.look()}
-        self.note_renewals(found)
-        if not self.config.relay:
-            return
-        for role in peers.relay_roles(self.config.zone):
-            lease = self.candidate(role)
-            if not lease.vacant():
-                continue
-            # The nodes of a zone see the vacancy at once; few shall try at once.
-            await self.time.sleep(random.uniform(0, CANDIDATE_SPREAD))
-            if await lease.step():
-                self.lease = lease
-                return
-            self.merge_role(lease)
-            if not lease.vacant():
-                return
-
-    def note_renewals(self, found: dict[str, objects.Stored]) -> None:
-        """Observe the leases; a relay that renews its own is tried again."""
-        for role in peers.relay_roles(self.config.zone):
-            lease = self.candidate(role)
-            if lease.key in found:
-                lease.observe(found[lease.key])
-        for role in self.peers.roles():
-            stored = found.get(f"leases/{role.role}")
-            if stored is None:
-                continue
-            known = self.versions.get(role.role, stored.version)
-            self.versions[role.role] = stored.version
-            if stored.version > known:
-                self.renewed.add(role.address)
-                self.failed.pop(role.address, None)
-            else:
-                self.renewed.discard(role.address)
-
-    def merge_role(self, lease: leases.Lease) -> None:
-        if lease.seen is not None:
-            record = sources.role_record(lease.role, lease.seen.value)
-            self.state.table.merge(record)
-
-    def candidate(self, role: str) -> leases.Lease:
-        if role not in self.candidates:
-            self.candidates[role] = leases.Lease(
-                self.platform,
-                role,
-                self.config.name,
-                self.server.address,
-                self.config.control.lease_term,
-                self.time,
-            )
-        return self.candidates[role]
-
     def become_candidate(self, message: messages.Candidate) -> None:
         """A relay asks this node to take a vacant role."""
         busy = self.trying is not None and not self.trying.done()
@@ -303,7 +208,7 @@
 
     async def try_role(self, role: str) -> None:
         """Try for a bit longer than a term; take up the role if it is won."""
-        lease = self.candidate(role)
+        lease = self.finder.candidate(role)
         end = self.time.monotonic() + 2 * self.config.control.lease_term
         while self.time.monotonic() < end and self.lease is None:
             if await lease.step():
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -6,6 +6,7 @@
 import pytest
 
 from rattanridge.control import (
+    finder,
     member as members,
     messages,
     peers,
@@ -188,8 +189,8 @@
 
 @pytest.fixture
 async def world(monkeypatch):
-    monkeypatch.setattr(members, "LOOK_INTERVAL", 0.1)
-    monkeypatch.setattr(members, "CANDIDATE_SPREAD", 0.05)
+    monkeypatch.setattr(finder, "LOOK_INTERVAL", 0.1)
+    monkeypatch.setattr(finder, "CANDIDATE_SPREAD", 0.05)
     monkeypatch.setattr(peers, "PEERS_INTERVAL", 0.3)
     monkeypatch.setattr(peers, "APPOINT_PAUSE", 0.3)
     monkeypatch.setattr(zones, "WRITE_INTERVAL", 0.1)
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from rattanridge.control import (
+    finder,
     learning,
     member as members,
     messages,
@@ -216,8 +217,8 @@
         for slot, holder in enumerate(("two", "three")):
             role = messages.Role(f"relay-a-{slot}", holder, f"{holder}:1", 1)
             member.state.table.merge(role)
-        member.failed["two:1"] = member.time.monotonic()
-        assert await member.find_relay() == "three:1"
+        member.finder.failed["two:1"] = member.time.monotonic()
+        assert await member.finder.find() == "three:1"
 
     async def hold(self, member, slot, holder, version):
         value = objects.LeaseValue(holder, f"{holder}:1", 1, 3.0)
@@ -225,35 +226,36 @@
 
     async def test_dead_relays_of_stale_leases_are_not_tried_for_ever(self, member):
         """Both relays died: the node must look at the leases, and win one."""
-        member.time = member.platform.time
+        member.time = member.finder.time = member.platform.time
         member.state.hold()
         for slot, holder in enumerate(("two", "three")):
             await self.hold(member, slot, holder, 0)
         for _ in range(8):
-            finding = asyncio.create_task(member.find_relay())
+            finding = asyncio.create_task(member.finder.find())
             await clock.settle()
-            await member.time.advance(members.CANDIDATE_SPREAD)
+            await member.time.advance(finder.CANDIDATE_SPREAD)
             if address := await finding:
-                member.failed[address] = member.time.monotonic()
+                member.finder.failed[address] = member.time.monotonic()
             await member.time.advance(member.config.control.backoff_limit)
-        assert member.lease is not None
+        assert member.finder.won is not None
 
     async def test_relay_that_renews_its_lease_is_tried_again(self, member):
         member.config.relay = False
         await self.hold(member, 0, "two", 0)
-        assert await member.find_relay() == "two:1"
-        member.failed["two:1"] = member.next_look = member.time.monotonic()
+        assert await member.finder.find() == "two:1"
+        member.finder.failed["two:1"] = member.time.monotonic()
+        member.finder.next_look = member.time.monotonic()
         stored = await member.platform.get("leases/relay-a-0")
         await self.hold(member, 0, "two", stored.version)
-        assert member.zone_relays() == []
-        assert await member.find_relay() == "two:1"
-        assert member.zone_relays() == ["two:1"]
+        assert member.finder.zone_relays() == []
+        assert await member.finder.find() == "two:1"
+        assert member.finder.zone_relays() == ["two:1"]
 
     async def test_other_zone_serves_while_the_own_has_none(self, member):
         member.platform.plan = ["down"] * 9
         role = messages.Role("relay-b-0", "far", "far:1", 1)
         member.state.table.merge(role)
-        assert await member.find_relay() == "far:1"
+        assert await member.finder.find() == "far:1"
 
     async def test_superseded_by_a_lease_or_a_record(self, member):
         lease = leases.Lease(member.platform, "relay-a-0", "one", "one:1", 3.0)
