--- a/rattanridge/kernel/metrics.py
+++ b/rattanridge/kernel/metrics.py
@@ -30,7 +30,3 @@
 
     def get(self, name: str) -> int:
         return self.values[name]
-
-    def matching(self, prefix: str) -> dict[str, int]:
-        """Return the counts whose names begin with ``prefix``."""
-        return {k: v for k, v in sorted(self.values.items()) if k.startswith(prefix)}
--- a/rattanridge/measure/controls.py
+++ b/rattanridge/measure/controls.py
@@ -259,9 +259,6 @@
     def freeze(self) -> None:
         os.kill(self.process.pid, signal.SIGSTOP)
 
-    def thaw(self) -> None:
-        os.kill(self.process.pid, signal.SIGCONT)
-
     def kill(self) -> None:
         self.process.kill()
         self.process.join()
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -18,7 +18,7 @@
 
 
 class TestFiles:
-    @pytest.mark.parametrize("path", SOURCES, ids=file_id)
+    @pytest.mark.parametrize("path", SOURCES + TESTS, ids=file_id)
     def test_length(self, path):
         assert len(path.read_text().splitlines()) <= LINES_MOST
 
