--- a/rattanridge/cli/demo.py
+++ b/rattanridge/cli/demo.py
@@ -19,6 +19,8 @@
 SERVICES = ("registry", "workshop")
 ZONES = ("tunis-a", "tunis-b")
 PACE = 0.01  # seconds between calls
+STEPS_SECONDS = 17.0  # that the steps take without pauses between them
+PAUSES = 3
 CRASHER = "cracked-seal"
 
 
@@ -91,7 +93,7 @@
 
     async def act(self) -> None:
         """Change things under traffic."""
-        pause = self.seconds / 4
+        pause = max(self.seconds - STEPS_SECONDS, 0.0) / PAUSES
         await asyncio.sleep(pause)
         await self.choose("peak", 2.0)
         moving = demo_rollouts.Rollouts(self.fleet, ZONES, self.say, self.expect)
@@ -213,7 +215,9 @@
 
 @main.COMMANDS.register("demo")
 @click.command()
-@click.option("--seconds", default=12.0, show_default=True, help="Length in seconds.")
+@click.option(
+    "--seconds", default=20.0, show_default=True, help="About how long it runs."
+)
 @click.option("--seed", default=1, show_default=True)
 def demo(seconds: float, seed: int) -> None:
     """Run a small fleet under traffic and faults; exit 0 if all held."""
