--- a/rattanridge/calls/ledger.py
+++ b/rattanridge/calls/ledger.py
@@ -44,7 +44,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Desk:
+class SliceQueue:
     """One slice with the claims that wait for it."""
 
     slice: slices.Slice
@@ -80,7 +80,7 @@
         self.time = time or clock.Clock()
         self.log = log.Log("ledger", config.name)
         self.answers = answers.Answers(config.claims.answer_bytes)
-        self.desks: dict[int, Desk] = {}
+        self.queues: dict[int, SliceQueue] = {}
         self.budget = budget.Budget(self.time)
         self.questions = 0
         self.closed = False
@@ -99,11 +99,11 @@
         outcome = claimed.unpack(message, claimed.Outcome)
         return claimed.pack(self.settle(outcome))
 
-    def desk(self, number: int) -> Desk:
+    def queue_of(self, number: int) -> SliceQueue:
         if not 0 <= number < self.settings.slices:
             raise codes.Failure(codes.BAD_MESSAGE, f"slice {number}")
-        if number not in self.desks:
-            self.desks[number] = Desk(
+        if number not in self.queues:
+            self.queues[number] = SliceQueue(
                 slices.Slice(
                     number,
                     self.platform,
@@ -113,7 +113,7 @@
                     self.time,
                 )
             )
-        return self.desks[number]
+        return self.queues[number]
 
     async def claim(self, ask: claimed.Ask) -> claimed.Reply:
         """Answer a claim within the seconds that the question may wait."""
@@ -121,12 +121,12 @@
             raise codes.Failure(codes.STOPPING)
         if ask.slices != self.settings.slices:
             raise codes.Failure(codes.BAD_MESSAGE, "another number of slices")
-        desk = self.desk(ask.slice)
+        queue = self.queue_of(ask.slice)
         if self.questions >= WAITING_MOST:
             return self.count(claimed.Reply(claimed.Verdict.UNCHECKED))
         self.questions += 1
         try:
-            return self.count(await self.decide(desk, ask))
+            return self.count(await self.decide(queue, ask))
         finally:
             self.questions -= 1
 
@@ -134,29 +134,31 @@
         self.counters.add(f"claims.{reply.verdict.value}")
         return reply
 
-    async def decide(self, desk: Desk, ask: claimed.Ask) -> claimed.Reply:
-        if desk.slice.held:
-            reply = await self.wait_outcome(desk, ask)
+    async def decide(self, queue: SliceQueue, ask: claimed.Ask) -> claimed.Reply:
+        if queue.slice.held:
+            reply = await self.wait_outcome(queue, ask)
             if reply is not None:
                 return reply
-        future = self.join(desk, ask)
+        future = self.join(queue, ask)
         await self.wait(future, ask.wait)
         if not future.done():
             return claimed.Reply(claimed.Verdict.PENDING)
         return future.result()
 
-    async def wait_outcome(self, desk: Desk, ask: claimed.Ask) -> claimed.Reply | None:
+    async def wait_outcome(
+        self, queue: SliceQueue, ask: claimed.Ask
+    ) -> claimed.Reply | None:
         """Answer a repeat from memory; wait while the first one runs."""
-        reply = self.look(desk, ask)
+        reply = self.look(queue, ask)
         if reply is None or reply.verdict is not claimed.Verdict.RUNNING:
             return reply
-        event = desk.events.setdefault(ask.claim.key, asyncio.Event())
+        event = queue.events.setdefault(ask.claim.key, asyncio.Event())
         waiter = asyncio.ensure_future(event.wait())
         try:
             await self.wait(waiter, ask.wait)
         finally:
             waiter.cancel()
-        return self.look(desk, ask)
+        return self.look(queue, ask)
 
     async def wait(self, future: asyncio.Future, seconds: float) -> None:
         """Wait for a future, at most some seconds of this ledger's clock."""
@@ -168,9 +170,9 @@
         finally:
             sleeper.cancel()
 
-    def look(self, desk: Desk, ask: claimed.Ask) -> claimed.Reply | None:
+    def look(self, queue: SliceQueue, ask: claimed.Ask) -> claimed.Reply | None:
         """Answer from the known claims; ``None`` if the key may be claimed."""
-        known = desk.slice.find(ask.claim.key)
+        known = queue.slice.find(ask.claim.key)
         attempt = ask.claim.attempt
         if known is None:
             return None
@@ -201,38 +203,38 @@
             return claimed.Reply(claimed.Verdict.RUNNING)
         return claimed.Reply(claimed.Verdict.ACCEPTED)
 
-    def join(self, desk: Desk, ask: claimed.Ask) -> asyncio.Future:
+    def join(self, queue: SliceQueue, ask: claimed.Ask) -> asyncio.Future:
         """Queue a claim for the next write; a repeated question joins itself."""
         attempt = ask.claim.attempt
-        known = desk.waiting.get(attempt)
+        known = queue.waiting.get(attempt)
         if known is not None and not known.future.done():
             known.ask = ask
             return known.future
         future = asyncio.get_running_loop().create_future()
-        desk.waiting[attempt] = Waiting(ask, future)
-        desk.arrived.set()
-        self.kick(desk)
+        queue.waiting[attempt] = Waiting(ask, future)
+        queue.arrived.set()
+        self.kick(queue)
         return future
 
-    def kick(self, desk: Desk) -> None:
+    def kick(self, queue: SliceQueue) -> None:
         """Let the slice's task run."""
-        if desk.task is None or desk.task.done():
-            desk.task = asyncio.create_task(self.work(desk))
+        if queue.task is None or queue.task.done():
+            queue.task = asyncio.create_task(self.work(queue))
 
-    async def work(self, desk: Desk) -> None:
+    async def work(self, queue: SliceQueue) -> None:
         """Write while there is something to write; one write at a time."""
-        while desk.waiting or (desk.slice.held and desk.slice.settled):
-            if not desk.waiting:
-                desk.arrived.clear()
-                arrival = asyncio.ensure_future(desk.arrived.wait())
+        while queue.waiting or (queue.slice.held and queue.slice.settled):
+            if not queue.waiting:
+                queue.arrived.clear()
+                arrival = asyncio.ensure_future(queue.arrived.wait())
                 await self.wait(arrival, FLUSH_PAUSE)
                 arrival.cancel()
             await self.budget.take(self.rate())
-            batch, desk.waiting = desk.waiting, {}
+            batch, queue.waiting = queue.waiting, {}
             try:
-                await self.serve(desk, list(batch.values()))
+                await self.serve(queue, list(batch.values()))
             except codes.Failure as failure:
-                self.failed(desk, list(batch.values()), failure)
+                self.failed(queue, list(batch.values()), failure)
             except BaseException:
                 for item in batch.values():
                     item.refuse()
@@ -241,38 +243,38 @@
     def rate(self) -> float:
         """Return the writes a second that the slices worked on here may cost."""
         working = sum(
-            desk.task is not None and not desk.task.done()
-            for desk in self.desks.values()
+            queue.task is not None and not queue.task.done()
+            for queue in self.queues.values()
         )
-        held = sum(desk.slice.held for desk in self.desks.values())
+        held = sum(queue.slice.held for queue in self.queues.values())
         part = max(working, held, 1) / self.settings.slices
         return self.settings.writes_per_second * part
 
-    async def serve(self, desk: Desk, batch: list[Waiting]) -> None:
+    async def serve(self, queue: SliceQueue, batch: list[Waiting]) -> None:
         """Read the slice if it is not held, decide the batch, and write it.
 
         A slice that is full is read as well: nothing is refused as not run on
         what memory alone tells.
         """
-        room = self.settings.slice_bytes - desk.slice.used()
-        if not desk.slice.held or room < len(batch) * slices.CLAIM_BYTES:
-            await desk.slice.load()
+        room = self.settings.slice_bytes - queue.slice.used()
+        if not queue.slice.held or room < len(batch) * slices.CLAIM_BYTES:
+            await queue.slice.load()
             for item in batch:
                 item.checked = True
-            if self.elsewhere(desk, batch):
+            if self.elsewhere(queue, batch):
                 return
-        granted = self.choose(desk, batch)
-        if not granted and not (desk.slice.held and desk.slice.settled):
+        granted = self.choose(queue, batch)
+        if not granted and not (queue.slice.held and queue.slice.settled):
             return
         self.counters.add("claims.writes")
-        await desk.slice.commit([item.ask.claim for item in granted])
+        await queue.slice.commit([item.ask.claim for item in granted])
         for item in granted:
-            item.answer(self.look(desk, item.ask))
-        self.wake(desk)
+            item.answer(self.look(queue, item.ask))
+        self.wake(queue)
 
-    def elsewhere(self, desk: Desk, batch: list[Waiting]) -> bool:
+    def elsewhere(self, queue: SliceQueue, batch: list[Waiting]) -> bool:
         """Send the batch to the slice's owner, unless it can't be reached."""
-        slice = desk.slice
+        slice = queue.slice
         address = slice.head.address
         if not slice.foreign() or address == self.address:
             return False
@@ -284,14 +286,14 @@
             item.answer(claimed.Reply(claimed.Verdict.MOVED, address=address))
         return True
 
-    def choose(self, desk: Desk, batch: list[Waiting]) -> list[Waiting]:
+    def choose(self, queue: SliceQueue, batch: list[Waiting]) -> list[Waiting]:
         """Answer what needs no write; return the claims to write."""
         granted: dict[str, Waiting] = {}
-        room = self.settings.slice_bytes - desk.slice.used()
+        room = self.settings.slice_bytes - queue.slice.used()
         for item in batch:
             key, attempt = item.ask.claim.key, item.ask.claim.attempt
-            reply = self.look(desk, item.ask)
-            if reply is None and attempt in desk.slice.outcomes:
+            reply = self.look(queue, item.ask)
+            if reply is None and attempt in queue.slice.outcomes:
                 reply = claimed.Reply(claimed.Verdict.UNAVAILABLE)
             if reply is None and key in granted:
                 reply = claimed.Reply(claimed.Verdict.RUNNING)
@@ -303,16 +305,18 @@
                 granted[key] = item
         return list(granted.values())
 
-    def failed(self, desk: Desk, batch: list[Waiting], failure: codes.Failure) -> None:
+    def failed(
+        self, queue: SliceQueue, batch: list[Waiting], failure: codes.Failure
+    ) -> None:
         """After a failed read or write: try again once, then refuse.
 
         The claims may still be written; their entries tell that they gave up.
         """
-        desk.slice.held = False
+        queue.slice.held = False
         self.counters.add(f"claims.failed.{failure.code.name}")
         self.log.info(
             "claims-not-written",
-            slice=desk.slice.key,
+            slice=queue.slice.key,
             code=failure.code.number,
             claims=len(batch),
             why=failure.detail,
@@ -322,7 +326,7 @@
             if item.future.done():
                 continue
             if item.tries < TRIES:
-                desk.waiting.setdefault(item.ask.claim.attempt, item)
+                queue.waiting.setdefault(item.ask.claim.attempt, item)
             else:
                 item.refuse()
 
@@ -330,8 +334,8 @@
         """Note what became of an attempt, and wake those that wait for it."""
         if self.closed:
             raise codes.Failure(codes.STOPPING)
-        desk = self.desk(outcome.slice)
-        slice = desk.slice
+        queue = self.queue_of(outcome.slice)
+        slice = queue.slice
         if outcome.answer is not None:
             self.answers.put(outcome.attempt, outcome.answer)
         if outcome.state is claimed.State.CLOSED:
@@ -339,39 +343,39 @@
         changed = slice.settle(outcome.key, outcome.attempt, outcome.state)
         self.counters.add(f"claims.settled.{outcome.state.name.lower()}")
         if changed:
-            self.wake(desk)
-            self.kick(desk)
+            self.wake(queue)
+            self.kick(queue)
         if slice.foreign() and not slice.held:
             return claimed.Reply(claimed.Verdict.MOVED, address=slice.head.address)
         return claimed.Reply(claimed.Verdict.ACCEPTED)
 
-    def wake(self, desk: Desk) -> None:
+    def wake(self, queue: SliceQueue) -> None:
         """Wake the repeats whose first sending is no longer running."""
-        for key in list(desk.events):
-            known = desk.slice.find(key)
+        for key in list(queue.events):
+            known = queue.slice.find(key)
             if known is None or known.state is not claimed.State.RUNNING:
-                desk.events.pop(key).set()
+                queue.events.pop(key).set()
 
     async def hand_over(self) -> None:
         """Write what is left and give every slice back, on a planned stop."""
         self.closed = True
-        for desk in self.desks.values():
-            if desk.task is not None and not desk.task.done():
-                await self.wait(desk.task, WAIT_MOST)
-                desk.task.cancel()
-            if not desk.slice.held:
+        for queue in self.queues.values():
+            if queue.task is not None and not queue.task.done():
+                await self.wait(queue.task, WAIT_MOST)
+                queue.task.cancel()
+            if not queue.slice.held:
                 continue
             try:
-                await desk.slice.commit([], release=True)
+                await queue.slice.commit([], release=True)
             except codes.Failure as failure:
                 self.log.info(
-                    "slice-not-handed-over", slice=desk.slice.key, why=str(failure)
+                    "slice-not-handed-over", slice=queue.slice.key, why=str(failure)
                 )
 
     async def close(self) -> None:
         """End all tasks at once."""
         self.closed = True
-        tasks = [desk.task for desk in self.desks.values() if desk.task is not None]
+        tasks = [queue.task for queue in self.queues.values() if queue.task is not None]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/rattanridge/calls/poison.py
+++ b/rattanridge/calls/poison.py
@@ -39,7 +39,7 @@
         self.time = time or clock.Clock()
         self.log = log.Log("poison", node)
         self.known: dict[str, messages.Quarantine] = {}
-        self.innocent: dict[str, frozenset[str]] = {}
+        self.cleared_crashes: dict[str, frozenset[str]] = {}
         state.table.listeners.append(self.see)
 
     def gate(self, call: types.Call) -> None:
@@ -47,7 +47,7 @@
         if not self.known:
             return
         record = self.find(fingerprint(call))
-        if record is None or not self.guilty(record):
+        if record is None or not self.is_quarantined(record):
             return
         self.counters.add("poison.refused")
         ran = codes.Ran.NOT_RUN if call.idempotent else codes.Ran.UNKNOWN
@@ -63,19 +63,19 @@
     ) -> None:
         """Note how an attempt ended; mark an answer that must not be retried."""
         if answer.code is None:
-            self.exonerate(call)
+            self.clear_crashes(call)
             return
         if answer.code not in BROKEN or answer.ran is codes.Ran.NOT_RUN:
             return
-        record = self.accuse(call, chosen.name)
-        if self.guilty(record):
+        record = self.add_crash(call, chosen.name)
+        if self.is_quarantined(record):
             answer.code = codes.QUARANTINED
 
-    def accuse(self, call: types.Call, endpoint: str) -> messages.Quarantine:
+    def add_crash(self, call: types.Call, endpoint: str) -> messages.Quarantine:
         """Add an endpoint to the evidence and share it."""
         name = fingerprint(call)
         known = self.find(name)
-        crashes = set(known.crashes if known else ()) - self.cleared(name)
+        crashes = set(known.crashes if known else ()) - self.cleared_of(name)
         crashes.add(endpoint)
         self.counters.add("poison.crashes")
         return self.publish(name, crashes, self.time.wall() + EXPIRY)
@@ -89,20 +89,20 @@
         self.table.merge(record)
         return self.known.get(name, record)
 
-    def exonerate(self, call: types.Call) -> None:
+    def clear_crashes(self, call: types.Call) -> None:
         """A request that an upstream answered is not what broke the others."""
         if not self.known:
             return
         name = fingerprint(call)
         record = self.find(name)
-        if record is not None and not self.guilty(record):
-            self.innocent[name] = frozenset(record.crashes)
+        if record is not None and not self.is_quarantined(record):
+            self.cleared_crashes[name] = frozenset(record.crashes)
 
-    def cleared(self, name: str) -> frozenset[str]:
-        return self.innocent.get(name, frozenset())
+    def cleared_of(self, name: str) -> frozenset[str]:
+        return self.cleared_crashes.get(name, frozenset())
 
-    def guilty(self, record: messages.Quarantine) -> bool:
-        crashes = set(record.crashes) - self.cleared(record.fingerprint)
+    def is_quarantined(self, record: messages.Quarantine) -> bool:
+        crashes = set(record.crashes) - self.cleared_of(record.fingerprint)
         return len(crashes) >= CRASHES
 
     def find(self, name: str) -> messages.Quarantine | None:
@@ -123,7 +123,9 @@
             return
         before = self.known.get(name)
         self.known[name] = record
-        if self.guilty(record) and (before is None or not self.guilty(before)):
+        if self.is_quarantined(record) and (
+            before is None or not self.is_quarantined(before)
+        ):
             self.counters.add("poison.quarantined")
             self.log.warn(
                 "request-quarantined",
@@ -138,10 +140,10 @@
         self, record: messages.Quarantine, before: messages.Quarantine | None
     ) -> None:
         """Join the crashes of two nodes that did not know of each other's."""
-        if before is None or self.guilty(record):
+        if before is None or self.is_quarantined(record):
             return
         both = set(before.crashes) | set(record.crashes)
-        both -= self.cleared(record.fingerprint)
+        both -= self.cleared_of(record.fingerprint)
         if len(both) > len(record.crashes):
             until = max(before.until, record.until)
             self.publish(record.fingerprint, both, until)
@@ -159,7 +161,7 @@
     def forget(self, name: str) -> None:
         """Forget a record here; the table drops those that ended by itself."""
         self.known.pop(name, None)
-        self.innocent.pop(name, None)
+        self.cleared_crashes.pop(name, None)
 
 
 def fingerprint(call: types.Call) -> str:
--- a/rattanridge/measure/commissions.py
+++ b/rattanridge/measure/commissions.py
@@ -160,7 +160,7 @@
 
     async def pause_owner(self) -> None:
         """Hold the calls to and from one node's ledger, then let all go."""
-        held = [node for node in self.nodes if node.ledger.desks]
+        held = [node for node in self.nodes if node.ledger.queues]
         if not held:
             return
         ledger = self.random.choice(held).ledger
@@ -168,8 +168,8 @@
         if isinstance(ledger.platform, Paused):
             return
         ledger.platform = Paused(ledger.platform, resumed)
-        for desk in ledger.desks.values():
-            desk.slice.platform = ledger.platform
+        for queue in ledger.queues.values():
+            queue.slice.platform = ledger.platform
         claim = ledger.claim
 
         async def claim_later(ask):
@@ -181,8 +181,8 @@
         ledger.claim = claim
         resumed.set()
         ledger.platform = ledger.platform.inner
-        for desk in ledger.desks.values():
-            desk.slice.platform = ledger.platform
+        for queue in ledger.queues.values():
+            queue.slice.platform = ledger.platform
 
     async def kill_node(self) -> None:
         """Kill a node with its upstream, and start another in its place."""
--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -295,9 +295,9 @@
         """End a node at once: what it sent may still arrive."""
         node = self.nodes.pop(name, None)
         if node is not None:
-            for desk in node.ledger.desks.values():
-                if desk.task is not None:
-                    desk.task.add_done_callback(self.check)
+            for queue in node.ledger.queues.values():
+                if queue.task is not None:
+                    queue.task.add_done_callback(self.check)
             await node.claims.close()
             await node.ledger.close()
 
