One backoff, one end of waiting, one word for not run

Cause: the read of the whole change found the same jittered backoff in member.py and peers.py, the same sum of deadline and allowance in exit.py and attempts.py, and the outcome 'not-run' written again beside its enumeration.

--- a/rattanridge/calls/attempts.py
+++ b/rattanridge/calls/attempts.py
@@ -196,10 +196,9 @@
         extra[headers.PRIORITY] = call.priority
         if call.leaves_retries:
             extra[headers.RETRY] = "1"
-        end = call.deadline
         if not call.idempotent:
             extra[headers.ONCE] = "1"
-            end += self.config.limits.late
+        end = call.wait_end(self.config.limits)
         try:
             answer = await self.client.send(chosen.hop, call, extra, end)
             return read_marks(answer)
--- a/rattanridge/calls/exit.py
+++ b/rattanridge/calls/exit.py
@@ -7,7 +7,6 @@
 from rattanridge.kernel import codes, log, metrics, presets, settings
 from rattanridge.policies import queues
 
-NOT_RUN = "not-run"
 SHED_HEADER = "Ran"
 
 
@@ -131,13 +130,14 @@
         extra = {headers.DEADLINE: f"{max(left, 0) * 1000:.0f}"}
         if call.leaves_retries:
             extra[headers.RETRY] = "1"
-        end = call.deadline
-        if not call.idempotent:
-            end += self.config.limits.late
         if self.client is None:
             raise codes.Failure(codes.STOPPING)
+        end = call.wait_end(self.config.limits)
         answer = await self.client.send(upstream.address, call, extra, end)
-        if answer.status == 503 and answer.headers.get(SHED_HEADER) == NOT_RUN:
+        if (
+            answer.status == 503
+            and answer.headers.get(SHED_HEADER) == codes.Ran.NOT_RUN
+        ):
             answer.close()
             raise codes.Failure(codes.SHEDDING)
         return answer
--- a/rattanridge/calls/types.py
+++ b/rattanridge/calls/types.py
@@ -5,7 +5,7 @@
 
 import multidict
 
-from rattanridge.kernel import codes, presets
+from rattanridge.kernel import codes, presets, settings
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,6 +42,14 @@
         """
         return self.retried or self.idempotent
 
+    def wait_end(self, limits: settings.Limits) -> float:
+        """Return the monotonic seconds at which to give up waiting for an answer.
+
+        Work that must not repeat is waited for beyond its deadline, so that its
+        outcome is known.
+        """
+        return self.deadline if self.idempotent else self.deadline + limits.late
+
 
 class Rest(abc.ABC):
     """The part of an answer's body that has not been read yet."""
--- a/rattanridge/control/member.py
+++ b/rattanridge/control/member.py
@@ -7,6 +7,7 @@
 import random
 
 from rattanridge.control import (
+    backoff,
     finder as finders,
     learning,
     messages,
@@ -126,9 +127,9 @@
 
     async def run(self) -> None:
         """Stay subscribed; between tries wait with jitter that grows."""
-        pause = self.config.control.backoff_first
+        pauses = backoff.Backoff(self.config.control, self.time)
         while True:
-            began = self.time.monotonic()
+            pauses.begin()
             wait = 0.0
             try:
                 await self.attend()
@@ -138,10 +139,7 @@
                     "relay-lost", code=failure.code.number, why=failure.detail
                 )
                 wait = failure.retry_after
-            if self.time.monotonic() - began > self.config.control.stream_timeout:
-                pause = self.config.control.backoff_first
-            await self.time.sleep(wait or random.uniform(pause / 2, pause))
-            pause = min(pause * 2, self.config.control.backoff_limit)
+            await pauses.wait(wait)
 
     async def attend(self) -> None:
         """Serve as relay if a lease is held, else subscribe to a relay."""
--- a/rattanridge/control/peers.py
+++ b/rattanridge/control/peers.py
@@ -6,7 +6,14 @@
 import random
 import typing
 
-from rattanridge.control import learning, messages, relay as relays, replica, subscriber
+from rattanridge.control import (
+    backoff,
+    learning,
+    messages,
+    relay as relays,
+    replica,
+    subscriber,
+)
 from rattanridge.kernel import clock, codes, log, settings
 from rattanridge.platform import client
 
@@ -152,19 +159,16 @@
 
     async def follow(self, address: str, subscription: subscriber.Subscriber) -> None:
         """Subscribe to another relay until the stream ends, then return to it."""
-        pause = self.config.control.backoff_first
+        pauses = backoff.Backoff(self.config.control, self.time)
         while True:
-            began = self.time.monotonic()
+            pauses.begin()
             try:
                 await subscription.run(address)
             except codes.Failure as failure:
                 self.log.info("peer-lost", address=address, code=failure.code.number)
             self.relay.changed.set()
             self.appoint()
-            if self.time.monotonic() - began > self.config.control.stream_timeout:
-                pause = self.config.control.backoff_first
-            await self.time.sleep(random.uniform(pause / 2, pause))
-            pause = min(pause * 2, self.config.control.backoff_limit)
+            await pauses.wait()
 
     def heard(self, peer: Peer) -> bool:
         """Whether a peer's stream stands."""
