--- a/rattanridge/admin/presets.py
+++ b/rattanridge/admin/presets.py
@@ -13,7 +13,7 @@
 
 from rattanridge.control import source
 from rattanridge.kernel import codes, presets, snapshot
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 
 T = typing.TypeVar("T")
 
--- a/rattanridge/admin/rollouts.py
+++ b/rattanridge/admin/rollouts.py
@@ -7,7 +7,7 @@
 from rattanridge.admin import server
 from rattanridge.control import messages, replica, rollouts
 from rattanridge.kernel import codes, settings
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.policies import schedules
 
 BAKE_FRACTION = 0.1  # of the time to the deadline, unless the operator says
--- a/rattanridge/admin/server.py
+++ b/rattanridge/admin/server.py
@@ -11,7 +11,7 @@
 from rattanridge.calls import bodies
 from rattanridge.control import replica
 from rattanridge.kernel import codes, log, metrics, registry, settings
-from rattanridge.platform import client
+from rattanridge.objectapi import client
 
 BODY_BYTES = 1_000_000
 ACTIVE_MOST = 32  # requests at once, so that none pile up on a slow platform
--- a/rattanridge/admin/status.py
+++ b/rattanridge/admin/status.py
@@ -4,7 +4,7 @@
 
 from rattanridge.control import messages, replica, source, zone as zones
 from rattanridge.kernel import codes, settings
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 
 
 class Behind(msgspec.Struct):
--- a/rattanridge/calls/ledger.py
+++ b/rattanridge/calls/ledger.py
@@ -11,7 +11,7 @@
 from rattanridge.calls import answers, budget, claimed, slices
 from rattanridge.control import messages
 from rattanridge.kernel import clock, codes, log, metrics, settings
-from rattanridge.platform import client
+from rattanridge.objectapi import client
 
 TRIES = 2  # writes tried for one claim before it is refused
 FLUSH_PAUSE = 1.0  # seconds that changed states wait for a claim to join
--- a/rattanridge/calls/server.py
+++ b/rattanridge/calls/server.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import re
+import typing
 
 import aiohttp
 import aiohttp.web
@@ -14,7 +15,7 @@
 import yarl
 
 from rattanridge.calls import responses
-from rattanridge.kernel import codes, log, metrics, settings
+from rattanridge.kernel import codes, log
 
 IDLE_SECONDS = 75.0  # that a connection may wait for its next request
 FIRST_REQUEST_SECONDS = 10.0  # within which a new connection sends its first one
@@ -28,6 +29,26 @@
 ]
 
 
+class Limits(typing.Protocol):
+    """Bounds of one port."""
+
+    header_bytes: int
+    connections: int
+
+
+class Config(typing.Protocol):
+    """The part of a node's settings that a port needs."""
+
+    name: str
+    limits: Limits
+
+
+class Counters(typing.Protocol):
+    """Counts events by name."""
+
+    def add(self, name: str) -> None: ...
+
+
 class Request(aiohttp.web.BaseRequest):
     """One request; its answer does not tell the library's name."""
 
@@ -98,8 +119,8 @@
     def __init__(
         self,
         handler: Handler,
-        config: settings.NodeSettings,
-        counters: metrics.Counters,
+        config: Config,
+        counters: Counters,
     ):
         super().__init__(
             self.handle, request_factory=self.make_request, handler_cancellation=True
--- a/rattanridge/calls/slices.py
+++ b/rattanridge/calls/slices.py
@@ -13,7 +13,7 @@
 
 from rattanridge.calls import claimed
 from rattanridge.kernel import clock, codes, log, settings
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 
 CLAIM_BYTES = 64  # of one claim in JSON
 SEAL_BYTES = 32_000  # of claims in a head before they are sealed
--- a/rattanridge/control/coordinator.py
+++ b/rattanridge/control/coordinator.py
@@ -14,7 +14,7 @@
 
 from rattanridge.control import member, messages, pool, rollouts
 from rattanridge.kernel import clock, codes, log
-from rattanridge.platform import leases, objects
+from rattanridge.objectapi import leases, objects
 from rattanridge.policies import schedules
 
 ROLE = "coordinator"
--- a/rattanridge/control/finder.py
+++ b/rattanridge/control/finder.py
@@ -9,7 +9,7 @@
 
 from rattanridge.control import learning, peers, replica, source as sources
 from rattanridge.kernel import clock, codes, settings
-from rattanridge.platform import client, leases, objects
+from rattanridge.objectapi import client, leases, objects
 
 LOOK_INTERVAL = 1.0  # seconds between reads of the zone's leases, on average
 CANDIDATE_SPREAD = 0.5  # seconds over which nodes try a vacant role
--- a/rattanridge/control/learning.py
+++ b/rattanridge/control/learning.py
@@ -4,7 +4,7 @@
 
 from rattanridge.control import messages, replica, source as sources, transport
 from rattanridge.kernel import codes, log, settings
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 
 LEASES = "leases/relay-"
 ASK_TIMEOUT = 1.0  # seconds
--- a/rattanridge/control/member.py
+++ b/rattanridge/control/member.py
@@ -20,7 +20,7 @@
     zone as zones,
 )
 from rattanridge.kernel import clock, codes, log, metrics, settings
-from rattanridge.platform import client, leases
+from rattanridge.objectapi import client, leases
 
 RETURN_INTERVAL = 5.0  # seconds between looks for a relay of the own zone
 TIDY_INTERVAL = 30.0  # seconds between drops of ended records
--- a/rattanridge/control/peers.py
+++ b/rattanridge/control/peers.py
@@ -15,7 +15,7 @@
     subscriber,
 )
 from rattanridge.kernel import clock, codes, log, settings
-from rattanridge.platform import client
+from rattanridge.objectapi import client
 
 RELAYS_IN_ZONE = 2
 PEERS_INTERVAL = 4.0  # seconds between looks at the leases of all relays
--- a/rattanridge/control/rollouts.py
+++ b/rattanridge/control/rollouts.py
@@ -12,7 +12,7 @@
 
 from rattanridge.control import messages
 from rattanridge.kernel import codes
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.policies import schedules
 
 PREFIX = "rollouts/"
--- a/rattanridge/control/source.py
+++ b/rattanridge/control/source.py
@@ -7,7 +7,7 @@
 
 from rattanridge.control import messages, replica
 from rattanridge.kernel import clock, codes, log, presets, settings, snapshot
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 
 POINTER = "in-force"
 HISTORY = "history"
--- a/rattanridge/control/zone.py
+++ b/rattanridge/control/zone.py
@@ -6,7 +6,7 @@
 
 from rattanridge.control import messages, relay as relays, replica
 from rattanridge.kernel import clock, codes, log, settings
-from rattanridge.platform import client, leases
+from rattanridge.objectapi import client, leases
 
 SETTLE = 0.2  # seconds for more changes to arrive before a write
 WRITE_INTERVAL = 1.0  # seconds between writes of one object
--- /dev/null
+++ b/rattanridge/kernel/sink.py
@@ -0,0 +1,88 @@
+"""Where log lines go: standard output, bounded in rate and never blocking."""
+
+import collections
+import os
+
+import logbook
+
+from rattanridge.kernel import log
+
+FLUSH_INTERVAL = 0.2  # seconds between two writes
+KEPT_BYTES = 262_144  # of lines that wait for a reader; the oldest go first
+REPORT_INTERVAL = 5.0  # seconds between two lines on what was held back
+
+
+class Gate:
+    """Lets a number of lines of each kind of event pass in a second.
+
+    :param rate: lines a second, and the most at once.
+    """
+
+    def __init__(self, rate: float):
+        self.rate = rate
+        self.tokens: dict[str, tuple[float, float]] = {}
+        self.held_back: collections.Counter[str] = collections.Counter()
+
+    def allow(self, event: str, now: float) -> bool:
+        """Whether one more line of an event may be written."""
+        left, at = self.tokens.get(event, (self.rate, now))
+        left = min(left + (now - at) * self.rate, self.rate)
+        if left < 1.0:
+            self.tokens[event] = (left, now)
+            self.held_back[event] += 1
+            return False
+        self.tokens[event] = (left - 1.0, now)
+        return True
+
+
+class Sink(logbook.Handler):
+    """Collects lines and writes them together.
+
+    :param descriptor: file descriptor to write to.
+    """
+
+    def __init__(self, descriptor: int, level: int = logbook.INFO):
+        super().__init__(level=level)
+        self.formatter = logbook.StringFormatter(log.FORMAT)
+        self.descriptor = descriptor
+        self.lines: collections.deque[bytes] = collections.deque()
+        self.size = 0
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Take one line; drop the oldest ones if nobody reads them."""
+        line = self.format(record).encode("utf-8", "replace") + b"\n"
+        self.lines.append(line)
+        self.size += len(line)
+        while self.size > KEPT_BYTES:
+            self.size -= len(self.lines.popleft())
+            self.dropped += 1
+
+    def flush(self) -> None:
+        """Write what waits, as far as the reader takes it."""
+        if not self.lines:
+            return
+        data = b"".join(self.lines)
+        try:
+            written = os.write(self.descriptor, data)
+        except BlockingIOError:
+            return
+        except OSError:
+            # The reader is gone for good; the lines have nowhere to go.
+            written = len(data)
+            self.dropped += len(self.lines)
+        rest = data[written:]
+        self.lines.clear()
+        self.size = len(rest)
+        if rest:
+            self.lines.append(rest)
+
+
+def configure(level: str = "info") -> Sink:
+    """Send all events of at least ``level`` to standard output."""
+    logbook.set_datetime_format("utc")
+    sink = Sink(1, logbook.lookup_level(level.upper()))
+    logbook.NullHandler().push_application()
+    sink.push_application()
+    return sink
--- a/rattanridge/measure/claim_cost.py
+++ b/rattanridge/measure/claim_cost.py
@@ -9,7 +9,7 @@
 from rattanridge.calls import claimed, ledger
 from rattanridge.kernel import metrics, settings
 from rattanridge.measure import base
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.standin import store
 
 SECONDS = 30.0
--- a/rattanridge/measure/commissions.py
+++ b/rattanridge/measure/commissions.py
@@ -12,7 +12,7 @@
 from rattanridge.calls import entry, headers
 from rattanridge.kernel import codes
 from rattanridge.measure import base, fleet
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.standin import platform as platforms, store, upstream as upstreams
 
 SECONDS = 22.0
--- a/rattanridge/measure/controls.py
+++ b/rattanridge/measure/controls.py
@@ -21,7 +21,7 @@
 from rattanridge.control import member, messages, replica, roster, source, transport
 from rattanridge.kernel import metrics, settings
 from rattanridge.measure import base, fleet
-from rattanridge.platform import client
+from rattanridge.objectapi import client
 from rattanridge.standin import platform as platforms
 
 SERVICES = [f"service-{number:02}" for number in range(27)]
--- /dev/null
+++ b/rattanridge/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""The node beside each upstream: takes, forwards, runs and answers requests."""
--- /dev/null
+++ b/rattanridge/mesh/attempts.py
@@ -0,0 +1,189 @@
+"""Sends a call to an endpoint, and on to another one where that is allowed."""
+
+import asyncio
+import collections.abc
+
+from rattanridge.kernel import codes, routes
+from rattanridge.mesh import (
+    calls,
+    directory as directories,
+    events,
+    exit as exits,
+    peers as forwarders,
+    settings,
+)
+from rattanridge.policies import placement, repeats
+
+MOVES = 3  # exits that may refuse a call before any endpoint saw it
+NO_ENDPOINT_RETRY_AFTER = 0.3  # seconds
+FAILED_STATUS = 500
+# Refusals that tell of an exit that can't reach its endpoint at all.
+UNUSABLE = (
+    codes.PEER_UNREACHABLE,
+    codes.PEER_FAILED,
+    codes.CONNECT_FAILED,
+    codes.NO_ENDPOINT,
+    codes.WRONG_ENDPOINT,
+    codes.DRAINING,
+    codes.STOPPING,
+)
+
+Keep = collections.abc.Callable[
+    [str, list[placement.Candidate]], list[placement.Candidate]
+]
+
+
+class Attempts:
+    """Runs calls at the endpoints of their service.
+
+    :param keep: leaves the candidates whose version a call may go to.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        directory: directories.Directory,
+        exit: exits.Exit,
+        keep: Keep,
+        log: events.Events,
+        meters: events.Meters,
+    ):
+        self.config = config
+        self.directory = directory
+        self.exit = exit
+        self.keep = keep
+        self.log = log
+        self.meters = meters
+        self.peers = forwarders.Peers()
+        self.placer = placement.Placer(config.zone)
+        self.budgets: dict[str, repeats.Budget] = {}
+
+    def budget(self, service: str) -> repeats.Budget:
+        """Return the budget of a service."""
+        found = self.budgets.get(service)
+        if found is None:
+            limits = self.config.repeats
+            made = repeats.Settings(limits.ratio, limits.least, limits.window)
+            found = self.budgets[service] = repeats.Budget(made)
+        return found
+
+    async def run(self, call: calls.Call, route: routes.Route) -> calls.Answer:
+        """Return the answer to a call; the last refusal if nobody took it."""
+        loop = asyncio.get_running_loop()
+        self.budget(call.service).note_request(loop.time())
+        tried: set[str] = set()
+        arrivals = moves = 0
+        last: calls.Answer | None = None
+        while True:
+            chosen = self.choose(call, route, tried)
+            if chosen is None:
+                return last or calls.refuse(no_endpoint(call))
+            answer = await self.send(chosen, call)
+            self.learn(chosen, call, answer)
+            tried.add(chosen.node)
+            arrivals += answer.arrived
+            moves += not answer.arrived
+            last = better(last, answer)
+            if not self.may_repeat(call, route, answer, arrivals, moves):
+                return last
+            self.note(call, chosen, answer)
+
+    def choose(
+        self, call: calls.Call, route: routes.Route, tried: set[str]
+    ) -> placement.Candidate | None:
+        """Choose among the endpoints that were not tried."""
+        found = self.keep(call.service, self.directory.of(call.service))
+        left = [item for item in found if item.node not in tried]
+        now = asyncio.get_running_loop().time()
+        return self.placer.choose(left, route.name, route.target_latency, now)
+
+    async def send(self, chosen: placement.Candidate, call: calls.Call) -> calls.Answer:
+        """Send a call to one endpoint, by the node beside it."""
+        chosen.in_flight += 1
+        try:
+            if chosen.node == self.config.name:
+                return await self.exit.run(call)
+            return await self.peers.run(chosen.hop, call)
+        finally:
+            chosen.in_flight -= 1
+
+    def learn(
+        self, chosen: placement.Candidate, call: calls.Call, answer: calls.Answer
+    ) -> None:
+        """Learn from an answer about the endpoint that gave it."""
+        now = asyncio.get_running_loop().time()
+        if answer.load is not None:
+            chosen.note_load(answer.load, now)
+        if answer.code in UNUSABLE:
+            chosen.note_unreachable(now)
+            return
+        chosen.note_reached()
+        failed = answer.code is None and answer.status >= FAILED_STATUS
+        lost = answer.arrived and answer.code is not None
+        chosen.note_shed(failed or lost, now)
+        if answer.code is None and answer.spent > 0 and not failed:
+            self.placer.learn(chosen, call.route, answer.spent, now)
+
+    def may_repeat(
+        self,
+        call: calls.Call,
+        route: routes.Route,
+        answer: calls.Answer,
+        arrivals: int,
+        moves: int,
+    ) -> bool:
+        """Whether the call may go to another endpoint after this answer."""
+        if answer.code is None and answer.status < FAILED_STATUS:
+            return False
+        if answer.ran is not codes.Ran.NOT_RUN and not call.idempotent:
+            return False
+        now = asyncio.get_running_loop().time()
+        work = self.placer.mean(route.name).seconds
+        if now + work > call.deadline:
+            return False
+        if moves >= MOVES or arrivals >= route.attempts:
+            return False
+        if not arrivals:
+            return True
+        nodes = max(len(self.directory.records), 1)
+        if self.budget(call.service).take(nodes, now):
+            return True
+        self.meters.refusals.labels(codes.RETRY_BUDGET.name).inc()
+        return False
+
+    def note(
+        self, call: calls.Call, chosen: placement.Candidate, answer: calls.Answer
+    ) -> None:
+        """Log that a call goes on to another endpoint."""
+        reason = answer.code.name if answer.code is not None else str(answer.status)
+        self.meters.retries.labels(reason).inc()
+        self.log.note(
+            "call-moved",
+            id=call.attempt,
+            service=call.service,
+            tried=chosen.node,
+            endpoint=chosen.endpoint,
+            reason=reason,
+            why=answer.detail,
+            ran=answer.ran,
+            arrived=answer.arrived,
+        )
+
+
+def better(last: calls.Answer | None, answer: calls.Answer) -> calls.Answer:
+    """Return the answer to keep: the upstream's own, else the more certain one.
+
+    Once any try may have run, a later proof for another try proves nothing.
+    """
+    if last is None or answer.code is None:
+        return answer
+    if last.code is None or last.ran is not codes.Ran.NOT_RUN:
+        return last
+    return answer
+
+
+def no_endpoint(call: calls.Call) -> codes.Failure:
+    """Return the refusal where no endpoint is known."""
+    return codes.Failure(
+        codes.NO_ENDPOINT, call.service, retry_after=NO_ENDPOINT_RETRY_AFTER
+    )
--- /dev/null
+++ b/rattanridge/mesh/calls.py
@@ -0,0 +1,109 @@
+"""One request on its way through the mesh, and its answer."""
+
+import dataclasses
+
+import multidict
+
+from rattanridge.calls import headers as call_headers
+from rattanridge.kernel import codes
+from rattanridge.platform import headers
+from rattanridge.policies import placement
+
+Headers = list[tuple[str, str]]
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One request.
+
+    :param attempt: id of this sending of the request.
+    :param headers: those that travel on.
+    :param service: service that it goes to.
+    :param route: name of its route.
+    :param rank: its route's priority; 0 comes first.
+    :param nested: whether a request in progress waits for it.
+    :param timely_until: monotonic seconds until which its answer is timely.
+    :param deadline: monotonic seconds after which nobody waits for it.
+    :param caller: service of the host where it began.
+    :param sent: whether any byte of it was sent to an upstream.
+    """
+
+    attempt: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    service: str
+    route: str
+    idempotent: bool
+    rank: int
+    nested: bool
+    timely_until: float
+    deadline: float
+    caller: str
+    version: int = 0
+    sent: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What became of a call.
+
+    :param ran: ``NOT_RUN`` only if it is proved.
+    :param code: why there is no answer of the upstream; None if there is one.
+    :param arrived: whether the call reached an upstream.
+    :param spent: seconds that the upstream took.
+    :param load: load of the endpoint after the call.
+    :param version: version of the configuration at the exit.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    ran: codes.Ran = codes.Ran.RAN
+    code: codes.Code | None = None
+    detail: str = ""
+    arrived: bool = False
+    spent: float = 0.0
+    retry_after: float = 0.0
+    load: placement.Load | None = None
+    version: int = 0
+
+
+def refuse(failure: codes.Failure, arrived: bool = False) -> Answer:
+    """Return the answer that tells a coded failure."""
+    status = failure.code.status
+    if failure.ran is not codes.Ran.NOT_RUN and status in (408, 421, 429, 503):
+        status = 502
+    return Answer(
+        status,
+        [],
+        b"",
+        ran=failure.ran,
+        code=failure.code,
+        detail=failure.detail,
+        arrived=arrived,
+        retry_after=failure.retry_after,
+    )
+
+
+# Set by the system on each hop, whatever a caller sent.
+OWN = frozenset(
+    name.lower() for name in (headers.DEADLINE, headers.ENDPOINT, headers.CALLER)
+)
+
+
+def forwardable(source: multidict.CIMultiDictProxy) -> Headers:
+    """Return the headers that travel on: neither of one connection nor our own."""
+    named = {
+        item.strip().lower()
+        for value in source.getall("Connection", ())
+        for item in value.split(",")
+    }
+    return [
+        (name, value)
+        for name, value in source.items()
+        if not call_headers.is_dropped(name)
+        and name.lower() not in OWN
+        and name.lower() not in named
+    ]
--- /dev/null
+++ b/rattanridge/mesh/exit.py
@@ -0,0 +1,220 @@
+"""Exit: the only way to the upstream beside the node."""
+
+import asyncio
+
+from rattanridge.kernel import codes
+from rattanridge.mesh import calls, connections, events, settings, upstream as upstreams
+from rattanridge.platform import headers
+from rattanridge.policies import placement, queueing
+
+ANSWER_MARGIN = 0.08  # seconds past the deadline for the upstream's own answer
+PROMISES = (408, 421, 429, 503)  # statuses that tell a caller: it did not run
+MISDIRECTED = 421
+
+
+class Exit:
+    """Gives requests to the upstream, never more than it has slots.
+
+    :param config: the node's settings.
+    :param upstream: what is known of the upstream.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        upstream: upstreams.Upstream,
+        log: events.Events,
+        meters: events.Meters,
+    ):
+        self.config = config
+        self.upstream = upstream
+        self.log = log
+        self.meters = meters
+        self.pool = connections.Pool()
+        self.queue = queueing.Queue(1)
+        self.tasks: set[asyncio.Task] = set()
+        self.stopping = False
+        self.observers: list = []
+        upstream.listeners.append(self.follow)
+
+    def follow(self) -> None:
+        """Follow a change of the upstream."""
+        upstream = self.upstream
+        self.queue.resize(max(upstream.slots, 1))
+        if upstream.state is upstreams.State.READY:
+            return
+        self.queue.refuse_all(codes.DRAINING, "the endpoint leaves")
+        if upstream.state is upstreams.State.UNKNOWN:
+            self.pool.close()
+
+    def busy(self) -> int:
+        """Return the requests at the upstream or in the queue."""
+        return self.queue.running + len(self.queue.waiting)
+
+    def load(self) -> placement.Load:
+        """Return the load as other nodes are told."""
+        queue = self.queue
+        return placement.Load(queue.running, len(queue.waiting), queue.wait())
+
+    async def run(self, call: calls.Call) -> calls.Answer:
+        """Run a call. One that must not repeat goes on if its caller goes away,
+        once a byte of it was sent."""
+        if call.idempotent:
+            return await self.work(call)
+        task = asyncio.create_task(self.work(call))
+        self.tasks.add(task)
+        task.add_done_callback(self.forget)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not call.sent:
+                task.cancel()
+            raise
+
+    def forget(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.log.error("exit-failed", why=repr(task.exception()))
+
+    async def work(self, call: calls.Call) -> calls.Answer:
+        """Wait for a slot and run the call."""
+        try:
+            answer = await self.admit(call)
+        except codes.Failure as failure:
+            answer = calls.refuse(failure, arrived=call.sent)
+        answer.load = self.load()
+        if answer.code is not None:
+            self.note(call, answer)
+        return answer
+
+    def note(self, call: calls.Call, answer: calls.Answer) -> None:
+        self.meters.refusals.labels(answer.code.name).inc()
+        self.log.note(
+            "exit-refused",
+            id=call.attempt,
+            code=answer.code.number,
+            why=answer.detail or answer.code.name,
+            ran=answer.ran,
+            running=self.queue.running,
+            waiting=len(self.queue.waiting),
+            state=self.upstream.state,
+        )
+
+    async def admit(self, call: calls.Call) -> calls.Answer:
+        """Check the upstream, wait for a slot, and send."""
+        self.check(call)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        ticket = queueing.Ticket(
+            call.route, call.rank, call.nested, call.timely_until, call.deadline
+        )
+        await self.queue.enter(ticket)
+        try:
+            self.check(call)
+            self.meters.queue_seconds.observe(loop.time() - began)
+            return await self.send(call)
+        finally:
+            self.queue.leave()
+
+    def check(self, call: calls.Call) -> None:
+        """Refuse what the upstream can't be given now."""
+        if self.stopping:
+            raise codes.Failure(codes.STOPPING)
+        failure = self.upstream.refusal(call.service)
+        if failure is not None:
+            raise failure
+        if self.upstream.doubted(self.queue.running):
+            raise codes.Failure(codes.NO_ENDPOINT, "silent")
+
+    async def send(self, call: calls.Call) -> calls.Answer:
+        """Send a call to the upstream and return what it says."""
+        loop = asyncio.get_running_loop()
+        identity = self.upstream.identity
+        address = self.upstream.address
+        try:
+            connection = await self.pool.acquire(address, call.deadline - loop.time())
+        except codes.Failure as failure:
+            self.upstream.unreachable(failure.detail)
+            raise
+        began = loop.time()
+        data = self.write(call, identity, call.deadline - began)
+        call.sent = True
+        try:
+            async with asyncio.timeout_at(call.deadline + ANSWER_MARGIN):
+                response = await connection.exchange(
+                    data, call.method != "HEAD", lambda item: is_answer(item, call)
+                )
+        except TimeoutError:
+            self.observe(call, None, loop.time() - began)
+            raise codes.Failure(codes.DEADLINE, ran=codes.Ran.UNKNOWN)
+        except codes.Failure:
+            self.observe(call, None, loop.time() - began)
+            raise
+        spent = loop.time() - began
+        self.pool.release(address, connection, response)
+        return self.read(call, response, identity, spent)
+
+    def write(
+        self, call: calls.Call, identity: upstreams.Identity, left: float
+    ) -> bytes:
+        """Return the request as the upstream gets it."""
+        sent = [
+            *call.headers,
+            (headers.DEADLINE, headers.format_deadline(left)),
+            (headers.ENDPOINT, identity.endpoint),
+            (headers.CALLER, call.caller),
+        ]
+        return connections.write_request(call.method, call.path, sent, call.body)
+
+    def read(
+        self,
+        call: calls.Call,
+        response: connections.Response,
+        identity: upstreams.Identity,
+        spent: float,
+    ) -> calls.Answer:
+        """Judge an answer: the upstream's own, or a proof that nothing ran."""
+        self.upstream.answered()
+        if response.status == MISDIRECTED:
+            self.upstream.misdirected(identity)
+            return calls.refuse(codes.Failure(codes.WRONG_ENDPOINT), arrived=True)
+        if headers.NOT_RUN in response.headers:
+            return calls.refuse(codes.Failure(codes.SHEDDING), arrived=True)
+        self.queue.times.note(call.route, spent)
+        self.meters.upstream_seconds.observe(spent)
+        self.observe(call, response.status, spent)
+        check_answer(response)
+        return calls.Answer(
+            response.status,
+            calls.forwardable(response.headers),
+            response.body,
+            arrived=True,
+            spent=spent,
+        )
+
+    def observe(self, call: calls.Call, status: int | None, spent: float) -> None:
+        """Tell the observers how the upstream served a call; None: it did not."""
+        for observer in self.observers:
+            observer(call, status, spent)
+
+
+def is_answer(response: connections.Response, call: calls.Call) -> bool:
+    """Whether an answer belongs to a call. A failure may come without an id."""
+    attempt = response.headers.get(headers.ATTEMPT)
+    if attempt is None:
+        return response.status >= 300
+    return attempt == call.attempt
+
+
+def check_answer(response: connections.Response) -> None:
+    """Refuse an answer that may not be the upstream's own, whole one."""
+    if 200 <= response.status < 300:
+        if headers.PROOF not in response.headers:
+            raise codes.Failure(codes.ANSWER_CUT, "no proof", ran=codes.Ran.UNKNOWN)
+        if "Content-Encoding" in response.headers:
+            raise codes.Failure(codes.ANSWER_CUT, "encoded", ran=codes.Ran.UNKNOWN)
+    if response.status in PROMISES:
+        # It would tell the caller that the request did not run; no proof says so.
+        raise codes.Failure(
+            codes.UPSTREAM_FAILED, str(response.status), ran=codes.Ran.UNKNOWN
+        )
--- /dev/null
+++ b/rattanridge/mesh/node.py
@@ -0,0 +1,281 @@
+"""One node: all parts on one host, put together."""
+
+import asyncio
+import collections.abc
+import gc
+
+import aiohttp.web
+
+from rattanridge.calls import server as servers
+from rattanridge.kernel import addresses, codes, sink as sinks
+from rattanridge.mesh import (
+    attempts,
+    configs,
+    directory,
+    entry,
+    events,
+    exit as exits,
+    ports,
+    records,
+    settings,
+    upstream as upstreams,
+    watching,
+)
+from rattanridge.platform import (
+    configs as wire_configs,
+    heartbeats,
+    store as stores,
+)
+
+DRAIN_STEP = 0.05  # seconds between looks at what still runs
+QUESTIONS = 2.6  # seconds until the platform has asked twice whether it is ready
+CLOSING_AFTER = 1.2  # seconds from SIGTERM until kept connections are closed
+RESERVE = 0.7  # seconds of the grace time kept for ending
+SETTLED_WAIT = 0.3  # seconds that an acknowledgement waits for the store
+SWEEP_INTERVAL = 1.0  # seconds
+BACKLOG = 512  # connections that wait to be accepted
+TASKS_RETRY = 0.5  # seconds before a record is written again
+
+
+class Node:
+    """The process beside an upstream.
+
+    :param config: the node's settings.
+    :param file: where they come from, if they may change.
+    :param sink: takes the log lines.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        file: settings.File | None = None,
+        sink: sinks.Sink | None = None,
+    ):
+        self.config = config
+        self.file = file
+        self.log = events.Events(config.name, config.limits.log_lines, sink)
+        self.meters = events.Meters()
+        self.store = stores.Store(config.store, self.meters.observe_store)
+        self.health = watching.Health(self.log)
+        self.configs = configs.Configs(self.store, self.log, self.meters)
+        self.directory = directory.Directory(self.log)
+        self.publisher = directory.Publisher(config.name, self.store, self.log)
+        self.upstream = upstreams.Upstream(config, self.log)
+        self.exit = exits.Exit(config, self.upstream, self.log, self.meters)
+        self.attempts = attempts.Attempts(
+            config,
+            self.directory,
+            self.exit,
+            lambda service, found: found,
+            self.log,
+            self.meters,
+        )
+        self.entry = entry.Entry(
+            config, self.configs, self.attempts, self.log, self.meters
+        )
+        self.hops = ports.Hops(config, self.exit, self.configs, self.meters)
+        self.heartbeats = ports.Heartbeats(
+            self.upstream, self.settled, self.log, self.meters
+        )
+        self.members = self.watch(records.KIND, self.take_members, self.take_member)
+        self.watches = [
+            self.watch(wire_configs.KIND, self.configs.take_all, self.configs.take),
+            self.members,
+        ]
+        self.upstream.listeners.append(self.publish)
+        self.runners: list[aiohttp.web.ServerRunner] = []
+        self.tasks: list[asyncio.Task] = []
+        self.stopping = False
+
+    def watch(
+        self, kind: str, take_all: watching.TakeAll, take: watching.TakeOne
+    ) -> watching.Watch:
+        return watching.Watch(self.store, kind, self.health, take_all, take, self.log)
+
+    async def start(self) -> None:
+        """Listen on all ports and begin to follow the store."""
+        listen = self.config.listen
+        await self.listen(self.entry.serve, listen.callers)
+        await self.listen(self.hops.serve, listen.hops)
+        await self.listen(self.serve_ready, listen.ready)
+        await self.listen(self.heartbeats.serve, listen.heartbeats)
+        if listen.metrics:
+            await self.listen(self.serve_metrics, listen.metrics)
+        self.log.start()
+        for watch in self.watches:
+            self.begin(watch.run())
+        self.begin(self.publisher.run(TASKS_RETRY))
+        self.begin(self.tend())
+        gc.collect()
+        gc.freeze()
+        self.log.info(
+            "node-started",
+            zone=self.config.zone,
+            service=self.config.service,
+            upstream=self.config.upstream,
+            store=self.config.store,
+        )
+
+    def begin(self, work: collections.abc.Coroutine) -> None:
+        """Run a part for as long as the node runs."""
+        task = asyncio.create_task(work)
+        task.add_done_callback(self.check_task)
+        self.tasks.append(task)
+
+    def check_task(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self.log.error("task-failed", why=repr(task.exception()))
+
+    async def listen(self, handler: servers.Handler, address: str) -> None:
+        """Serve HTTP at ``host:port``."""
+        host, _, port = address.rpartition(":")
+        served = servers.Server(handler, self.config, self.meters)
+        runner = aiohttp.web.ServerRunner(served, shutdown_timeout=0.2)
+        await runner.setup()
+        self.runners.append(runner)
+        site = aiohttp.web.TCPSite(runner, host, int(port), backlog=BACKLOG)
+        try:
+            await site.start()
+        except OSError as error:
+            where = addresses.join(host, int(port))
+            raise codes.Failure(codes.CANNOT_LISTEN, error.strerror or "", where=where)
+
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            not self.stopping
+            and self.configs.current is not None
+            and self.members.listed
+        )
+
+    async def serve_ready(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.Response:
+        """Answer the platform's question."""
+        if request.path != heartbeats.READY_PATH:
+            return aiohttp.web.Response(status=404)
+        return aiohttp.web.Response(status=200 if self.ready() else 503)
+
+    async def serve_metrics(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.Response:
+        """Return the metrics."""
+        now = asyncio.get_running_loop().time()
+        self.meters.running.set(self.exit.queue.running)
+        self.meters.waiting.set(len(self.exit.queue.waiting))
+        for watch in self.watches:
+            self.meters.age.labels(watch.kind).set(now - watch.heard_at)
+        self.meters.age.labels("heartbeat").set(now - self.upstream.heard_at)
+        return aiohttp.web.Response(body=self.meters.page(), content_type="text/plain")
+
+    def take_members(self, items: list[stores.Stored]) -> None:
+        """Take over the records of all nodes."""
+        self.directory.take_all(items)
+        own = [item for item in items if item.name == self.config.name]
+        for item in own:
+            self.restore(item)
+            self.publisher.see(item)
+        if not own:
+            self.publisher.see(
+                stores.Stored(self.config.name, self.publisher.revision, deleted=True)
+            )
+
+    def take_member(self, item: stores.Stored) -> None:
+        """Take over one node's record."""
+        self.directory.take(item)
+        self.publisher.see(item)
+
+    def restore(self, item: stores.Stored) -> None:
+        """Take over what an earlier process knew of the upstream."""
+        record = self.directory.records.get(item.name)
+        if record is None or not record.endpoint or self.upstream.identity is not None:
+            return
+        if record.service != self.config.service:
+            return
+        self.upstream.restore(
+            upstreams.Identity(record.endpoint, record.incarnation),
+            record.state,
+            record.version,
+            record.slots,
+        )
+
+    def publish(self) -> None:
+        """Ask for the node's record to be as the upstream is."""
+        upstream = self.upstream
+        if upstream.identity is None:
+            return
+        if self.stopping and upstream.state is upstreams.State.GONE:
+            self.publisher.publish(None)
+            return
+        record = records.Record(
+            self.config.listen.hops,
+            self.config.zone,
+            upstream.service,
+            upstream.identity.endpoint,
+            upstream.identity.incarnation,
+            upstream.version,
+            upstream.slots,
+            "stopping" if self.stopping else upstream.state.value,
+        )
+        self.publisher.publish(record)
+
+    async def settled(self) -> None:
+        """Wait a moment for the record to be in the store."""
+        try:
+            async with asyncio.timeout(SETTLED_WAIT):
+                await self.publisher.written.wait()
+        except TimeoutError:
+            self.log.note("acknowledged-first", why="the store did not answer in time")
+
+    async def tend(self) -> None:
+        """Look after connections and the settings file, again and again."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL)
+            self.exit.pool.sweep()
+            self.attempts.peers.pool.sweep()
+            if self.file is not None and self.file.changed():
+                self.reload()
+
+    def reload(self) -> None:
+        """Take over changed settings; wrong ones change nothing."""
+        try:
+            fresh = settings.load(self.file.path)
+        except codes.Failure as failure:
+            self.log.error("settings-refused", why=str(failure))
+            return
+        for name in fresh.__struct_fields__:
+            setattr(self.config, name, getattr(fresh, name))
+        self.log.info("settings-reloaded", service=fresh.service, store=fresh.store)
+
+    def busy(self) -> int:
+        """Return the requests in progress."""
+        return self.entry.active + self.exit.busy()
+
+    async def stop(self) -> None:
+        """Graceful shutdown: say so, serve on, finish what runs, end."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self.stopping = True
+        self.log.info("node-stopping", requests=self.busy())
+        self.publish()
+        last = began + self.config.drain.grace - RESERVE
+        while loop.time() < last:
+            await asyncio.sleep(DRAIN_STEP)
+            passed = loop.time() - began
+            self.entry.closing = passed > CLOSING_AFTER
+            if passed > QUESTIONS and not self.busy():
+                break
+        self.exit.stopping = True
+        await self.close()
+
+    async def close(self) -> None:
+        """End everything."""
+        self.log.info("node-stopped", requests=self.busy())
+        for runner in self.runners:
+            await runner.cleanup()
+        for task in self.tasks:
+            task.cancel()
+        self.exit.pool.close()
+        self.attempts.peers.pool.close()
+        await self.store.close()
+        self.log.stop()
--- /dev/null
+++ b/rattanridge/mesh/ports.py
@@ -0,0 +1,109 @@
+"""The ports of a node other than the callers' one."""
+
+import aiohttp.web
+
+from rattanridge.calls import bodies
+from rattanridge.kernel import codes
+from rattanridge.mesh import (
+    calls,
+    configs as configurations,
+    events,
+    exit as exits,
+    marks,
+    settings,
+    upstream as upstreams,
+)
+from rattanridge.platform import headers, heartbeats
+
+JSON = "application/json"
+
+
+class Hops:
+    """Calls that other nodes forward to the exit here."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        exit: exits.Exit,
+        configs: configurations.Configs,
+        meters: events.Meters,
+    ):
+        self.config = config
+        self.exit = exit
+        self.configs = configs
+        self.meters = meters
+        self.pages: dict[str, object] = {}
+
+    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+        """Run one forwarded call, or answer a question of another node."""
+        page = self.pages.get(request.path)
+        if page is not None and marks.CALL not in request.headers:
+            return aiohttp.web.Response(body=page(), content_type=JSON)
+        try:
+            answer = await self.exit.run(await self.read(request))
+        except codes.Failure as failure:
+            answer = calls.refuse(failure)
+        answer.version = self.configs.version
+        sent = [*answer.headers, (marks.ANSWER, marks.write_answer(answer))]
+        return aiohttp.web.Response(
+            status=answer.status, headers=sent, body=answer.body
+        )
+
+    async def read(self, request: aiohttp.web.BaseRequest) -> calls.Call:
+        """Read a forwarded call."""
+        body = await bodies.read_body(request, self.config.limits.body_bytes)
+        call = marks.read_call(
+            request.headers.get(headers.ATTEMPT, ""),
+            request.method,
+            request.raw_path,
+            request.headers,
+            body,
+        )
+        call.headers = calls.forwardable(request.headers)
+        self.configs.hint(call.version)
+        return call
+
+
+class Heartbeats:
+    """What the upstream beside the node says of itself.
+
+    :param settled: waits until the node's record is in the store.
+    """
+
+    def __init__(
+        self,
+        upstream: upstreams.Upstream,
+        settled: object,
+        log: events.Events,
+        meters: events.Meters,
+    ):
+        self.upstream = upstream
+        self.settled = settled
+        self.log = log
+        self.meters = meters
+
+    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+        """Acknowledge a heartbeat or a farewell."""
+        endpoint = request.path.removeprefix(heartbeats.PREFIX)
+        if endpoint == request.path or not endpoint or "/" in endpoint:
+            return aiohttp.web.Response(status=404)
+        data = await bodies.read_body(request, heartbeats.MAX_BYTES)
+        try:
+            await self.take(request.method, endpoint, data)
+        except codes.Failure as failure:
+            self.meters.add("heartbeat-unreadable")
+            self.log.note("heartbeat-unreadable", endpoint=endpoint, why=str(failure))
+            return aiohttp.web.Response(status=failure.code.status)
+        return aiohttp.web.Response(body=b"{}", content_type=JSON)
+
+    async def take(self, method: str, endpoint: str, data: bytes) -> None:
+        """Take over what was said; leaving is told to the other nodes first."""
+        if method == "DELETE":
+            self.upstream.leave(endpoint, heartbeats.decode_leave(data))
+            await self.settled()
+        elif method == "PUT":
+            beat = heartbeats.decode(endpoint, data)
+            if self.upstream.hear(beat) and beat.draining:
+                await self.settled()
+        else:
+            raise codes.Failure(codes.BAD_REQUEST, method)
--- /dev/null
+++ b/rattanridge/mesh/watching.py
@@ -0,0 +1,119 @@
+"""Follows the objects of one kind in the store: list, watch, and list again."""
+
+import asyncio
+import collections.abc
+import random
+
+from rattanridge.kernel import codes
+from rattanridge.mesh import events
+from rattanridge.platform import store as stores
+
+WAIT = 10.0  # seconds that one watch waits; a silent one costs no more
+FIRST_PAUSE = 0.1  # seconds before the first call after a failed one
+LONGEST_PAUSE = 0.9  # seconds
+SETTLE = 0.15  # seconds after a change, in which more changes are awaited
+
+TakeAll = collections.abc.Callable[[list[stores.Stored]], None]
+TakeOne = collections.abc.Callable[[stores.Stored], None]
+
+
+class Health:
+    """What a node knows of the store. While it is away, one watch tries it for all."""
+
+    def __init__(self, log: events.Events, rng: random.Random | None = None):
+        self.log = log
+        self.random = rng or random.Random()
+        self.up = asyncio.Event()
+        self.up.set()
+        self.prober: object | None = None
+        self.pause = FIRST_PAUSE
+        self.lost_at = 0.0
+
+    def succeeded(self) -> None:
+        """A call was answered."""
+        if not self.up.is_set():
+            away = asyncio.get_running_loop().time() - self.lost_at
+            self.log.info("store-regained", away=away)
+        self.up.set()
+        self.prober = None
+        self.pause = FIRST_PAUSE
+
+    async def failed(self, who: object, failure: codes.Failure) -> None:
+        """A call failed: wait for the time of the next one."""
+        if self.up.is_set():
+            self.up.clear()
+            self.lost_at = asyncio.get_running_loop().time()
+            self.log.info("store-lost", code=failure.code.number, why=failure.detail)
+        if self.prober not in (None, who):
+            await self.up.wait()
+            return
+        self.prober = who
+        pause = self.pause * self.random.uniform(0.7, 1.3)
+        self.pause = min(self.pause * 2, LONGEST_PAUSE)
+        await asyncio.sleep(pause)
+
+
+class Watch:
+    """Follows one kind.
+
+    :param take_all: gets all objects after a list.
+    :param take: gets one changed or deleted object.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        kind: str,
+        health: Health,
+        take_all: TakeAll,
+        take: TakeOne,
+        log: events.Events,
+    ):
+        self.store = store
+        self.kind = kind
+        self.health = health
+        self.take_all = take_all
+        self.take = take
+        self.log = log
+        self.revision = 0
+        self.listed = False
+        self.heard_at = 0.0
+
+    async def run(self) -> None:
+        """Follow the kind for ever."""
+        while True:
+            try:
+                await self.list()
+                while True:
+                    await self.step()
+            except codes.Failure as failure:
+                if failure.code is codes.WATCH_LOST:
+                    self.log.info("watch-lost", kind=self.kind, revision=self.revision)
+                    await asyncio.sleep(self.health.random.uniform(0.0, SETTLE))
+                    continue
+                await self.health.failed(self, failure)
+
+    async def list(self) -> None:
+        """Take over all objects, unless the answer is older than what is known."""
+        listing = await self.store.list(self.kind)
+        self.hear()
+        if listing.revision < self.revision:
+            self.log.info("list-old", kind=self.kind, revision=listing.revision)
+            raise codes.Failure(codes.PLATFORM_BUSY, "an old list")
+        self.revision = listing.revision
+        self.take_all(listing.items)
+        self.listed = True
+
+    async def step(self) -> None:
+        """Wait for changes once and take them over."""
+        changes = await self.store.watch(self.kind, self.revision, WAIT)
+        self.hear()
+        self.revision = max(self.revision, changes.revision)
+        for item in changes.items:
+            self.take(item)
+        if changes.items:
+            await asyncio.sleep(SETTLE)
+
+    def hear(self) -> None:
+        self.heard_at = asyncio.get_running_loop().time()
+        self.health.succeeded()
--- a/rattanridge/node.py
+++ b/rattanridge/node.py
@@ -32,7 +32,7 @@
     transport,
 )
 from rattanridge.kernel import addresses, codes, log, metrics, registry, settings
-from rattanridge.platform import client
+from rattanridge.objectapi import client
 
 DRAIN_STEP = 0.02  # seconds between looks at what still runs
 WITHDRAW_PAUSE = 0.5  # seconds for a withdrawal to reach the entries
--- a/rattanridge/platform/client.py
+++ b/rattanridge/objectapi/client.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from rattanridge.kernel import codes, metrics
-from rattanridge.platform import objects
+from rattanridge.objectapi import objects
 
 T = typing.TypeVar("T")
 
--- a/rattanridge/platform/leases.py
+++ b/rattanridge/objectapi/leases.py
@@ -11,7 +11,7 @@
 import uuid
 
 from rattanridge.kernel import clock, codes, log
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 
 SAFETY = 0.8  # fraction of the term after which the holder stops by itself
 RENEW = 0.3  # fraction of the term after which the holder renews
--- a/rattanridge/platform/__init__.py
+++ b/rattanridge/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Client of the platform's object API: versions, conditional updates, leases."""
+"""Adapter to the users' platform: its names, formats and calls. It decides nothing."""
--- /dev/null
+++ b/rattanridge/platform/configs.py
@@ -0,0 +1,134 @@
+"""Decodes the operator's configuration into the kernel's types."""
+
+import msgspec
+
+from rattanridge.kernel import codes, routes
+
+KIND = "config"
+NAME = "main"
+IDEMPOTENT_KIND = "safe"
+KINDS = ("safe", "unsafe")
+VERSION_BASE = 16
+DEFAULT_TIMEOUT_MS = 10_000.0  # for a route that names none
+
+
+class WireShare(msgspec.Struct):
+    """One entry of a split."""
+
+    service: str = msgspec.field(name="Service")
+    weight: int = msgspec.field(name="Weight")
+
+
+class WireRoute(msgspec.Struct):
+    """One path of a host. ``Kind`` says whether a request may be repeated."""
+
+    name: str = msgspec.field(name="Name")
+    prefix: str = msgspec.field(name="PathPrefix")
+    kind: str = msgspec.field(name="Kind")
+    priority: int = msgspec.field(name="Priority", default=0)
+    timeout_ms: float = msgspec.field(name="TimeoutMs", default=DEFAULT_TIMEOUT_MS)
+    target_ms: float = msgspec.field(name="TargetLatencyMs", default=0.0)
+    attempts: int = msgspec.field(name="MaxAttempts", default=1)
+    service: str = msgspec.field(name="Service", default="")
+    split: list[WireShare] = msgspec.field(name="TrafficSplit", default_factory=list)
+
+
+class WireHost(msgspec.Struct):
+    """One host with its routes."""
+
+    host: str = msgspec.field(name="Host")
+    paths: list[WireRoute] = msgspec.field(name="Paths")
+
+
+class WireService(msgspec.Struct):
+    """One service."""
+
+    name: str = msgspec.field(name="Name")
+    health_path: str = msgspec.field(name="HealthPath", default="/healthz")
+    connections: int = msgspec.field(name="MaxConnections", default=100)
+
+
+class WireLimits(msgspec.Struct):
+    """Bounds on callers."""
+
+    header_bytes: int = msgspec.field(name="MaxHeaderBytes", default=16_384)
+    body_bytes: int = msgspec.field(name="MaxBodyBytes", default=67_108_864)
+    header_ms: float = msgspec.field(name="HeaderTimeoutMs", default=3_000)
+    idle_ms: float = msgspec.field(name="IdleTimeoutMs", default=15_000)
+
+
+class WireConfiguration(msgspec.Struct):
+    """The whole configuration; ``Version`` is a number in hexadecimal digits."""
+
+    version: str = msgspec.field(name="Version")
+    hosts: list[WireHost] = msgspec.field(name="VirtualHosts")
+    services: list[WireService] = msgspec.field(name="Services")
+    limits: WireLimits = msgspec.field(name="Limits", default_factory=WireLimits)
+
+
+def decode(data: bytes) -> routes.Configuration:
+    """Decode and check a configuration whole; raise ``bad-field`` if it is wrong."""
+    try:
+        wire = msgspec.json.decode(data, type=WireConfiguration)
+        version = int(wire.version, VERSION_BASE)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise codes.Failure(codes.BAD_FIELD, str(error), where="configuration")
+    services = {
+        item.name: routes.Service(item.name, item.health_path, item.connections)
+        for item in wire.services
+    }
+    found = [
+        decode_route(group.host, item, services)
+        for group in wire.hosts
+        for item in group.paths
+    ]
+    limits = routes.Limits(
+        wire.limits.header_bytes,
+        wire.limits.body_bytes,
+        wire.limits.header_ms / 1000,
+        wire.limits.idle_ms / 1000,
+    )
+    return routes.Configuration(version, routes.index(found), services, limits)
+
+
+def decode_route(
+    host: str, item: WireRoute, services: dict[str, routes.Service]
+) -> routes.Route:
+    """Decode one route; its services must be part of the configuration."""
+    shares = tuple(routes.Share(part.service, part.weight) for part in item.split)
+    if not shares:
+        shares = (routes.Share(item.service, 1),)
+    check_route(item, shares, services)
+    return routes.Route(
+        name=item.name,
+        host=host.lower(),
+        prefix=item.prefix,
+        idempotent=item.kind == IDEMPOTENT_KIND,
+        timeout=item.timeout_ms / 1000,
+        target_latency=(item.target_ms or item.timeout_ms) / 1000,
+        priority=item.priority,
+        attempts=max(item.attempts, 1),
+        shares=shares,
+    )
+
+
+def check_route(
+    item: WireRoute,
+    shares: tuple[routes.Share, ...],
+    services: dict[str, routes.Service],
+) -> None:
+    """Refuse a route that leads nowhere or whose figures make no sense."""
+    where = f"route {item.name}"
+    if item.kind not in KINDS:
+        raise codes.Failure(codes.BAD_FIELD, f"kind {item.kind!r}", where=where)
+    if not (item.prefix.startswith("/") and item.prefix.endswith("/")):
+        raise codes.Failure(codes.BAD_FIELD, f"prefix {item.prefix!r}", where=where)
+    if item.timeout_ms <= 0 or item.target_ms < 0:
+        raise codes.Failure(codes.BAD_FIELD, "times below zero", where=where)
+    if any(share.weight < 0 for share in shares):
+        raise codes.Failure(codes.BAD_FIELD, "a weight below zero", where=where)
+    if not any(share.weight > 0 for share in shares):
+        raise codes.Failure(codes.BAD_FIELD, "no weight above zero", where=where)
+    for share in shares:
+        if share.service not in services:
+            raise codes.Failure(codes.MISSING_SERVICE, share.service, where=where)
--- /dev/null
+++ b/rattanridge/platform/heartbeats.py
@@ -0,0 +1,83 @@
+"""Decodes what an upstream says of itself to the node beside it."""
+
+import dataclasses
+
+import msgspec
+
+from rattanridge.kernel import codes
+
+PREFIX = "/api/instances/"
+READY_PATH = "/api/readyz"
+MAX_BYTES = 65_536
+STATES = ("ready", "draining")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Heartbeat:
+    """One heartbeat of an upstream.
+
+    :param endpoint: the upstream's id; the same one may start again.
+    :param incarnation: milliseconds since the epoch of the upstream's start; 0
+        if it told none.
+    :param sequence: grows with each heartbeat of one incarnation.
+    :param draining: whether it is about to leave.
+    :param cold: seconds for which it is still slow after its start.
+    """
+
+    endpoint: str
+    incarnation: int
+    sequence: int
+    service: str
+    address: str
+    version: str
+    slots: int
+    draining: bool
+    cold: float
+
+
+class WireHeartbeat(msgspec.Struct):
+    """The body of a heartbeat. ``born`` is the start of this incarnation."""
+
+    service: str = msgspec.field(name="Service")
+    address: str = msgspec.field(name="Address")
+    version: str = msgspec.field(name="Version")
+    slots: int = msgspec.field(name="Slots")
+    state: str = msgspec.field(name="State")
+    sequence: int = msgspec.field(name="Sequence")
+    cold_ms: float = msgspec.field(name="ColdRemainingMs", default=0.0)
+    born: int = 0
+
+
+class WireLeave(msgspec.Struct):
+    """The body of a farewell; it may be empty."""
+
+    born: int = 0
+
+
+def decode(endpoint: str, data: bytes) -> Heartbeat:
+    """Decode a heartbeat; raise ``bad-field`` if it names no usable endpoint."""
+    try:
+        wire = msgspec.json.decode(data, type=WireHeartbeat)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise codes.Failure(codes.BAD_FIELD, str(error), where="heartbeat")
+    if wire.state not in STATES or wire.slots < 1 or not wire.service:
+        raise codes.Failure(codes.BAD_FIELD, f"state {wire.state}", where="heartbeat")
+    return Heartbeat(
+        endpoint,
+        wire.born,
+        wire.sequence,
+        wire.service,
+        wire.address,
+        wire.version,
+        wire.slots,
+        wire.state != "ready",
+        wire.cold_ms / 1000,
+    )
+
+
+def decode_leave(data: bytes) -> int:
+    """Return the incarnation that a farewell names; 0 if it names none."""
+    try:
+        return msgspec.json.decode(data, type=WireLeave).born if data else 0
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+        return 0
--- /dev/null
+++ b/rattanridge/platform/orders.py
@@ -0,0 +1,86 @@
+"""The operator's rollout orders and the status that answers them."""
+
+import dataclasses
+
+import msgspec
+
+from rattanridge.kernel import codes
+
+KIND = "rollouts"
+RUNNING = "running"
+COMPLETED = "completed"
+TAKEN_BACK = "rolled_back"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Order:
+    """The operator wants a service's traffic on another version.
+
+    :param duration: seconds, from the order, within which it is to be done.
+    """
+
+    service: str
+    version: str
+    duration: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Status:
+    """How far an order has come.
+
+    :param state: ``RUNNING``, ``COMPLETED`` or ``TAKEN_BACK``.
+    :param version: the version that the order names.
+    :param share: part of the requests that goes to it, 0 to 1.
+    :param holder: node that coordinates the order.
+    :param turn: grows with each write, so that a stalled holder shows.
+    """
+
+    state: str
+    version: str
+    share: float = 0.0
+    holder: str = ""
+    turn: int = 0
+
+
+class WireOrder(msgspec.Struct):
+    """The operator's part."""
+
+    service: str = msgspec.field(name="Service")
+    version: str = msgspec.field(name="TargetVersion")
+    duration: float = msgspec.field(name="DurationS")
+
+
+class WireStatus(msgspec.Struct):
+    """The system's part. ``Share``, ``Holder`` and ``Turn`` are its own fields."""
+
+    state: str = msgspec.field(name="State")
+    version: str = msgspec.field(name="TargetVersion")
+    share: float = msgspec.field(name="Share", default=0.0)
+    holder: str = msgspec.field(name="Holder", default="")
+    turn: int = msgspec.field(name="Turn", default=0)
+
+
+def decode_order(data: bytes) -> Order:
+    """Decode an order; raise ``bad-field`` if it is wrong."""
+    try:
+        wire = msgspec.json.decode(data, type=WireOrder)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise codes.Failure(codes.BAD_FIELD, str(error), where="rollout")
+    return Order(wire.service, wire.version, wire.duration)
+
+
+def decode_status(data: bytes) -> Status | None:
+    """Decode a status; None if there is none or it is unreadable."""
+    try:
+        wire = msgspec.json.decode(data, type=WireStatus)
+    except (msgspec.MsgspecError, RecursionError):
+        return None
+    return Status(wire.state, wire.version, wire.share, wire.holder, wire.turn)
+
+
+def encode_status(status: Status) -> bytes:
+    """Return a status as the store keeps it."""
+    wire = WireStatus(
+        status.state, status.version, status.share, status.holder, status.turn
+    )
+    return msgspec.json.encode(wire)
--- a/rattanridge/standin/platform.py
+++ b/rattanridge/standin/platform.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from rattanridge.kernel import codes
-from rattanridge.platform import objects
+from rattanridge.objectapi import objects
 from rattanridge.standin import store as stores
 
 SECOND = 1.0
--- a/rattanridge/standin/store.py
+++ b/rattanridge/standin/store.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from rattanridge.kernel import codes
-from rattanridge.platform import objects
+from rattanridge.objectapi import objects
 
 EVENTS_KEPT = 10_000
 
--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -13,7 +13,7 @@
 from rattanridge.calls import claimed, claims, ledger, owners, types
 from rattanridge.control import replica
 from rattanridge.kernel import clock, codes, metrics, presets, settings
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.standin import store as stores
 
 EPOCH = 1_000_000.0
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,7 +8,7 @@
 from rattanridge.control import messages, replica, transport
 from rattanridge.kernel import clock, codes, metrics, settings, snapshot
 from rattanridge.measure import fleet
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.standin import store as stores
 
 
--- a/tests/rollout_world.py
+++ b/tests/rollout_world.py
@@ -16,7 +16,7 @@
     source,
 )
 from rattanridge.kernel import clock, codes, metrics, settings
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.standin import store
 
 SERVICE = "workshop"
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -17,7 +17,7 @@
 )
 from rattanridge.kernel import codes, settings, snapshot
 from rattanridge.measure import controls, fleet
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.standin import platform as platforms
 
 LIMIT = 60.0  # seconds; only a hang takes that long
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 
 from rattanridge.kernel import clock, codes
-from rattanridge.platform import leases
+from rattanridge.objectapi import leases
 from rattanridge.standin import store as stores
 from tests import fakes
 
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -20,7 +20,7 @@
 )
 from rattanridge.kernel import clock, codes, metrics, snapshot
 from rattanridge.measure import fleet
-from rattanridge.platform import leases, objects
+from rattanridge.objectapi import leases, objects
 from rattanridge.standin import store as stores
 from tests import fakes
 
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -8,7 +8,7 @@
 from rattanridge.control import source
 from rattanridge.kernel import codes
 from rattanridge.measure import fleet
-from rattanridge.platform import objects
+from rattanridge.objectapi import objects
 from tests import bench as benches
 
 VALUES = (
--- a/tests/test_presets.py
+++ b/tests/test_presets.py
@@ -11,7 +11,7 @@
 from rattanridge.admin import presets as store
 from rattanridge.kernel import codes
 from rattanridge.measure import fleet
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.standin import platform as platforms
 
 OLGA, VICTOR = fleet.TOKENS
--- a/tests/test_rollouts_faults.py
+++ b/tests/test_rollouts_faults.py
@@ -12,7 +12,7 @@
     rollouts,
 )
 from rattanridge.kernel import codes, presets, snapshot
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.policies import schedules
 from tests import rollout_world
 
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -11,7 +11,7 @@
 from rattanridge.cli import main, standin
 from rattanridge.kernel import codes
 from rattanridge.measure import fleet
-from rattanridge.platform import client, objects
+from rattanridge.objectapi import client, objects
 from rattanridge.standin import (
     platform as platforms,
     store as stores,
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -7,7 +7,7 @@
 from rattanridge.cli import preset, status as commands
 from rattanridge.control import messages, source, zone as zones
 from rattanridge.kernel import clock, codes
-from rattanridge.platform import objects
+from rattanridge.objectapi import objects
 from rattanridge.standin import store as stores
 from tests import fakes
 
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -7,7 +7,7 @@
 from rattanridge.admin import presets as store
 from rattanridge.kernel import codes
 from rattanridge.measure import fleet
-from rattanridge.platform import client
+from rattanridge.objectapi import client
 from rattanridge.standin import platform as platforms
 
 DAY = fleet.preset_text(fleet.make_preset("day", ["workshop"]))
--- a/tests/test_zone.py
+++ b/tests/test_zone.py
@@ -9,7 +9,7 @@
     zone as zones,
 )
 from rattanridge.kernel import clock
-from rattanridge.platform import leases, objects
+from rattanridge.objectapi import leases, objects
 from rattanridge.standin import store as stores
 from tests import fakes
 
