--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -7,7 +7,7 @@
 from rattanridge.mesh import events
 from rattanridge.platform import configs, store as stores
 
-HINT_WAIT = 0.4  # seconds that the watch has to tell what another node knows
+HINT_WAIT = 0.7  # seconds that the watch has to tell what another node knows
 PAGE = "/configuration"
 
 Fetch = collections.abc.Callable[[str, str], collections.abc.Awaitable[bytes | None]]
--- a/rattanridge/mesh/connections.py
+++ b/rattanridge/mesh/connections.py
@@ -19,7 +19,7 @@
 from rattanridge.kernel import codes
 
 CONNECT_TIMEOUT = 0.25  # seconds for a connection that a request waits for
-READ_BYTES = 262_144  # buffered from one connection before reading pauses
+ANSWER_BYTES = 33_554_432  # of the largest answer that is taken
 HEAD_BYTES = 65_536  # of one header line of an answer
 IDLE_MARGIN = 1.0  # seconds before the peer's own limit that a connection is dropped
 IDLE_DEFAULT = 8.0  # seconds that an unused connection is kept
@@ -86,9 +86,15 @@
             return
         for message, payload in messages:
             self.answers.append((message, payload))
-            payload.on_eof(self.check)
         self.check()
 
+    def pause_reading(self) -> None:
+        """The library's buffer is full: the answer is too large to be taken."""
+        self.end("answer too large")
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Nothing was paused; the library asks whenever its buffer is read."""
+
     def check(self) -> None:
         """Deliver the first whole answer that belongs to the request.
 
@@ -146,7 +152,7 @@
         self.parser = aiohttp.http.HttpResponseParser(
             self,
             self._loop,
-            READ_BYTES,
+            ANSWER_BYTES // 2,
             max_line_size=HEAD_BYTES,
             max_field_size=HEAD_BYTES,
             payload_exception=ConnectionError,
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -37,6 +37,7 @@
 RESERVE = 0.7  # seconds of the grace time kept for ending
 SETTLED_WAIT = 0.3  # seconds that an acknowledgement waits for the store
 SWEEP_INTERVAL = 1.0  # seconds
+ROLLOUT_SETTLE = 0.1  # seconds; a version that is taken back must not wait
 BACKLOG = 512  # connections that wait to be accepted
 TASKS_RETRY = 0.5  # seconds before a record is written again
 
@@ -89,7 +90,9 @@
         self.watches = [
             self.watch(wire_configs.KIND, self.configs.take_all, self.configs.take),
             self.members,
-            self.watch(orders.KIND, self.versions.take_all, self.versions.take),
+            self.watch(
+                orders.KIND, self.versions.take_all, self.versions.take, ROLLOUT_SETTLE
+            ),
         ]
         self.coordinator = coordinator.Coordinator(
             config,
@@ -109,9 +112,15 @@
         return await self.attempts.peers.fetch(address, "GET", path)
 
     def watch(
-        self, kind: str, take_all: watching.TakeAll, take: watching.TakeOne
+        self,
+        kind: str,
+        take_all: watching.TakeAll,
+        take: watching.TakeOne,
+        settle: float = watching.SETTLE,
     ) -> watching.Watch:
-        return watching.Watch(self.store, kind, self.health, take_all, take, self.log)
+        return watching.Watch(
+            self.store, kind, self.health, take_all, take, self.log, settle
+        )
 
     async def start(self) -> None:
         """Listen on all ports and begin to follow the store."""
--- a/rattanridge/mesh/watching.py
+++ b/rattanridge/mesh/watching.py
@@ -12,7 +12,8 @@
 DOUBT_PAUSE = 2.0  # seconds between two lists that a doubt causes
 FIRST_PAUSE = 0.1  # seconds before the first call after a failed one
 LONGEST_PAUSE = 0.9  # seconds
-SETTLE = 0.15  # seconds after a change, in which more changes are awaited
+LIST_SPREAD = 0.15  # seconds over which nodes spread the lists of a lost history
+SETTLE = 0.5  # seconds after a change, in which more changes gather
 
 TakeAll = collections.abc.Callable[[list[stores.Stored]], None]
 TakeOne = collections.abc.Callable[[stores.Stored], None]
@@ -71,6 +72,8 @@
 
     :param take_all: gets all objects after a list.
     :param take: gets one changed or deleted object.
+    :param settle: seconds after a change before the next watch; changes that
+        gather meanwhile come with one call.
     """
 
     def __init__(
@@ -81,7 +84,9 @@
         take_all: TakeAll,
         take: TakeOne,
         log: events.Events,
+        settle: float = SETTLE,
     ):
+        self.settle = settle
         self.store = store
         self.kind = kind
         self.health = health
@@ -104,8 +109,8 @@
             except codes.Failure as failure:
                 if failure.code is codes.WATCH_LOST:
                     self.log.info("watch-lost", kind=self.kind, revision=self.revision)
-                    self.health.doubt(f"the history of {self.kind} is gone")
-                    await asyncio.sleep(self.health.random.uniform(0.0, SETTLE))
+                    self.health.doubt(failure.detail)
+                    await asyncio.sleep(self.health.random.uniform(0.0, LIST_SPREAD))
                     continue
                 await self.health.failed(self, failure)
 
@@ -140,7 +145,7 @@
         for item in changes.items:
             self.take(item)
         if changes.items:
-            await asyncio.sleep(SETTLE)
+            await asyncio.sleep(self.settle)
 
     def interrupt(self) -> None:
         """End the watch that waits; then the kind is listed again."""
--- a/rattanridge/platform/store.py
+++ b/rattanridge/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store: objects by kind and name, with watches."""
 
+import asyncio
 import dataclasses
 import socket
 import typing
@@ -12,7 +13,7 @@
 
 NULL = b"null"
 CALL_TIMEOUT = 2.0  # seconds for an answer to a call that is not a watch
-WATCH_MARGIN = 2.0  # seconds that a watch may take longer than it was asked to wait
+WATCH_MARGIN = 0.8  # seconds that a watch may take longer than it was asked to wait
 CONNECT_TIMEOUT = 1.0  # seconds
 KEEPALIVE_IDLE = 1  # seconds of silence before the first probe of a connection
 KEEPALIVE_COUNT = 2  # lost probes, a second apart, that end a connection
@@ -188,11 +189,16 @@
     async def watch(self, kind: str, revision: int, wait: float) -> Listing:
         """Wait for changes after a revision, at most ``wait`` seconds.
 
-        Raises ``watch-lost`` if the store's history no longer reaches back so far.
+        Raises ``watch-lost`` if the store's history no longer reaches back so far,
+        or if the watch stays silent beyond its time.
         """
         query = {WATCH: str(revision), WAIT: str(int(wait * 1000))}
-        timeout = wait + WATCH_MARGIN
-        data = await self.call("watch", "GET", kind, query, timeout=timeout)
+        try:
+            async with asyncio.timeout(wait + WATCH_MARGIN):
+                data = await self.call("watch", "GET", kind, query, timeout=None)
+        except TimeoutError:
+            self.observe("watch", codes.WATCH_LOST.name)
+            raise codes.Failure(codes.WATCH_LOST, f"{kind}: silent")
         wire = decode(data, WireChanges)
         page = [decode_object(bytes(item.object), item.deleted) for item in wire.events]
         return Listing([item for item in page if item is not None], wire.revision)
@@ -245,7 +251,7 @@
         path: str,
         query: dict[str, str] | None = None,
         body: bytes = b"",
-        timeout: float = CALL_TIMEOUT,
+        timeout: float | None = CALL_TIMEOUT,
     ) -> bytes:
         """Make one call; raise a coded failure unless it succeeds."""
         limit = aiohttp.ClientTimeout(total=timeout, sock_connect=CONNECT_TIMEOUT)
--- a/rattanridge/standin/metadata.py
+++ b/rattanridge/standin/metadata.py
@@ -22,6 +22,7 @@
         answer.
     :param delay: seconds before each call is looked at.
     :param deaf: watches are told nothing until their time is over.
+    :param mute: watches are not answered at all.
     """
 
     down: bool = False
@@ -29,6 +30,7 @@
     lost: bool = False
     delay: float = 0.0
     deaf: bool = False
+    mute: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -130,6 +132,8 @@
         if self.events and after < self.events[0].revision - 1:
             return aiohttp.web.Response(status=410)
         wait = int(request.query.get(stores.WAIT, 0)) / 1000
+        if self.faults.mute:
+            await asyncio.sleep(3600)
         try:
             async with asyncio.timeout(wait), self.changed:
                 await self.changed.wait_for(
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -126,6 +126,8 @@
             extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
             extra += "".join(f"{name}: {value}\r\n" for name, value in other.items())
             request.transport.write(f"{extra}\r\nwrong".encode())
+        if self.mode.startswith("bytes "):
+            body = b"x" * int(self.mode.split()[1])
         return aiohttp.web.Response(headers=sent, body=b"done " + body)
 
     def beat(self, state="ready"):
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -43,6 +43,14 @@
             name.lower().startswith("rattanridge") for name in request.headers
         )
 
+    @pytest.mark.parametrize("size", [1, 5_000, 70_000, 700_000, 3_000_000])
+    async def test_of_any_size_over_two_hops(self, world, size):
+        """Large ones come in many parts."""
+        await world.start("workshop", "registry")
+        world.upstreams[1].mode = f"bytes {size}"
+        status, _, body = await world.call("/lookup/1")
+        assert (status, len(body)) == (200, size + 5)
+
     async def test_no_route(self, world):
         await world.start("registry")
         status, found, _ = await world.call("/nowhere/1")
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -6,7 +6,7 @@
 import pytest_asyncio
 
 from rattanridge.mesh import records, watching
-from rattanridge.platform import configs, orders
+from rattanridge.platform import configs, orders, store as stores
 from tests import mesh_world
 
 
@@ -102,6 +102,18 @@
         await world.wait(lambda: world.nodes[1].configs.version == 4, 1.5)
         assert (await world.call("/new/1", node=1))[0] == 200
 
+    async def test_one_mute_watch_casts_doubt_on_all(self, world, monkeypatch):
+        """The store cuts watches without a word and forgets its history."""
+        monkeypatch.setattr(watching, "WAIT", (0.2, 0.4))
+        monkeypatch.setattr(stores, "WATCH_MARGIN", 0.2)
+        await world.start("workshop")
+        node = world.nodes[0]
+        world.store.faults.mute = True
+        await asyncio.sleep(0.5)
+        await world.configure(4, *mesh_world.PLAIN)
+        await world.wait(lambda: node.configs.version == 4, 3.0)
+        assert node.health.doubted_at > float("-inf")
+
     async def test_nodes_renew_their_watches_at_different_times(self, world):
         await world.start("registry")
         health = world.nodes[0].health
