Calls that a running request waits for are known, and wait for their slot

Cause: clients and the upstream call from one address, so every request counted as nested and the order had no effect. A call's id begins with that of the request that the exit runs; a nested call is refused only if its deadline can't be met.

--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -98,9 +98,9 @@
         return call, route
 
     def is_nested(self, request: aiohttp.web.BaseRequest) -> bool:
-        """Whether the upstream beside the node makes the call."""
-        host = self.config.upstream.rpartition(":")[0]
-        return request.remote == host
+        """Whether a request that the upstream beside the node runs waits for it."""
+        parent = headers.parent_of(request.headers.get(headers.ATTEMPT, ""))
+        return bool(parent) and parent in self.attempts.exit.running
 
     def respond(self, answer: calls.Answer) -> aiohttp.web.Response:
         """Return the response that a caller gets."""
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -40,6 +40,7 @@
         self.pool = connections.Pool()
         self.queue = queueing.Queue(1)
         self.tasks: set[asyncio.Task] = set()
+        self.running: set[str] = set()
         self.stopping = False
         self.judge = judging.Judge(upstream, log)
         upstream.listeners.append(self.follow)
@@ -146,6 +147,7 @@
         began = loop.time()
         data = self.write(call, identity, call.deadline - began)
         call.sent = True
+        self.running.add(call.attempt)
         try:
             async with asyncio.timeout_at(call.deadline + ANSWER_MARGIN):
                 response = await connection.exchange(
@@ -157,6 +159,8 @@
         except codes.Failure:
             self.judge.observe(call, None, loop.time() - began)
             raise
+        finally:
+            self.running.discard(call.attempt)
         spent = loop.time() - began
         self.pool.release(address, connection, response)
         return self.read(call, response, identity, spent)
--- a/rattanridge/platform/headers.py
+++ b/rattanridge/platform/headers.py
@@ -9,6 +9,17 @@
 
 DEADLINE_DIGITS = 9
 
+PARENT_SEPARATOR = "."
+
+
+def parent_of(attempt: str) -> str:
+    """Return the id of the request that a call was made for; empty if it has none.
+
+    The id of a call that an upstream makes begins with that of the request
+    which it runs.
+    """
+    return attempt.rpartition(PARENT_SEPARATOR)[0]
+
 
 def parse_deadline(text: str | None) -> float | None:
     """Return the seconds that a deadline header leaves, or None if it is unusable."""
--- a/rattanridge/policies/queueing.py
+++ b/rattanridge/policies/queueing.py
@@ -73,7 +73,6 @@
         self.waiting: list[Ticket] = []
         self.times = Times()
         self.numbers = 0
-        self.timer: asyncio.TimerHandle | None = None
 
     async def enter(self, ticket: Ticket) -> None:
         """Wait for a slot; raise ``queue-full`` if there is none in time."""
@@ -94,9 +93,8 @@
         wait = self.wait_of(ticket)
         finish = now + wait + work
         late_wait = LATE_SHARE * (ticket.deadline - now)
-        if finish > ticket.deadline or (
-            finish > ticket.timely_until and wait > late_wait
-        ):
+        late = finish > ticket.timely_until and not ticket.nested
+        if finish > ticket.deadline or (late and wait > late_wait):
             raise codes.Failure(codes.QUEUE_FULL, retry_after=self.retry_after())
         self.numbers += 1
         ticket.number = self.numbers
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -163,6 +163,27 @@
         assert world.upstreams[0].most <= 2
 
 
+class TestNested:
+    async def test_a_call_of_a_running_request_is_known(self, world):
+        await world.start("registry")
+        node = world.nodes[0]
+        node.exit.running.add("77")
+        seen = []
+        run = node.attempts.run
+
+        async def note(call, route):
+            seen.append(call.nested)
+            return await run(call, route)
+
+        node.attempts.run = note
+        for attempt in ("77.1", "78.1", "77"):
+            sent = {"Host": mesh_world.HOST, headers.ATTEMPT: attempt}
+            url = f"http://{node.config.listen.callers}/lookup/1"
+            async with world.session.get(url, headers=sent) as answer:
+                assert answer.status == 200
+        assert seen == [True, False, False]
+
+
 class TestLeaving:
     @pytest.mark.parametrize("farewell", ["drain", "leave"])
     async def test_nothing_new_after_the_acknowledgement(self, world, farewell):
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -135,6 +135,18 @@
         await fill(queue)
         assert queue.retry_after() == queueing.LONGEST_RETRY_AFTER
 
+    async def test_of_late_requests_unless_they_are_nested(self):
+        queue = queueing.Queue(1)
+        queue.times.note("r", 0.5)
+        await fill(queue)
+        first = await enter(queue, ticket(timely=2.0))
+        with pytest.raises(codes.Failure):
+            await queue.enter(ticket(timely=0.1, deadline=1.3))
+        nested = await enter(queue, ticket(timely=0.1, deadline=1.3, nested=True))
+        assert not nested.done()
+        for task in (first, nested):
+            task.cancel()
+
     async def test_a_burst_is_served_timely_or_refused_at_once(self):
         """300 requests at once against 4 slots of 10 ms, timely within 0.2 s."""
         queue = queueing.Queue(4)
