--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -113,6 +113,7 @@
             else:
                 answer = await self.peers.run(chosen.hop, call)
             answered = answer.load is not None
+            answer.node = chosen.node
             return answer
         finally:
             chosen.end(answered, loop.time())
@@ -189,8 +190,10 @@
     def note(
         self, call: calls.Call, chosen: placement.Candidate, answer: calls.Answer
     ) -> None:
-        """Log that a call goes on to another endpoint."""
+        """Log that a call goes on to another endpoint, and what was known of the
+        one that was chosen."""
         reason = answer.code.name if answer.code is not None else str(answer.status)
+        now = asyncio.get_running_loop().time()
         self.meters.retries.labels(reason).inc()
         self.log.note(
             "call-moved",
@@ -202,6 +205,11 @@
             why=answer.detail,
             ran=answer.ran,
             arrived=answer.arrived,
+            speed=chosen.speed(now),
+            shed=chosen.shed_share(now),
+            running=chosen.load.running if chosen.load else "-",
+            waiting=chosen.load.waiting if chosen.load else "-",
+            report_age=now - chosen.load_at if chosen.load else "-",
         )
 
 
--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -52,6 +52,8 @@
     :param ran: ``NOT_RUN`` only if it is proved.
     :param code: why there is no answer of the upstream; None if there is one.
     :param arrived: whether the call reached an upstream.
+    :param node: node whose exit answered; empty if none was asked.
+    :param queued: seconds that the call waited for a slot there.
     :param spent: seconds that the upstream took.
     :param load: load of the endpoint after the call.
     :param version: version of the configuration at the exit.
@@ -64,6 +66,8 @@
     code: codes.Code | None = None
     detail: str = ""
     arrived: bool = False
+    node: str = ""
+    queued: float = 0.0
     spent: float = 0.0
     retry_after: float = 0.0
     load: placement.Load | None = None
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -133,9 +133,7 @@
         self.meters.requests.labels(outcome).inc()
         if answer.code is None and answer.status < 500:
             late = call is not None and began + took > call.timely_until
-            if not late:
-                return
-            outcome = "late"
+            outcome = "late" if late else "served"
         self.log.note(
             f"request-{outcome}",
             id=request.headers.get(headers.ATTEMPT, "-"),
@@ -147,5 +145,8 @@
             ran=answer.ran,
             why=answer.detail or "-",
             took=took,
+            by=answer.node or "-",
+            queued=answer.queued,
+            spent=answer.spent,
             version=self.configs.version,
         )
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -117,10 +117,13 @@
             call.route, call.rank, call.nested, call.timely_until, call.deadline
         )
         await self.queue.enter(ticket)
+        queued = loop.time() - began
         try:
             self.check(call)
-            self.meters.queue_seconds.observe(loop.time() - began)
-            return await self.send(call)
+            self.meters.queue_seconds.observe(queued)
+            answer = await self.send(call)
+            answer.queued = queued
+            return answer
         finally:
             self.queue.leave()
 
--- a/rattanridge/mesh/marks.py
+++ b/rattanridge/mesh/marks.py
@@ -11,7 +11,7 @@
 ANSWER = "Rattanridge-Answer"
 PREFIX = "rattanridge-"
 CALL_FIELDS = 7
-ANSWER_FIELDS = 9
+ANSWER_FIELDS = 10
 SECONDS_MOST = 3600.0
 
 
@@ -72,6 +72,7 @@
         load.waiting,
         int(load.wait * 1000),
         int(answer.spent * 1e6),
+        int(answer.queued * 1e6),
         int(answer.retry_after * 1000),
         answer.version,
     )
@@ -92,6 +93,7 @@
     answer.arrived = bool(numbers[1])
     answer.load = placement.Load(numbers[2], numbers[3], numbers[4] / 1000)
     answer.spent = numbers[5] / 1e6
-    answer.retry_after = numbers[6] / 1000
-    answer.version = numbers[7]
+    answer.queued = numbers[6] / 1e6
+    answer.retry_after = numbers[7] / 1000
+    answer.version = numbers[8]
     return True
