--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -4,7 +4,7 @@
 import collections.abc
 
 from rattanridge.kernel import codes, routes
-from rattanridge.mesh import events
+from rattanridge.mesh import events, watching
 from rattanridge.platform import configs, store as stores
 
 HINT_WAIT = 0.7  # seconds that the watch has to tell what another node knows
@@ -17,20 +17,21 @@
     """Takes over newer versions, each decoded and checked whole.
 
     :param fetch: asks another node for a page.
-    :param doubt: told that the watch missed a version.
+    :param health: of the store; told when the watch has missed a version.
     """
 
     def __init__(
         self,
         store: stores.Store,
         fetch: Fetch,
-        doubt: collections.abc.Callable[[str], None],
+        health: watching.Health,
         log: events.Events,
         meters: events.Meters,
     ):
         self.store = store
         self.fetch = fetch
-        self.doubt = doubt
+        self.health = health
+        self.informant = ""
         self.content = b""
         self.log = log
         self.meters = meters
@@ -84,26 +85,42 @@
 
         :param address: where that node can be asked, if it is known.
         """
-        if version <= self.version or self.reading is not None:
+        if version <= self.version:
             return
-        self.reading = asyncio.create_task(self.read(version, address))
+        self.informant = address or self.informant
+        if self.reading is None:
+            self.reading = asyncio.create_task(self.read(version))
 
-    async def read(self, version: int, address: str) -> None:
-        """Read the configuration if the watch does not tell it; from the other
-        node if the store does not answer."""
+    async def read(self, version: int) -> None:
+        """Read the configuration if the watch does not tell it."""
         try:
             await asyncio.sleep(HINT_WAIT)
             if version <= self.version:
                 return
             self.log.note("configuration-behind", version=self.version, other=version)
-            self.doubt(f"version {version} is in force elsewhere")
+            if self.health.up.is_set():
+                self.health.doubt(f"version {version} is in force elsewhere")
+                await self.read_store()
+            else:
+                await self.read_informant()
+        finally:
+            self.reading = None
+
+    async def read_store(self) -> None:
+        """Read the configuration from the store, else from another node."""
+        try:
             item = await self.store.get(configs.KIND, configs.NAME)
-            if item is not None:
-                self.take(item)
         except codes.Failure as failure:
             self.log.note("configuration-not-read", code=failure.code.number)
-            content = await self.fetch(address, PAGE) if address else None
-            if content:
-                self.take_content(content, address)
-        finally:
-            self.reading = None
+            await self.read_informant()
+            return
+        if item is not None:
+            self.take(item)
+
+    async def read_informant(self) -> None:
+        """Read the configuration from the node that has a newer one."""
+        if not self.informant:
+            return
+        content = await self.fetch(self.informant, PAGE)
+        if content:
+            self.take_content(content, self.informant)
--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -17,6 +17,7 @@
     peers as forwarders,
     settings,
     versions as versioning,
+    watching,
 )
 from rattanridge.platform import orders, store as stores
 from rattanridge.policies import evidence, ramp as ramps
@@ -83,6 +84,7 @@
         self,
         config: settings.Settings,
         store: stores.Store,
+        health: watching.Health,
         versions: versioning.Versions,
         directory: directories.Directory,
         peers: forwarders.Peers,
@@ -90,6 +92,7 @@
     ):
         self.config = config
         self.store = store
+        self.health = health
         self.versions = versions
         self.directory = directory
         self.peers = peers
@@ -100,6 +103,8 @@
         """Look again and again."""
         while True:
             await asyncio.sleep(LOOK_INTERVAL)
+            if not self.health.up.is_set():
+                continue
             for rollout in list(self.versions.rollouts.values()):
                 try:
                     await self.look(rollout)
--- a/rattanridge/mesh/directory.py
+++ b/rattanridge/mesh/directory.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import events, records
+from rattanridge.mesh import events, records, watching
 from rattanridge.platform import store as stores
 from rattanridge.policies import placement
 
@@ -109,11 +109,19 @@
     Each write is conditional, so one that happens late can't undo a newer one.
 
     :param name: the node's name, which is also the record's.
+    :param health: of the store; while it is away nothing is written.
     """
 
-    def __init__(self, name: str, store: stores.Store, log: events.Events):
+    def __init__(
+        self,
+        name: str,
+        store: stores.Store,
+        health: watching.Health,
+        log: events.Events,
+    ):
         self.name = name
         self.store = store
+        self.health = health
         self.log = log
         self.wanted: records.Record | None = None
         self.known: records.Record | None = None
@@ -154,6 +162,7 @@
             self.changed.clear()
             while not await self.settle():
                 await asyncio.sleep(pause)
+                await self.health.up.wait()
             self.written.set()
 
     async def settle(self) -> bool:
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -63,10 +63,12 @@
         self.store = stores.Store(config.store, self.meters.observe_store)
         self.health = watching.Health(self.log)
         self.configs = configs.Configs(
-            self.store, self.fetch, self.health.doubt, self.log, self.meters
+            self.store, self.fetch, self.health, self.log, self.meters
         )
         self.directory = directory.Directory(self.log)
-        self.publisher = directory.Publisher(config.name, self.store, self.log)
+        self.publisher = directory.Publisher(
+            config.name, self.store, self.health, self.log
+        )
         self.upstream = upstreams.Upstream(config, self.log)
         self.exit = exits.Exit(config, self.upstream, self.log, self.meters)
         self.versions = versions.Versions(self.log, self.meters, time.monotonic)
@@ -97,6 +99,7 @@
         self.coordinator = coordinator.Coordinator(
             config,
             self.store,
+            self.health,
             self.versions,
             self.directory,
             self.attempts.peers,
