An idle upstream with late heartbeats is not taken for dead

Cause (test of a rollout on loopback): the silence of an upstream was counted from its last answer even while nothing was asked of it; the second of several requests after a pause was refused. It is counted from the first request that is owed an answer.

--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -134,7 +134,7 @@
         failure = self.upstream.refusal(call.service) or self.judge.refusal()
         if failure is not None:
             raise failure
-        if self.upstream.doubted(self.queue.running):
+        if self.upstream.doubted(len(self.running)):
             raise codes.Failure(codes.NO_ENDPOINT, "silent")
 
     async def send(self, call: calls.Call) -> calls.Answer:
@@ -150,6 +150,7 @@
         began = loop.time()
         data = self.write(call, identity, call.deadline - began)
         call.sent = True
+        self.upstream.asked(len(self.running))
         self.running.add(call.attempt)
         try:
             async with asyncio.timeout_at(call.deadline + ANSWER_MARGIN):
--- a/rattanridge/mesh/upstream.py
+++ b/rattanridge/mesh/upstream.py
@@ -56,6 +56,7 @@
         self.cold_until = 0.0
         self.heard_at = 0.0
         self.answered_at = 0.0
+        self.asked_at = 0.0
         self.confirmed = False
         self.failures = 0
         self.paused_until = 0.0
@@ -158,11 +159,17 @@
             return codes.Failure(codes.NO_ENDPOINT, "the record is not confirmed")
         return None
 
+    def asked(self, running: int) -> None:
+        """A request is sent to it, beside ``running`` others."""
+        if not running:
+            self.asked_at = self.now()
+
     def doubted(self, running: int) -> bool:
         """Whether it seems dead: no heartbeat, and no answer while requests run."""
         now = self.now()
         silent = now - self.heard_at > SILENT * self.config.heartbeat_ms / 1000
-        return silent and running > 0 and now - self.answered_at > STUCK
+        owed_since = max(self.answered_at, self.asked_at)
+        return silent and running > 0 and now - owed_since > STUCK
 
     def answered(self) -> None:
         """An answer came from it."""
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -163,6 +163,29 @@
         assert world.upstreams[0].most <= 2
 
 
+class TestSilence:
+    async def test_late_heartbeats_alone_refuse_nobody(self, world):
+        """An idle upstream whose heartbeats are late gets several requests."""
+        await world.start("registry")
+        world.nodes[0].upstream.heard_at -= 60.0
+        world.nodes[0].upstream.answered_at -= 60.0
+        results = await asyncio.gather(*(world.call("/lookup/1") for _ in range(8)))
+        assert {status for status, _, _ in results} == {200}
+
+    async def test_a_dark_upstream_is_a_true_refusal_soon(self, world):
+        await world.start("registry")
+        world.upstreams[0].work = 30.0
+        first = asyncio.create_task(world.call("/lookup/1"))
+        await asyncio.sleep(0.05)
+        upstream = world.nodes[0].upstream
+        upstream.heard_at -= 60.0
+        upstream.asked_at -= 60.0
+        upstream.answered_at -= 60.0
+        status, found, _ = await world.call("/lookup/2")
+        assert (status, found["Rattanridge-Ran"]) == (503, "not-run")
+        first.cancel()
+
+
 class TestNested:
     async def test_a_call_of_a_running_request_is_known(self, world):
         await world.start("registry")
--- /dev/null
+++ b/tests/test_mesh_rollouts.py
@@ -0,0 +1,113 @@
+"""Rollouts through nodes: done in time, taken back, and taken over."""
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+
+from rattanridge.mesh import coordinator
+from rattanridge.platform import orders
+from tests import mesh_world
+
+DURATION = 6.0
+
+
+@pytest_asyncio.fixture
+async def world():
+    made = mesh_world.World()
+    yield made
+    await made.stop()
+
+
+async def start(world):
+    await world.start("workshop", "registry", "registry", slots=12)
+    await world.add("registry", "b", 12, "v2")
+    await world.settle()
+    await world.order("registry", "v2", DURATION)
+
+
+async def send_until(world, condition, seconds=DURATION + 1.0):
+    """Send requests all the while; return their statuses."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    found = []
+    while loop.time() < end and not condition():
+        results = await asyncio.gather(*(world.call("/lookup/1") for _ in range(4)))
+        found.extend(status for status, _, _ in results)
+        await asyncio.sleep(0.01)
+    return found
+
+
+def state(world):
+    stored = world.store.objects.get((orders.KIND, "registry"))
+    status = orders.decode_status(bytes(stored.status))
+    return status.state if status is not None else ""
+
+
+class TestGoodVersion:
+    async def test_is_completed_in_time_and_gets_all_requests(self, world):
+        await start(world)
+        statuses = await send_until(world, lambda: state(world) == orders.COMPLETED)
+        assert state(world) == orders.COMPLETED
+        assert set(statuses) == {200}
+        await asyncio.sleep(0.2)
+        old = len(world.upstreams[1].seen) + len(world.upstreams[2].seen)
+        await world.call("/lookup/1")
+        assert len(world.upstreams[1].seen) + len(world.upstreams[2].seen) == old
+
+    async def test_waits_for_its_order(self, world):
+        await world.start("workshop", "registry", "registry", slots=12)
+        await world.add("registry", "a", 12, "v2")
+        await world.settle()
+        for _ in range(20):
+            await world.call("/lookup/1")
+        assert not world.upstreams[3].seen
+
+    async def test_another_node_takes_over(self, world, monkeypatch):
+        monkeypatch.setattr(coordinator, "TAKEOVER", 1.0)
+        monkeypatch.setattr(coordinator, "RANK_WAIT", 0.3)
+        monkeypatch.setattr(coordinator, "BEAT", 0.5)
+        await start(world)
+        await send_until(world, lambda: state(world) == orders.RUNNING)
+        stored = world.store.objects[orders.KIND, "registry"]
+        holder = orders.decode_status(bytes(stored.status)).holder
+        stopped = next(node for node in world.nodes if node.config.name == holder)
+        for task in stopped.tasks:
+            if "Coordinator" in repr(task.get_coro()):
+                task.cancel()
+        await send_until(world, lambda: state(world) == orders.COMPLETED)
+        assert state(world) == orders.COMPLETED
+
+
+class TestBadVersion:
+    @pytest.mark.parametrize("fault", ["fail", "slow"])
+    async def test_is_taken_back_soon(self, world, fault):
+        await start(world)
+        bad = world.upstreams[3]
+        if fault == "fail":
+            bad.mode = "fail"
+        else:
+            bad.work = 0.12
+        statuses = await send_until(world, lambda: state(world) == orders.TAKEN_BACK)
+        assert state(world) == orders.TAKEN_BACK
+        assert statuses.count(200) >= 0.95 * len(statuses)
+        assert len(bad.seen) <= 0.1 * len(statuses) + 50
+        before = len(bad.seen)
+        await asyncio.sleep(0.2)
+        for _ in range(20):
+            await world.call("/lookup/1")
+        assert len(bad.seen) == before
+
+    async def test_is_braked_while_the_store_is_away(self, world):
+        await start(world)
+        bad = world.upstreams[3]
+        share = world.nodes[0].versions
+        await send_until(
+            world, lambda: share.rollouts and share.rollouts["registry"].share() > 0.05
+        )
+        bad.mode = "fail"
+        await send_until(world, lambda: len(bad.seen) > 3, 3.0)
+        world.store.faults.lost = True
+        await send_until(world, lambda: world.nodes[3].exit.judge.braked_until > 0)
+        assert world.nodes[3].exit.judge.refusal() is not None
+        world.store.faults.lost = False
