A stopping node takes nothing that it can't finish; lost nodes and stale records

A host that was gone for good got requests between two probes, each of which waited 0.25 s; a lost node gets none until it is found. 3. An address that went to another host stood in two records; the newer one counts, and the node at the address removes the older one.

--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -15,6 +15,8 @@
 from rattanridge.policies import placement, repeats
 
 MOVES = 3  # exits that may refuse a call before any endpoint saw it
+ENDING_FACTOR = 8.0  # of a route's mean time: longer than nearly all its requests
+ENDING_RESERVE = 1.0  # seconds
 NO_ENDPOINT_RETRY_AFTER = 0.3  # seconds
 FAILED_STATUS = 500
 # Refusals that tell of an exit that can't reach its endpoint at all.
@@ -61,6 +63,7 @@
         self.placer = placement.Placer(config.zone)
         self.budgets: dict[str, repeats.Budget] = {}
         self.probes: dict[str, asyncio.Task] = {}
+        self.ends_at = float("inf")
 
     def budget(self, service: str) -> repeats.Budget:
         """Return the budget of a service."""
@@ -73,6 +76,7 @@
 
     async def run(self, call: calls.Call, route: routes.Route) -> calls.Answer:
         """Return the answer to a call; the last refusal if nobody took it."""
+        self.check_end(route)
         loop = asyncio.get_running_loop()
         self.budget(call.service).note_request(loop.time())
         tried: set[str] = set()
@@ -92,6 +96,13 @@
                 return last
             self.note(call, chosen, answer)
 
+    def check_end(self, route: routes.Route) -> None:
+        """Refuse a call that may still run when this process has to end."""
+        left = self.ends_at - asyncio.get_running_loop().time()
+        work = self.placer.mean(route.name).seconds or placement.DEFAULT_WORK
+        if left < ENDING_RESERVE + ENDING_FACTOR * work:
+            raise codes.Failure(codes.STOPPING, retry_after=max(left, 0.0))
+
     def choose(
         self, call: calls.Call, route: routes.Route, tried: set[str]
     ) -> placement.Candidate | None:
@@ -141,6 +152,7 @@
     def probe(self, chosen: placement.Candidate) -> None:
         """Begin to look for a node that could not be reached, with no request."""
         self.peers.pool.drop(chosen.hop)
+        chosen.lost = True
         if chosen.hop not in self.probes:
             task = asyncio.create_task(self.look_for(chosen))
             self.probes[chosen.hop] = task
@@ -150,7 +162,7 @@
         loop = asyncio.get_running_loop()
         self.log.note("node-lost", name=chosen.node, hop=chosen.hop)
         try:
-            while self.directory.candidates.get(chosen.node) is chosen:
+            while chosen in self.directory.of(chosen.service):
                 await asyncio.sleep(max(chosen.paused_until - loop.time(), 0.0))
                 if await self.peers.reach(chosen.hop):
                     chosen.note_reached()
--- a/rattanridge/mesh/directory.py
+++ b/rattanridge/mesh/directory.py
@@ -60,6 +60,9 @@
     def place(self, name: str, record: records.Record) -> None:
         """Make a candidate of a record, if its endpoint takes requests."""
         known = self.candidates.get(name)
+        if self.is_superseded(name, record):
+            self.drop(name)
+            return
         if record.state != records.READY or not record.endpoint:
             self.drop(name)
             return
@@ -85,6 +88,22 @@
         # A new list each time: whoever holds the old one goes on with it.
         self.services[record.service] = [*self.of(record.service), made]
 
+    def is_superseded(self, name: str, record: records.Record) -> bool:
+        """Whether a newer record names the same address; drop those it replaces.
+
+        An address belongs to one node. A host that is gone for good leaves its
+        record behind, and its address may be given to another one.
+        """
+        superseded = False
+        for other, known in list(self.records.items()):
+            if other == name or known.hop != record.hop:
+                continue
+            if self.revisions[other] > self.revisions[name]:
+                superseded = True
+            else:
+                self.drop(other)
+        return superseded
+
     def drop(self, name: str) -> None:
         """Forget a candidate."""
         known = self.candidates.pop(name, None)
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -34,7 +34,7 @@
 DRAIN_STEP = 0.05  # seconds between looks at what still runs
 QUESTIONS = 2.6  # seconds until the platform has asked twice whether it is ready
 CLOSING_AFTER = 1.2  # seconds from SIGTERM until kept connections are closed
-RESERVE = 0.7  # seconds of the grace time kept for ending
+RESERVE = 0.5  # seconds of the grace time kept for ending
 SETTLED_WAIT = 0.3  # seconds that an acknowledgement waits for the store
 SWEEP_INTERVAL = 1.0  # seconds
 ROLLOUT_SETTLE = 0.1  # seconds; a version that is taken back must not wait
@@ -205,6 +205,8 @@
     def take_members(self, items: list[stores.Stored]) -> None:
         """Take over the records of all nodes."""
         self.directory.take_all(items)
+        for item in items:
+            self.remove_predecessor(item)
         own = [item for item in items if item.name == self.config.name]
         for item in own:
             self.restore(item)
@@ -219,6 +221,24 @@
         self.directory.take(item)
         self.publisher.see(item)
 
+    def remove_predecessor(self, item: stores.Stored) -> None:
+        """Remove the record of a node that had this node's address before."""
+        record = self.directory.records.get(item.name)
+        if record is None or item.name == self.config.name:
+            return
+        if record.hop == self.config.listen.hops:
+            self.begin(self.remove(item))
+
+    async def remove(self, item: stores.Stored) -> None:
+        """Remove a record unless it was changed meanwhile."""
+        try:
+            await self.store.delete(records.KIND, item.name, item.revision)
+            self.log.info("predecessor-removed", name=item.name)
+        except codes.Failure as failure:
+            self.log.info(
+                "predecessor-not-removed", name=item.name, code=failure.code.number
+            )
+
     def restore(self, item: stores.Stored) -> None:
         """Take over what an earlier process knew of the upstream."""
         record = self.directory.records.get(item.name)
@@ -293,6 +313,7 @@
         self.log.info("node-stopping", requests=self.busy())
         self.publish()
         last = began + self.config.drain.grace - RESERVE
+        self.attempts.ends_at = last
         while loop.time() < last:
             await asyncio.sleep(DRAIN_STEP)
             passed = loop.time() - began
--- a/rattanridge/mesh/watching.py
+++ b/rattanridge/mesh/watching.py
@@ -97,6 +97,7 @@
         self.listed = False
         self.heard_at = 0.0
         self.waiting: asyncio.Task | None = None
+        self.stale = False
         health.watches.append(self)
 
     async def run(self) -> None:
@@ -116,6 +117,7 @@
 
     async def list(self) -> None:
         """Take over all objects, unless the answer is older than what is known."""
+        self.stale = False
         listing = await self.store.list(self.kind)
         self.hear()
         if listing.revision < self.revision:
@@ -127,6 +129,8 @@
 
     async def step(self) -> None:
         """Wait for changes once and take them over."""
+        if self.stale:
+            raise codes.Failure(codes.WATCH_LOST, "doubted")
         wait = self.health.random.uniform(*WAIT)
         self.waiting = asyncio.create_task(
             self.store.watch(self.kind, self.revision, wait)
@@ -148,7 +152,8 @@
             await asyncio.sleep(self.settle)
 
     def interrupt(self) -> None:
-        """End the watch that waits; then the kind is listed again."""
+        """End the watch that waits, or the next one; then the kind is listed again."""
+        self.stale = True
         if self.waiting is not None:
             self.waiting.cancel()
 
--- a/rattanridge/policies/placement.py
+++ b/rattanridge/policies/placement.py
@@ -45,6 +45,8 @@
     :param node: name of the node beside it.
     :param hop: address of that node for calls from other nodes.
     :param in_flight: requests of this entry that it has now.
+    :param lost: whether the node beside it can't be reached; it gets no request
+        until it was found again.
     :param heard_at: when it last answered, or got a request with none before it.
     """
 
@@ -66,6 +68,7 @@
     shed_at: float = 0.0
     failures: int = 0
     paused_until: float = 0.0
+    lost: bool = False
 
     def begin(self, now: float) -> None:
         """Count a request that is sent to it."""
@@ -124,6 +127,7 @@
         """The node beside it answered."""
         self.failures = 0
         self.paused_until = 0.0
+        self.lost = False
 
     def wait(self, work: float, now: float) -> float:
         """Return the seconds that a request would wait there for a slot."""
@@ -183,10 +187,10 @@
         target: float,
         now: float,
     ) -> Candidate | None:
-        """Return the candidate with the least cost.
+        """Return the candidate with the least cost, or None if all are lost.
 
-        Candidates that could not be reached just now come last; one of them is
-        tried only if there is no other.
+        Candidates whose endpoint was not usable just now come last; one of them
+        is tried only if there is no other.
 
         :param target: seconds within which an answer is timely.
         """
@@ -194,6 +198,8 @@
         best = None
         least = (True, float("inf"))
         for item in found:
+            if item.lost:
+                continue
             cost = (item.paused_until > now, self.cost(item, work, target, now))
             if cost < least:
                 best, least = item, cost
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -243,6 +243,27 @@
         status, _, _ = await world.call("/lookup/1")
         assert status == 200
 
+    async def test_a_stopping_node_takes_nothing_that_it_can_not_finish(self, world):
+        """Callers may come until the end, if too few nodes of the zone are ready."""
+        await world.start("registry")
+        node = world.nodes[0]
+        node.config.drain.grace = 3.0
+        world.upstreams[0].work = 0.05
+        stopping = asyncio.create_task(node.stop())
+        statuses = []
+        while not stopping.done():
+            try:
+                status, found, _ = await world.call("/lookup/1")
+            except mesh_world.aiohttp.ClientError:
+                break
+            statuses.append(status)
+            if status != 200:
+                assert (status, found["Rattanridge-Ran"]) == (503, "not-run")
+        await stopping
+        assert statuses[0] == 200
+        assert statuses[-1] == 503
+        assert len(world.upstreams[0].seen) == len(world.upstreams[0].finished)
+
     async def test_stop_finishes_what_runs(self, world):
         await world.start("registry", "workshop")
         world.upstreams[0].work = 0.3
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -162,6 +162,24 @@
         assert len(world.nodes[1].directory.of("registry")) == 1
         assert (await world.call("/lookup/1", node=1))[0] == 200
 
+    async def test_a_host_that_got_the_address_of_another_one(self, world):
+        """The host that is gone left its record; the address has a new node."""
+        await world.start("workshop", "registry")
+        node = world.nodes[1]
+        stale = records.Record(
+            node.config.listen.hops, "a", "workshop", "i-old", 1, "v1", 4, "ready"
+        )
+        await world.store.put(records.KIND, "gone", records.encode(stale))
+        await world.wait(lambda: "gone" in world.nodes[0].directory.records)
+        world.upstreams[1].slots = 5
+        await world.beat(world.upstreams[1])
+        found = world.nodes[0].directory
+        await world.wait(
+            lambda: [item.node for item in found.of("workshop")] == ["node-0"]
+        )
+        node.health.doubt("test")
+        await world.wait(lambda: (records.KIND, "gone") not in world.store.objects)
+
     async def test_a_stopped_node_is_left_at_once(self, world):
         await world.start("workshop", "registry", "registry")
         stopping = asyncio.create_task(world.nodes[1].stop())
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -126,5 +126,12 @@
         item.note_reached()
         assert item.paused_until == 0.0
 
+    def test_a_lost_node_gets_nothing_until_it_is_found(self, placer):
+        near = make("near")
+        near.lost = True
+        assert placer.choose([near], ROUTE, TARGET, 1e6) is None
+        near.note_reached()
+        assert placer.choose([near], ROUTE, TARGET, 1e6) is near
+
     def test_no_candidate(self, placer):
         assert placer.choose([], ROUTE, TARGET, 1.0) is None
