A node that starts while the store is away asks the nodes that call it

The mark of a forwarded call tells where its entry takes calls; there the node reads the configuration and the records.

--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -25,6 +25,8 @@
     :param timely_until: monotonic seconds until which its answer is timely.
     :param deadline: monotonic seconds after which nobody waits for it.
     :param caller: service of the host where it began.
+    :param version: version of the configuration at its entry.
+    :param entry: address at which its entry takes calls of other nodes.
     :param sent: whether any byte of it was sent to an upstream.
     """
 
@@ -42,6 +44,7 @@
     deadline: float
     caller: str
     version: int = 0
+    entry: str = ""
     sent: bool = False
 
 
--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -10,6 +10,7 @@
 HINT_WAIT = 0.7  # seconds that the watch has to tell what another node knows
 PAGE = "/configuration"
 
+Learn = collections.abc.Callable[[str], collections.abc.Awaitable[None]]
 Fetch = collections.abc.Callable[[str, str], collections.abc.Awaitable[bytes | None]]
 
 
@@ -17,6 +18,7 @@
     """Takes over newer versions, each decoded and checked whole.
 
     :param fetch: asks another node for a page.
+    :param learn: asks another node for the rest that a node has to know.
     :param health: of the store; told when the watch has missed a version.
     """
 
@@ -24,12 +26,14 @@
         self,
         store: stores.Store,
         fetch: Fetch,
+        learn: Learn,
         health: watching.Health,
         log: events.Events,
         meters: events.Meters,
     ):
         self.store = store
         self.fetch = fetch
+        self.learn = learn
         self.health = health
         self.informant = ""
         self.content = b""
@@ -94,6 +98,9 @@
     async def read(self, version: int) -> None:
         """Read the configuration if the watch does not tell it."""
         try:
+            if self.current is None:
+                await self.read_informant()
+                return
             await asyncio.sleep(HINT_WAIT)
             if version <= self.version:
                 return
@@ -123,4 +130,5 @@
             return
         content = await self.fetch(self.informant, PAGE)
         if content:
+            await self.learn(self.informant)
             self.take_content(content, self.informant)
--- a/rattanridge/mesh/directory.py
+++ b/rattanridge/mesh/directory.py
@@ -2,11 +2,24 @@
 
 import asyncio
 
+import msgspec
+
 from rattanridge.kernel import codes
 from rattanridge.mesh import events, records, watching
 from rattanridge.platform import store as stores
 from rattanridge.policies import placement
 
+PAGE = "/records"
+
+
+class Page(msgspec.Struct):
+    """The records of all nodes as one node tells them to another.
+
+    :param records: record and revision by the node's name.
+    """
+
+    records: dict[str, tuple[records.Record, int]]
+
 
 class Directory:
     """Candidates by service, kept in step with the store's records."""
@@ -26,6 +39,25 @@
         for item in items:
             self.take(item)
 
+    def page(self) -> bytes:
+        """Return all records for another node."""
+        known = {
+            name: (record, self.revisions[name])
+            for name, record in self.records.items()
+        }
+        return msgspec.json.encode(Page(known))
+
+    def take_page(self, data: bytes) -> bool:
+        """Take over another node's records; return whether they can be read."""
+        try:
+            page = msgspec.json.decode(data, type=Page)
+        except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+            self.log.note("record-unreadable", name="page", why=str(error))
+            return False
+        for name, (record, revision) in page.records.items():
+            self.take(stores.Stored(name, revision, records.encode(record)))
+        return True
+
     def take(self, item: stores.Stored) -> None:
         """Take one record; an older one than the known one is ignored."""
         if item.revision < self.revisions.get(item.name, 0):
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -94,6 +94,7 @@
             deadline=began + min(left - RETURN_MARGIN, route.timeout),
             caller=self.config.service,
             version=current.version,
+            entry=self.config.listen.hops,
         )
         return call, route
 
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -63,7 +63,12 @@
         self.store = stores.Store(config.store, self.meters.observe_store)
         self.health = watching.Health(self.log)
         self.configs = configs.Configs(
-            self.store, self.fetch, self.health, self.log, self.meters
+            self.store,
+            self.fetch,
+            self.learn_members,
+            self.health,
+            self.log,
+            self.meters,
         )
         self.directory = directory.Directory(self.log)
         self.publisher = directory.Publisher(
@@ -84,7 +89,9 @@
         self.entry = entry.Entry(
             config, self.configs, self.attempts, self.log, self.meters
         )
-        self.hops = ports.Hops(config, self.exit, self.configs, self.meters)
+        self.hops = ports.Hops(
+            config, self.exit, self.configs, self.directory, self.meters
+        )
         self.heartbeats = ports.Heartbeats(
             self.upstream, self.settled, self.log, self.meters
         )
@@ -109,11 +116,29 @@
         self.runners: list[aiohttp.web.ServerRunner] = []
         self.tasks: list[asyncio.Task] = []
         self.stopping = False
+        self.knows_members = False
 
     async def fetch(self, address: str, path: str) -> bytes | None:
         """Ask another node for a page."""
         return await self.attempts.peers.fetch(address, "GET", path)
 
+    async def learn_members(self, address: str) -> None:
+        """Take over another node's records, until the store can be asked.
+
+        A node that starts while the store is away knows nobody. The nodes that
+        forward calls to it know everybody.
+        """
+        if self.knows_members:
+            return
+        data = await self.fetch(address, directory.PAGE)
+        if data is None or not self.directory.take_page(data):
+            return
+        self.knows_members = True
+        self.log.info("members-learnt", source=address)
+        name = self.config.name
+        if name in self.directory.records:
+            self.restore(name)
+
     def watch(
         self,
         kind: str,
@@ -179,7 +204,7 @@
         return (
             not self.stopping
             and self.configs.current is not None
-            and self.members.listed
+            and self.knows_members
         )
 
     async def serve_ready(
@@ -205,11 +230,12 @@
     def take_members(self, items: list[stores.Stored]) -> None:
         """Take over the records of all nodes."""
         self.directory.take_all(items)
+        self.knows_members = True
         for item in items:
             self.remove_predecessor(item)
         own = [item for item in items if item.name == self.config.name]
         for item in own:
-            self.restore(item)
+            self.restore(item.name)
             self.publisher.see(item)
         if not own:
             self.publisher.see(
@@ -239,9 +265,9 @@
                 "predecessor-not-removed", name=item.name, code=failure.code.number
             )
 
-    def restore(self, item: stores.Stored) -> None:
+    def restore(self, name: str) -> None:
         """Take over what an earlier process knew of the upstream."""
-        record = self.directory.records.get(item.name)
+        record = self.directory.records.get(name)
         if record is None or not record.endpoint or self.upstream.identity is not None:
             return
         if record.service != self.config.service:
--- a/rattanridge/mesh/ports.py
+++ b/rattanridge/mesh/ports.py
@@ -7,6 +7,7 @@
 from rattanridge.mesh import (
     calls,
     configs as configurations,
+    directory as directories,
     events,
     exit as exits,
     judging,
@@ -27,8 +28,10 @@
         config: settings.Settings,
         exit: exits.Exit,
         configs: configurations.Configs,
+        directory: directories.Directory,
         meters: events.Meters,
     ):
+        self.directory = directory
         self.config = config
         self.exit = exit
         self.configs = configs
@@ -53,6 +56,8 @@
         judge = self.exit.judge
         if request.path == judging.PAGE:
             return aiohttp.web.Response(body=judge.report(), content_type=JSON)
+        if request.path == directories.PAGE:
+            return aiohttp.web.Response(body=self.directory.page(), content_type=JSON)
         if request.path == configurations.PAGE:
             return aiohttp.web.Response(body=self.configs.content, content_type=JSON)
         page, _, version = request.path.rpartition("/")
@@ -72,7 +77,7 @@
             body,
         )
         call.headers = calls.forwardable(request.headers)
-        self.configs.hint(call.version)
+        self.configs.hint(call.version, call.entry)
         return call
 
 
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -5,7 +5,7 @@
 import pytest
 import pytest_asyncio
 
-from rattanridge.mesh import records, watching
+from rattanridge.mesh import node as nodes, records, watching
 from rattanridge.platform import configs, orders, store as stores
 from tests import mesh_world
 
@@ -130,6 +130,25 @@
         await world.call("/lookup/1")
         await world.wait(lambda: world.nodes[0].configs.version == 4, 2.0)
 
+    async def test_a_node_that_starts_without_the_store_asks_who_calls_it(self, world):
+        await world.start("workshop", "registry")
+        world.store.faults.down = True
+        fresh = nodes.Node(world.nodes[1].config)
+        await world.nodes[1].close()
+        world.nodes[1] = fresh
+        await fresh.start()
+        await asyncio.sleep(0.2)
+        assert not fresh.ready()
+
+        async def reached():
+            while not fresh.ready():
+                await world.call("/lookup/1")
+                await asyncio.sleep(0.05)
+
+        async with asyncio.timeout(4):
+            await reached()
+        assert (await world.call("/lookup/1", node=1))[0] == 200
+
     async def test_forgotten_history_is_listed_again(self, world):
         await world.start("registry")
         world.store.forget()
