--- a/rattanridge/calls/versions.py
+++ b/rattanridge/calls/versions.py
@@ -1,6 +1,5 @@
 """Which version of a service a call goes to, by the rollout's stage."""
 
-import collections
 import collections.abc
 import functools
 import hashlib
@@ -8,7 +7,7 @@
 
 from rattanridge.control import messages, replica
 from rattanridge.kernel import presets
-from rattanridge.policies import balancers
+from rattanridge.policies import balancers, majority
 
 Found = list[balancers.Candidate]
 
@@ -45,7 +44,7 @@
         """
         stage = self.state.table.records.get(("stage", service))
         if stage is None:
-            return without(keep_major(found), avoid)
+            return without(majority.keep_major(found), avoid)
         new = [item for item in found if item.version == stage.new]
         if stage.state == "done":
             return without(new or found, avoid)
@@ -87,12 +86,3 @@
     if not avoid:
         return found
     return [item for item in found if item.name not in avoid]
-
-
-def keep_major(found: Found) -> Found:
-    """Keep the version with most endpoints: a new one waits for its rollout."""
-    if not found or all(item.version == found[0].version for item in found):
-        return found
-    counts = collections.Counter(item.version for item in found)
-    major = min(counts, key=lambda version: (-counts[version], version))
-    return [item for item in found if item.version == major]
--- /dev/null
+++ b/rattanridge/mesh/membership.py
@@ -0,0 +1,147 @@
+"""What a node makes of the records of all nodes, and its own one."""
+
+import asyncio
+import collections.abc
+
+from rattanridge.kernel import codes
+from rattanridge.mesh import (
+    directory as directories,
+    events,
+    records,
+    settings,
+    upstream as upstreams,
+    watching,
+)
+from rattanridge.platform import store as stores
+
+SETTLED_WAIT = 0.3  # seconds that an acknowledgement waits for the store
+STOPPING = "stopping"  # state of a node whose upstream goes on without it
+
+Fetch = collections.abc.Callable[[str, str], collections.abc.Awaitable[bytes | None]]
+
+
+class Membership:
+    """Follows the records of all nodes and keeps the node's own one.
+
+    :param fetch: asks another node for a page.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        store: stores.Store,
+        health: watching.Health,
+        upstream: upstreams.Upstream,
+        fetch: Fetch,
+        log: events.Events,
+    ):
+        self.config = config
+        self.store = store
+        self.upstream = upstream
+        self.fetch = fetch
+        self.log = log
+        self.directory = directories.Directory(log)
+        self.publisher = directories.Publisher(config.name, store, health, log)
+        self.removals: set[asyncio.Task] = set()
+        self.known = False
+        self.stopping = False
+        upstream.listeners.append(self.publish)
+
+    async def learn(self, address: str) -> None:
+        """Take over another node's records, until the store can be asked.
+
+        A node that starts while the store is away knows nobody. The nodes that
+        forward calls to it know everybody.
+        """
+        if self.known:
+            return
+        data = await self.fetch(address, directories.PAGE)
+        if data is None or not self.directory.take_page(data):
+            return
+        self.known = True
+        self.log.info("members-learnt", source=address)
+        name = self.config.name
+        if name in self.directory.records:
+            self.restore(name)
+
+    def take_all(self, items: list[stores.Stored]) -> None:
+        """Take over the records of all nodes."""
+        self.directory.take_all(items)
+        self.known = True
+        for item in items:
+            self.remove_predecessor(item)
+        own = [item for item in items if item.name == self.config.name]
+        for item in own:
+            self.restore(item.name)
+            self.publisher.see(item)
+        if not own:
+            self.publisher.see(
+                stores.Stored(self.config.name, self.publisher.revision, deleted=True)
+            )
+
+    def take(self, item: stores.Stored) -> None:
+        """Take over one node's record."""
+        self.directory.take(item)
+        self.publisher.see(item)
+
+    def remove_predecessor(self, item: stores.Stored) -> None:
+        """Remove the record of a node that had this node's address before."""
+        record = self.directory.records.get(item.name)
+        if record is None or item.name == self.config.name:
+            return
+        if record.hop == self.config.listen.hops:
+            task = asyncio.create_task(self.remove(item))
+            self.removals.add(task)
+            task.add_done_callback(self.removals.discard)
+
+    async def remove(self, item: stores.Stored) -> None:
+        """Remove a record unless it was changed meanwhile."""
+        try:
+            await self.store.delete(records.KIND, item.name, item.revision)
+            self.log.info("predecessor-removed", name=item.name)
+        except codes.Failure as failure:
+            self.log.info(
+                "predecessor-not-removed", name=item.name, code=failure.code.number
+            )
+
+    def restore(self, name: str) -> None:
+        """Take over what an earlier process knew of the upstream."""
+        record = self.directory.records.get(name)
+        if record is None or not record.endpoint or self.upstream.identity is not None:
+            return
+        if record.service != self.config.service:
+            return
+        self.upstream.restore(
+            upstreams.Identity(record.endpoint, record.incarnation),
+            record.state,
+            record.version,
+            record.slots,
+        )
+
+    def publish(self) -> None:
+        """Ask for the node's record to be as the upstream is."""
+        upstream = self.upstream
+        if upstream.identity is None:
+            return
+        if self.stopping and upstream.state is upstreams.State.GONE:
+            self.publisher.publish(None)
+            return
+        record = records.Record(
+            self.config.listen.hops,
+            self.config.zone,
+            upstream.service,
+            upstream.identity.endpoint,
+            upstream.identity.incarnation,
+            upstream.version,
+            upstream.slots,
+            STOPPING if self.stopping else upstream.state.value,
+        )
+        self.publisher.publish(record)
+
+    async def settled(self) -> None:
+        """Wait a moment for the record to be in the store."""
+        try:
+            async with asyncio.timeout(SETTLED_WAIT):
+                await self.publisher.written.wait()
+        except TimeoutError:
+            self.log.note("acknowledged-first", why="the store did not answer in time")
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -13,10 +13,10 @@
     attempts,
     configs,
     coordinator,
-    directory,
     entry,
     events,
     exit as exits,
+    membership,
     ports,
     records,
     settings,
@@ -35,11 +35,10 @@
 QUESTIONS = 2.6  # seconds until the platform has asked twice whether it is ready
 CLOSING_AFTER = 1.2  # seconds from SIGTERM until kept connections are closed
 RESERVE = 0.5  # seconds of the grace time kept for ending
-SETTLED_WAIT = 0.3  # seconds that an acknowledgement waits for the store
 SWEEP_INTERVAL = 1.0  # seconds
 ROLLOUT_SETTLE = 0.1  # seconds; a version that is taken back must not wait
 BACKLOG = 512  # connections that wait to be accepted
-TASKS_RETRY = 0.5  # seconds before a record is written again
+RECORD_RETRY = 0.5  # seconds before a record is written again
 
 
 class Node:
@@ -62,19 +61,19 @@
         self.meters = events.Meters()
         self.store = stores.Store(config.store, self.meters.observe_store)
         self.health = watching.Health(self.log)
+        self.upstream = upstreams.Upstream(config, self.log)
+        self.membership = membership.Membership(
+            config, self.store, self.health, self.upstream, self.fetch, self.log
+        )
+        self.directory = self.membership.directory
         self.configs = configs.Configs(
             self.store,
             self.fetch,
-            self.learn_members,
+            self.membership.learn,
             self.health,
             self.log,
             self.meters,
         )
-        self.directory = directory.Directory(self.log)
-        self.publisher = directory.Publisher(
-            config.name, self.store, self.health, self.log
-        )
-        self.upstream = upstreams.Upstream(config, self.log)
         self.exit = exits.Exit(config, self.upstream, self.log, self.meters)
         self.versions = versions.Versions(self.log, self.meters, time.monotonic)
         self.attempts = attempts.Attempts(
@@ -93,12 +92,11 @@
             config, self.exit, self.configs, self.directory, self.meters
         )
         self.heartbeats = ports.Heartbeats(
-            self.upstream, self.settled, self.log, self.meters
+            self.upstream, self.membership.settled, self.log, self.meters
         )
-        self.members = self.watch(records.KIND, self.take_members, self.take_member)
         self.watches = [
             self.watch(wire_configs.KIND, self.configs.take_all, self.configs.take),
-            self.members,
+            self.watch(records.KIND, self.membership.take_all, self.membership.take),
             self.watch(
                 orders.KIND, self.versions.take_all, self.versions.take, ROLLOUT_SETTLE
             ),
@@ -112,33 +110,14 @@
             self.attempts.peers,
             self.log,
         )
-        self.upstream.listeners.append(self.publish)
         self.runners: list[aiohttp.web.ServerRunner] = []
         self.tasks: list[asyncio.Task] = []
         self.stopping = False
-        self.knows_members = False
 
     async def fetch(self, address: str, path: str) -> bytes | None:
         """Ask another node for a page."""
         return await self.attempts.peers.fetch(address, "GET", path)
 
-    async def learn_members(self, address: str) -> None:
-        """Take over another node's records, until the store can be asked.
-
-        A node that starts while the store is away knows nobody. The nodes that
-        forward calls to it know everybody.
-        """
-        if self.knows_members:
-            return
-        data = await self.fetch(address, directory.PAGE)
-        if data is None or not self.directory.take_page(data):
-            return
-        self.knows_members = True
-        self.log.info("members-learnt", source=address)
-        name = self.config.name
-        if name in self.directory.records:
-            self.restore(name)
-
     def watch(
         self,
         kind: str,
@@ -162,7 +141,7 @@
         self.log.start()
         for watch in self.watches:
             self.begin(watch.run())
-        self.begin(self.publisher.run(TASKS_RETRY))
+        self.begin(self.membership.publisher.run(RECORD_RETRY))
         self.begin(self.coordinator.run())
         self.begin(self.tend())
         gc.collect()
@@ -204,7 +183,7 @@
         return (
             not self.stopping
             and self.configs.current is not None
-            and self.knows_members
+            and self.membership.known
         )
 
     async def serve_ready(
@@ -227,86 +206,6 @@
         self.meters.age.labels("heartbeat").set(now - self.upstream.heard_at)
         return aiohttp.web.Response(body=self.meters.page(), content_type="text/plain")
 
-    def take_members(self, items: list[stores.Stored]) -> None:
-        """Take over the records of all nodes."""
-        self.directory.take_all(items)
-        self.knows_members = True
-        for item in items:
-            self.remove_predecessor(item)
-        own = [item for item in items if item.name == self.config.name]
-        for item in own:
-            self.restore(item.name)
-            self.publisher.see(item)
-        if not own:
-            self.publisher.see(
-                stores.Stored(self.config.name, self.publisher.revision, deleted=True)
-            )
-
-    def take_member(self, item: stores.Stored) -> None:
-        """Take over one node's record."""
-        self.directory.take(item)
-        self.publisher.see(item)
-
-    def remove_predecessor(self, item: stores.Stored) -> None:
-        """Remove the record of a node that had this node's address before."""
-        record = self.directory.records.get(item.name)
-        if record is None or item.name == self.config.name:
-            return
-        if record.hop == self.config.listen.hops:
-            self.begin(self.remove(item))
-
-    async def remove(self, item: stores.Stored) -> None:
-        """Remove a record unless it was changed meanwhile."""
-        try:
-            await self.store.delete(records.KIND, item.name, item.revision)
-            self.log.info("predecessor-removed", name=item.name)
-        except codes.Failure as failure:
-            self.log.info(
-                "predecessor-not-removed", name=item.name, code=failure.code.number
-            )
-
-    def restore(self, name: str) -> None:
-        """Take over what an earlier process knew of the upstream."""
-        record = self.directory.records.get(name)
-        if record is None or not record.endpoint or self.upstream.identity is not None:
-            return
-        if record.service != self.config.service:
-            return
-        self.upstream.restore(
-            upstreams.Identity(record.endpoint, record.incarnation),
-            record.state,
-            record.version,
-            record.slots,
-        )
-
-    def publish(self) -> None:
-        """Ask for the node's record to be as the upstream is."""
-        upstream = self.upstream
-        if upstream.identity is None:
-            return
-        if self.stopping and upstream.state is upstreams.State.GONE:
-            self.publisher.publish(None)
-            return
-        record = records.Record(
-            self.config.listen.hops,
-            self.config.zone,
-            upstream.service,
-            upstream.identity.endpoint,
-            upstream.identity.incarnation,
-            upstream.version,
-            upstream.slots,
-            "stopping" if self.stopping else upstream.state.value,
-        )
-        self.publisher.publish(record)
-
-    async def settled(self) -> None:
-        """Wait a moment for the record to be in the store."""
-        try:
-            async with asyncio.timeout(SETTLED_WAIT):
-                await self.publisher.written.wait()
-        except TimeoutError:
-            self.log.note("acknowledged-first", why="the store did not answer in time")
-
     async def tend(self) -> None:
         """Look after connections and the settings file, again and again."""
         while True:
@@ -337,7 +236,8 @@
         began = loop.time()
         self.stopping = True
         self.log.info("node-stopping", requests=self.busy())
-        self.publish()
+        self.membership.stopping = True
+        self.membership.publish()
         last = began + self.config.drain.grace - RESERVE
         self.attempts.ends_at = last
         while loop.time() < last:
--- a/rattanridge/mesh/ports.py
+++ b/rattanridge/mesh/ports.py
@@ -1,5 +1,7 @@
 """The ports of a node other than the callers' one."""
 
+import collections.abc
+
 import aiohttp.web
 
 from rattanridge.calls import bodies
@@ -19,6 +21,8 @@
 
 JSON = "application/json"
 
+Settled = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
 
 class Hops:
     """Calls that other nodes forward to the exit here."""
@@ -90,7 +94,7 @@
     def __init__(
         self,
         upstream: upstreams.Upstream,
-        settled: object,
+        settled: Settled,
         log: events.Events,
         meters: events.Meters,
     ):
--- a/rattanridge/mesh/versions.py
+++ b/rattanridge/mesh/versions.py
@@ -1,13 +1,13 @@
 """Which version of a service a request goes to, by the operator's orders."""
 
-import collections
+import collections.abc
 import dataclasses
 import random
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import events
 from rattanridge.platform import orders, store as stores
-from rattanridge.policies import placement
+from rattanridge.policies import majority, placement
 
 Found = list[placement.Candidate]
 
@@ -45,7 +45,12 @@
     :param now: returns the monotonic seconds.
     """
 
-    def __init__(self, log: events.Events, meters: events.Meters, now):
+    def __init__(
+        self,
+        log: events.Events,
+        meters: events.Meters,
+        now: collections.abc.Callable[[], float],
+    ):
         self.log = log
         self.meters = meters
         self.now = now
@@ -97,7 +102,7 @@
         """
         rollout = self.rollouts.get(service)
         if rollout is None:
-            return keep_major(found)
+            return majority.keep_major(found)
         target = rollout.order.version
         new = [item for item in found if item.version == target]
         old = [item for item in found if item.version != target]
@@ -114,12 +119,3 @@
         if rollout.status.one_endpoint:
             return [min(new, key=lambda item: item.endpoint)]
         return new
-
-
-def keep_major(found: Found) -> Found:
-    """Keep the version with most endpoints: another one waits for its order."""
-    if not found or all(item.version == found[0].version for item in found):
-        return found
-    counts = collections.Counter(item.version for item in found)
-    major = min(counts, key=lambda version: (-counts[version], version))
-    return [item for item in found if item.version == major]
