--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -186,10 +186,7 @@
             await self.brake(case)
             await self.write(rollout, case, orders.TAKEN_BACK, fault)
             return
-        endpoints = sum(
-            item.version == case.order.version
-            for item in self.directory.of(case.order.service)
-        )
+        endpoints = self.count_new(case)
         before = (ramp.step, ramp.began)
         ramp.look(endpoints, case.old, case.new)
         if ramp.done():
@@ -197,15 +194,25 @@
         elif ramp.out_of_time():
             await self.brake(case)
             await self.write(rollout, case, orders.TAKEN_BACK, "not proved in time")
-        elif (
-            before != (ramp.step, ramp.began)
-            or rollout.status is None
-            or rollout.status.version != case.order.version
-            or rollout.status.holder != self.config.name
-            or self.versions.now() - rollout.changed_at > BEAT
-        ):
+        elif before != (ramp.step, ramp.began) or self.is_stale(rollout):
             await self.write(rollout, case, orders.RUNNING, "")
 
+    def count_new(self, case: Case) -> int:
+        """Return the number of endpoints of the new version."""
+        return sum(
+            item.version == case.order.version
+            for item in self.directory.of(case.order.service)
+        )
+
+    def is_stale(self, rollout: versioning.Rollout) -> bool:
+        """Whether the status does not show that this node coordinates."""
+        status = rollout.status
+        if status is None or status.version != rollout.order.version:
+            return True
+        if status.holder != self.config.name:
+            return True
+        return self.versions.now() - rollout.changed_at > BEAT
+
     async def brake(self, case: Case) -> None:
         """Tell the exits of the new version at once, without the store."""
         path = f"{judging.BRAKE_PAGE}/{case.order.version}"
@@ -223,10 +230,7 @@
     ) -> None:
         """Write the status, if nobody else has written since."""
         ramp = case.ramp
-        endpoints = sum(
-            item.version == case.order.version
-            for item in self.directory.of(case.order.service)
-        )
+        endpoints = self.count_new(case)
         share = {orders.COMPLETED: 1.0, orders.TAKEN_BACK: 0.0}.get(
             state, ramp.share(endpoints)
         )
