--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,6 +1,8 @@
 """The path of requests through nodes, with upstreams that misbehave."""
 
 import asyncio
+import pathlib
+import re
 
 import pytest
 import pytest_asyncio
@@ -186,6 +188,21 @@
         first.cancel()
 
 
+class TestMetrics:
+    async def test_page_has_what_the_operations_page_names(self, world):
+        await world.start("registry", "workshop")
+        await world.call("/lookup/1")
+        await world.call("/nowhere/1")
+        url = f"http://{world.nodes[0].config.listen.metrics}/metrics"
+        async with world.session.get(url) as answer:
+            text = (await answer.read()).decode()
+        assert 'rattanridge_requests_total{outcome="answered"} 1.0' in text
+        assert 'rattanridge_requests_total{outcome="no-route"} 1.0' in text
+        page = pathlib.Path(__file__).parent.parent / "docs/OPERATIONS.md"
+        for name in re.findall(r"`(rattanridge_[a-z_]+)", page.read_text()):
+            assert f"# TYPE {name.removesuffix('_total')}" in text, name
+
+
 class TestNested:
     async def test_a_call_of_a_running_request_is_known(self, world):
         await world.start("registry")
