A lost node whose record changed is looked for again

Cause (reading the diff): probes were kept by address; while the probe of a replaced record was sleeping, the new one was marked lost and nobody looked for it. The test fails before.

--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -62,7 +62,7 @@
         self.peers = forwarders.Peers()
         self.placer = placement.Placer(config.zone)
         self.budgets: dict[str, repeats.Budget] = {}
-        self.probes: dict[str, asyncio.Task] = {}
+        self.probes: set[asyncio.Task] = set()
         self.ends_at = float("inf")
 
     def budget(self, service: str) -> repeats.Budget:
@@ -152,25 +152,24 @@
     def probe(self, chosen: placement.Candidate) -> None:
         """Begin to look for a node that could not be reached, with no request."""
         self.peers.pool.drop(chosen.hop)
+        if chosen.lost:
+            return
         chosen.lost = True
-        if chosen.hop not in self.probes:
-            task = asyncio.create_task(self.look_for(chosen))
-            self.probes[chosen.hop] = task
+        task = asyncio.create_task(self.look_for(chosen))
+        self.probes.add(task)
+        task.add_done_callback(self.probes.discard)
 
     async def look_for(self, chosen: placement.Candidate) -> None:
         """Connect to a node again and again until it answers or is forgotten."""
         loop = asyncio.get_running_loop()
         self.log.note("node-lost", name=chosen.node, hop=chosen.hop)
-        try:
-            while chosen in self.directory.of(chosen.service):
-                await asyncio.sleep(max(chosen.paused_until - loop.time(), 0.0))
-                if await self.peers.reach(chosen.hop):
-                    chosen.note_reached()
-                    self.log.note("node-regained", name=chosen.node)
-                    return
-                chosen.note_unreachable(loop.time())
-        finally:
-            del self.probes[chosen.hop]
+        while chosen in self.directory.of(chosen.service):
+            await asyncio.sleep(max(chosen.paused_until - loop.time(), 0.0))
+            if await self.peers.reach(chosen.hop):
+                chosen.note_reached()
+                self.log.note("node-regained", name=chosen.node)
+                return
+            chosen.note_unreachable(loop.time())
 
     def may_repeat(
         self,
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -254,7 +254,7 @@
         self.log.info("node-stopped", requests=self.busy())
         for runner in self.runners:
             await runner.cleanup()
-        for task in (*self.tasks, *self.attempts.probes.values()):
+        for task in (*self.tasks, *self.attempts.probes):
             task.cancel()
         self.exit.pool.close()
         self.attempts.peers.pool.close()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -134,6 +134,27 @@
         assert {status for status, _, _ in results} == {200}
 
 
+class TestLostNode:
+    async def test_is_found_again_though_its_record_changed_meanwhile(self, world):
+        """Its upstream was replaced while nobody could reach it."""
+        await world.start("workshop", "registry")
+        entry, lost = world.nodes
+        for runner in lost.runners[1:2]:
+            await runner.cleanup()
+        assert (await world.call("/lookup/1"))[0] == 503
+        first = entry.directory.of("registry")[0]
+        assert first.lost
+        world.upstreams[1].endpoint = "i-fresh"
+        world.upstreams[1].born += 1
+        await world.beat(world.upstreams[1])
+        await world.wait(lambda: entry.directory.of("registry") not in ([], [first]))
+        assert (await world.call("/lookup/1"))[0] == 503
+        await asyncio.sleep(1.0)
+        await lost.listen(lost.hops.serve, lost.config.listen.hops)
+        await world.wait(lambda: not entry.directory.of("registry")[0].lost)
+        assert (await world.call("/lookup/1"))[0] == 200
+
+
 class TestTime:
     async def test_deadline_ends_in_time_and_stops_the_work(self, world):
         await world.start("registry")
