Calls that a repeated request makes count as repeats of the service called

The mark of a call tells that it is a repeat, its exit's node counts the calls that it makes as owed. The test fails before.

--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -79,6 +79,8 @@
         self.check_end(route)
         loop = asyncio.get_running_loop()
         self.budget(call.service).note_request(loop.time())
+        if call.repeated:
+            self.budget(call.service).owe(loop.time())
         tried: set[str] = set()
         arrivals = moves = 0
         last: calls.Answer | None = None
@@ -95,6 +97,7 @@
             if not self.may_repeat(call, route, answer, arrivals, moves):
                 return last
             self.note(call, chosen, answer)
+            call.repeated = call.repeated or arrivals > 0
 
     def check_end(self, route: routes.Route) -> None:
         """Refuse a call that may still run when this process has to end."""
--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -22,6 +22,8 @@
     :param route: name of its route.
     :param rank: its route's priority; 0 comes first.
     :param nested: whether a request in progress waits for it.
+    :param repeated: whether it was sent to an upstream before, or is made by a
+        request that was.
     :param timely_until: monotonic seconds until which its answer is timely.
     :param deadline: monotonic seconds after which nobody waits for it.
     :param caller: service of the host where it began.
@@ -45,6 +47,7 @@
     caller: str
     version: int = 0
     entry: str = ""
+    repeated: bool = False
     sent: bool = False
 
 
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -79,6 +79,7 @@
         left = headers.parse_deadline(request.headers.get(headers.DEADLINE))
         left = DEFAULT_DEADLINE if left is None else left
         body = await bodies.read_body(request, current.limits.body_bytes)
+        parent = self.parent(request)
         call = calls.Call(
             attempt=request.headers.get(headers.ATTEMPT, ""),
             method=request.method,
@@ -89,7 +90,8 @@
             route=route.name,
             idempotent=route.idempotent,
             rank=route.priority,
-            nested=self.is_nested(request),
+            nested=bool(parent),
+            repeated=self.attempts.exit.running.get(parent, False),
             timely_until=began + route.target_latency,
             deadline=began + min(left - RETURN_MARGIN, route.timeout),
             caller=self.config.service,
@@ -98,10 +100,11 @@
         )
         return call, route
 
-    def is_nested(self, request: aiohttp.web.BaseRequest) -> bool:
-        """Whether a request that the upstream beside the node runs waits for it."""
+    def parent(self, request: aiohttp.web.BaseRequest) -> str:
+        """Return the id of the request beside the node that waits for this one;
+        empty if none does."""
         parent = headers.parent_of(request.headers.get(headers.ATTEMPT, ""))
-        return bool(parent) and parent in self.attempts.exit.running
+        return parent if parent in self.attempts.exit.running else ""
 
     def respond(self, answer: calls.Answer) -> aiohttp.web.Response:
         """Return the response that a caller gets."""
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -40,7 +40,8 @@
         self.pool = connections.Pool()
         self.queue = queueing.Queue(1)
         self.tasks: set[asyncio.Task] = set()
-        self.running: set[str] = set()
+        # Whether each attempt at the upstream is a repeat, by its id.
+        self.running: dict[str, bool] = {}
         self.stopping = False
         self.judge = judging.Judge(upstream, log)
         upstream.listeners.append(self.follow)
@@ -151,7 +152,7 @@
         data = self.write(call, identity, call.deadline - began)
         call.sent = True
         self.upstream.asked(len(self.running))
-        self.running.add(call.attempt)
+        self.running[call.attempt] = call.repeated
         try:
             async with asyncio.timeout_at(call.deadline + ANSWER_MARGIN):
                 response = await connection.exchange(
@@ -164,7 +165,7 @@
             self.judge.observe(call, None, loop.time() - began)
             raise
         finally:
-            self.running.discard(call.attempt)
+            self.running.pop(call.attempt, None)
         spent = loop.time() - began
         self.pool.release(address, connection, response)
         return self.read(call, response, identity, spent)
--- a/rattanridge/mesh/marks.py
+++ b/rattanridge/mesh/marks.py
@@ -10,7 +10,7 @@
 CALL = "Rattanridge-Call"
 ANSWER = "Rattanridge-Answer"
 PREFIX = "rattanridge-"
-CALL_FIELDS = 8
+CALL_FIELDS = 9
 ANSWER_FIELDS = 10
 SECONDS_MOST = 3600.0
 
@@ -24,6 +24,7 @@
         int(call.idempotent),
         call.rank,
         int(call.nested),
+        int(call.repeated),
         int((call.timely_until - now) * 1000),
         call.version,
         call.entry,
@@ -40,7 +41,7 @@
     if len(parts) != CALL_FIELDS or left is None:
         raise codes.Failure(codes.BAD_REQUEST, "mark of a forwarded call")
     try:
-        rank, nested, timely, version = (int(part) for part in parts[3:7])
+        rank, nested, repeated, timely, version = map(int, parts[3:8])
     except ValueError:
         raise codes.Failure(codes.BAD_REQUEST, "mark of a forwarded call")
     now = asyncio.get_running_loop().time()
@@ -59,7 +60,8 @@
         deadline=now + min(left, SECONDS_MOST),
         caller=marks.get(headers.CALLER, ""),
         version=version,
-        entry=parts[7],
+        entry=parts[8],
+        repeated=bool(repeated),
     )
 
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -228,7 +228,7 @@
     async def test_a_call_of_a_running_request_is_known(self, world):
         await world.start("registry")
         node = world.nodes[0]
-        node.exit.running.add("77")
+        node.exit.running["77"] = False
         seen = []
         run = node.attempts.run
 
@@ -245,6 +245,36 @@
         assert seen == [True, False, False]
 
 
+class TestRepeats:
+    async def test_calls_of_a_repeat_count_as_repeats(self, world):
+        """The exit that runs a repeat tells its node's entry."""
+        await world.start("workshop", "registry", "registry")
+        for upstream in world.upstreams[1:]:
+            upstream.mode = "fail"
+        seen = []
+        for node in world.nodes[1:]:
+            note = node.exit.judge.observe
+
+            def observe(call, status, spent, note=note):
+                seen.append(call.repeated)
+                note(call, status, spent)
+
+            node.exit.judge.observe = observe
+        assert (await world.call("/lookup/1"))[0] == 500
+        assert seen == [False, True]
+
+    async def test_a_nested_call_of_a_repeat_is_owed(self, world):
+        await world.start("registry")
+        node = world.nodes[0]
+        node.exit.running["77"] = True
+        sent = {"Host": mesh_world.HOST, headers.ATTEMPT: "77.1"}
+        url = f"http://{node.config.listen.callers}/lookup/1"
+        async with world.session.get(url, headers=sent) as answer:
+            assert answer.status == 200
+        budget = node.attempts.budget("registry")
+        assert budget.count(budget.repeats, asyncio.get_running_loop().time()) == 1
+
+
 class TestLeaving:
     @pytest.mark.parametrize("farewell", ["drain", "leave"])
     async def test_nothing_new_after_the_acknowledgement(self, world, farewell):
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -20,6 +20,17 @@
         taken = sum(budget.take(16, 5.0) for _ in range(100))
         assert taken == int(repeats.SAFETY * (20 + 58 / 16))
 
+    def test_calls_of_repeats_are_paid_for(self):
+        """A service that sheds: requests to another one fail for it and are sent
+        again, and make their calls again."""
+        budget = repeats.Budget(SETTINGS)
+        for _ in range(100):
+            budget.note_request(5.0)
+        for _ in range(15):
+            budget.owe(5.0)
+        taken = sum(budget.take(16, 5.0) for _ in range(100))
+        assert taken == int(repeats.SAFETY * (20 + 58 / 16)) - 15
+
     def test_comes_back_after_the_window(self):
         budget = repeats.Budget(SETTINGS)
         while budget.take(16, 5.0):
