One test of whether a status answers its order; dead code of the rollouts goes

Reading the diff: the same comparison of versions stood in five places, counts of a decoded report were copied though nothing changes them, and a time was kept that nobody reads.

--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -40,7 +40,6 @@
         self.log = log
         self.meters = meters
         self.current: routes.Configuration | None = None
-        self.changed_at = 0.0
         self.reading: asyncio.Task | None = None
 
     @property
@@ -81,7 +80,6 @@
         )
         self.current = found
         self.content = content
-        self.changed_at = asyncio.get_running_loop().time()
         self.meters.version.set(found.version)
 
     def hint(self, version: int, address: str = "") -> None:
--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -34,10 +34,10 @@
 
     def __init__(self, rollout: versioning.Rollout, now: float):
         self.order = rollout.order
-        status = rollout.status
+        status = rollout.answer()
         self.ramp = ramps.Ramp(rollout.order.duration)
         self.began_at = rollout.seen_at
-        if status is not None and status.version == rollout.order.version:
+        if status is not None:
             self.ramp.step = min(status.step, len(ramps.STEPS) - 1)
             self.ramp.began = status.began
             self.ramp.step_at = status.elapsed
@@ -51,10 +51,7 @@
         """Take one exit's evidence; the old version's counts begin now."""
         self.found[report.endpoint] = report
         if report.version != self.order.version:
-            base = {
-                route: copy_counts(counts) for route, counts in report.routes.items()
-            }
-            self.base.setdefault(report.endpoint, base)
+            self.base.setdefault(report.endpoint, report.routes)
 
     def sum_up(self) -> None:
         """Add up the evidence on both versions."""
@@ -72,11 +69,6 @@
             evidence.merge(self.old, fresh)
 
 
-def copy_counts(counts: evidence.Counts) -> evidence.Counts:
-    """Return counts that later requests don't change."""
-    return evidence.Counts(counts.calls, counts.errors, dict(counts.times))
-
-
 class Coordinator:
     """Looks at all rollouts, and acts where it is this node's turn."""
 
@@ -142,13 +134,12 @@
 
     def is_due(self, rollout: versioning.Rollout) -> bool:
         """Whether this node coordinates the rollout now."""
-        status = rollout.status
-        current = status is not None and status.version == rollout.order.version
-        if current and status.holder == self.config.name:
+        status = rollout.answer()
+        if status is not None and status.holder == self.config.name:
             return True
         waited = self.versions.now() - rollout.changed_at
         rank = self.rank(rollout.order.service)
-        if current:
+        if status is not None:
             return waited > TAKEOVER + rank * RANK_WAIT
         return waited >= rank * FIRST_WAIT
 
@@ -206,10 +197,8 @@
 
     def is_stale(self, rollout: versioning.Rollout) -> bool:
         """Whether the status does not show that this node coordinates."""
-        status = rollout.status
-        if status is None or status.version != rollout.order.version:
-            return True
-        if status.holder != self.config.name:
+        status = rollout.answer()
+        if status is None or status.holder != self.config.name:
             return True
         return self.versions.now() - rollout.changed_at > BEAT
 
--- a/rattanridge/mesh/versions.py
+++ b/rattanridge/mesh/versions.py
@@ -26,17 +26,21 @@
     seen_at: float
     changed_at: float
 
+    def answer(self) -> orders.Status | None:
+        """Return the status if it answers this order, not an earlier one."""
+        if self.status is None or self.status.version != self.order.version:
+            return None
+        return self.status
+
     def state(self) -> str:
         """Return the state; an order without an answer to it is running."""
-        if self.status is None or self.status.version != self.order.version:
-            return orders.RUNNING
-        return self.status.state
+        answer = self.answer()
+        return answer.state if answer is not None else orders.RUNNING
 
     def share(self) -> float:
         """Return the part of the requests that the new version gets."""
-        if self.status is None or self.status.version != self.order.version:
-            return 0.0
-        return self.status.share
+        answer = self.answer()
+        return answer.share if answer is not None else 0.0
 
 
 class Versions:
