--- a/rattanridge/admin/presets.py
+++ b/rattanridge/admin/presets.py
@@ -1,54 +1,29 @@
-"""Presets in the platform: immutable revisions, and the pointer ``in-force``.
+"""Presets in the store: immutable revisions, and the choice of one of them.
 
-A write whose answer is lost is sent again with the same write id until its
-outcome is known, so that it is neither reported as failed nor done twice.
+To choose a preset is to write the configuration that it stands for, under the
+condition that nobody wrote another one meanwhile. The platform's operator
+writes the same object; so there is one source of truth, whoever chose.
 """
 
 import asyncio
+import secrets
 import time
-import typing
-import uuid
 
-import msgspec
-
-from rattanridge.control import source
-from rattanridge.kernel import codes, presets, snapshot
-from rattanridge.objectapi import client, objects
-
-T = typing.TypeVar("T")
-
-HISTORY_KEPT = 200
-PAST_KEPT = 20  # former choices that the pointer itself carries
-POINTER = source.POINTER
-HISTORY = source.HISTORY
-WRITE_TRIES = 3
-WRITE_PAUSE = 0.2  # seconds between tries
-RACES_MOST = 5  # tries to add to the history against other writers
-UNSURE = (codes.PLATFORM_DOWN, codes.PLATFORM_BUSY, codes.PLATFORM_REFUSED)
-
-
-class Revision(msgspec.Struct):
-    """One revision of a preset.
-
-    :param operator: who put it; empty if it is not known.
-    """
-
-    name: str
-    revision: int
-    operator: str = ""
-    content: presets.Preset | None = None
+from rattanridge.admin import objects, writing
+from rattanridge.kernel import codes, presets
+from rattanridge.platform import configs, store as stores
 
 
 class Presets:
     """Puts, shows and chooses presets.
 
-    :param platform: the platform's client.
+    :param store: the platform's store.
     """
 
-    def __init__(self, platform: client.Client):
-        self.platform = platform
+    def __init__(self, store: stores.Store):
+        self.store = store
 
-    async def put(self, name: str, text: str, operator: str) -> Revision:
+    async def put(self, name: str, text: str, operator: str) -> objects.Revision:
         """Check a preset and store it as the next revision.
 
         The content of the newest revision put once more is that revision.
@@ -58,70 +33,48 @@
         if preset.name != name:
             detail = f"the document names {preset.name!r}"
             raise codes.Failure(codes.BAD_FIELD, detail, where=name)
-        snapshot.build(1, snapshot.split(preset, 1))
-        revision = await self.latest(name)
-        if revision:
-            newest = await self.show(name, revision)
-            if newest.content == preset:
-                newest.content = None
-                return newest
-        return await self.create(preset, revision + 1, operator)
-
-    async def create(
-        self, preset: presets.Preset, revision: int, operator: str
-    ) -> Revision:
+        known = await self.revisions(name)
+        if known and known[-1].content == preset:
+            return without_content(known[-1])
+        number = known[-1].revision + 1 if known else 1
+        made = objects.Revision(name, number, operator, preset)
+        return without_content(await self.create(made))
+
+    async def create(self, made: objects.Revision) -> objects.Revision:
         """Write a revision; the same content written by another is as good."""
-        key = source.preset_key(preset.name, revision)
-        try:
-            stored = await self.write(key, preset, 0, operator)
-        except codes.Failure as failure:
-            if failure.code is not codes.PLATFORM_CONFLICT:
-                raise
-            stored = await self.platform.get(key)
-            if client.value_of(stored, presets.Preset) != preset:
-                winner = writer_of(stored) or "another operator"
-                detail = f"revision {revision} was put by {winner}"
-                raise codes.Failure(codes.CONFLICT, detail)
-        return Revision(preset.name, revision, writer_of(stored))
-
-    async def write(
-        self, key: str, value: object, if_version: int, operator: str
-    ) -> objects.Stored:
-        """Write an object; try again with the same id while it is not known."""
-        write_id = f"{operator}:{uuid.uuid4().hex}"
-        for left in reversed(range(WRITE_TRIES)):
-            try:
-                return await self.platform.put(key, value, if_version, write_id)
-            except codes.Failure as failure:
-                if failure.code not in UNSURE or not left:
-                    raise
-            await asyncio.sleep(WRITE_PAUSE)
-        raise AssertionError("not reached")
-
-    async def latest(self, name: str) -> int:
-        """Return the newest revision's number; 0 if there is none."""
-        listing = await self.platform.list_keys(f"presets/{name}/")
-        return max(map(number_of, listing.objects), default=0)
-
-    async def newest(self) -> list[Revision]:
+        key = objects.revision_key(made.name, made.revision)
+        found = await writing.create(
+            self.store, objects.PRESETS, key, objects.encode(made)
+        )
+        winner = objects.decode(found.spec, objects.Revision)
+        if winner is not None and winner.content == made.content:
+            return winner
+        who = winner.operator if winner is not None else "another writer"
+        detail = f"revision {made.revision} was put by {who}"
+        raise codes.Failure(codes.CONFLICT, detail)
+
+    async def revisions(self, name: str = "") -> list[objects.Revision]:
+        """Return all revisions of one preset, or of all, in order."""
+        listing = await self.store.list(objects.PRESETS)
+        found = [objects.decode(item.spec, objects.Revision) for item in listing.items]
+        kept = [item for item in found if item is not None and item.content is not None]
+        if name:
+            kept = [item for item in kept if item.name == name]
+        return sorted(kept, key=lambda item: (item.name, item.revision))
+
+    async def newest(self) -> list[objects.Revision]:
         """Return the newest revision of each preset, without content."""
-        listing = await self.platform.list_keys("presets/")
-        found: dict[str, Revision] = {}
-        for item in listing.objects:
-            name = item.key.split("/")[1]
-            number = number_of(item)
-            if number and (name not in found or found[name].revision < number):
-                found[name] = Revision(name, number, writer_of(item))
-        return [found[name] for name in sorted(found)]
+        found = {item.name: item for item in await self.revisions()}
+        return [without_content(found[name]) for name in sorted(found)]
 
-    async def show(self, name: str, revision: int = 0) -> Revision:
+    async def show(self, name: str, revision: int = 0) -> objects.Revision:
         """Return one revision with its content; 0 means the newest."""
-        number = revision or await self.latest(name)
-        stored = await self.platform.find(source.preset_key(name, number))
-        if stored is None:
-            raise codes.Failure(codes.NO_PRESET, described(name, number))
-        content = client.value_of(stored, presets.Preset)
-        return Revision(name, number, writer_of(stored), content)
+        known = await self.revisions(name)
+        wanted = [item for item in known if not revision or item.revision == revision]
+        if not wanted:
+            detail = f"{name} revision {revision}" if revision else name
+            raise codes.Failure(codes.NO_PRESET, detail)
+        return wanted[-1]
 
     async def use(
         self,
@@ -129,141 +82,109 @@
         operator: str,
         expected: int | None = None,
         revision: int = 0,
-    ) -> objects.InForce:
+    ) -> objects.Choice:
         """Put a revision of a preset in force; the newest by default.
 
         :param expected: generation that the operator saw; another one in force
             is a conflict that names who chose it.
         """
-        revision = (await self.show(name, revision)).revision
-        stored = await self.platform.find(POINTER)
-        current = readable(stored, objects.InForce)
-        generation = current.generation if current else await self.last_generation()
+        wanted = await self.show(name, revision)
+        current = await self.store.get(configs.KIND, configs.NAME)
+        generation = version_of(current)
+        past = await self.history()
+        in_force = find(past, generation)
         if expected is not None and expected != generation:
-            raise conflict(current)
-        if current and (current.preset, current.revision) == (name, revision):
-            raise codes.Failure(codes.PRESET_IN_FORCE, described_choice(current))
-        chosen = objects.InForce(generation + 1, name, revision, operator, time.time())
-        if current:
-            chosen.past = [*current.past, as_choice(current)][-PAST_KEPT:]
-        await self.point(chosen, stored.version if stored else 0)
-        await self.remember([*chosen.past, as_choice(chosen)])
-        chosen.past = []
+            raise conflict(generation, in_force)
+        if in_force and (in_force.preset, in_force.revision) == (name, wanted.revision):
+            raise codes.Failure(codes.PRESET_IN_FORCE, describe(in_force))
+        last = max([generation, *(item.generation for item in past)])
+        chosen = objects.Choice(
+            generation=last + 1,
+            preset=name,
+            revision=wanted.revision,
+            operator=operator,
+            at=round(time.time(), 3),
+            sending=secrets.token_hex(6),
+        )
+        await self.reserve(chosen)
+        await self.put_in_force(chosen, wanted, current)
         return chosen
 
-    async def last_generation(self) -> int:
-        """Return the newest generation of the history; 0 if there is none.
-
-        It counts if the pointer was deleted or spoilt: nodes would pass over a
-        generation that is not above theirs.
-        """
-        stored = await self.platform.find(HISTORY)
-        past = readable(stored, list[objects.Choice]) or []
-        return max((choice.generation for choice in past), default=0)
-
-    async def point(self, chosen: objects.InForce, if_version: int) -> None:
-        """Write the pointer; raise a conflict only if the choice lost."""
-        try:
-            await self.write(POINTER, chosen, if_version, chosen.operator)
-        except codes.Failure as failure:
-            if failure.code not in (codes.PLATFORM_CONFLICT, *UNSURE):
-                raise
-            found = client.value_of(await self.platform.get(POINTER), objects.InForce)
-            # A later choice may stand over this one, which took effect before.
-            if as_choice(chosen) in [*found.past, as_choice(found)]:
-                return
-            lost = failure.code is codes.PLATFORM_CONFLICT
-            if lost or found.generation >= chosen.generation:
-                raise conflict(found)
-            raise failure
-
-    async def remember(self, choices: list[objects.Choice]) -> None:
-        """Add choices to the history, as far as the platform lets.
-
-        What is lost here stays in the pointer, and comes with the next choice.
-        """
-        try:
-            for _ in range(RACES_MOST):
-                if await self.add_to_history(choices):
-                    return
-        except codes.Failure:
-            return
-
-    async def add_to_history(self, choices: list[objects.Choice]) -> bool:
-        """Merge choices into the history; return whether no other write won."""
-        stored = await self.platform.find(HISTORY)
-        past = readable(stored, list[objects.Choice]) or []
-        kept = merge(past, choices)[-HISTORY_KEPT:]
-        if kept == past:
-            return True
+    async def reserve(self, chosen: objects.Choice) -> None:
+        """Write the choice before it takes effect; of racing operators one may."""
+        found = await writing.create(
+            self.store,
+            objects.CHOICES,
+            objects.choice_key(chosen.generation),
+            objects.encode(chosen),
+        )
+        winner = objects.decode(found.spec, objects.Choice)
+        if winner != chosen:
+            raise conflict(chosen.generation, winner)
+
+    async def put_in_force(
+        self,
+        chosen: objects.Choice,
+        wanted: objects.Revision,
+        current: stores.Stored | None,
+    ) -> None:
+        """Write the configuration; a choice that lost is taken out again."""
+        data = configs.encode(presets.configure(wanted.content, chosen.generation))
+        revision = current.revision if current else 0
         try:
-            await self.platform.put(HISTORY, kept, stored.version if stored else 0)
+            await writing.replace(
+                self.store, configs.KIND, configs.NAME, data, revision
+            )
         except codes.Failure as failure:
             if failure.code is codes.PLATFORM_CONFLICT:
-                return False
+                await self.withdraw(chosen)
+                raise conflict(0, None)
             raise
-        return True
+
+    async def withdraw(self, chosen: objects.Choice) -> None:
+        """Remove a choice that never took effect."""
+        key = objects.choice_key(chosen.generation)
+        stored = await self.store.get(objects.CHOICES, key)
+        if stored is not None:
+            await self.store.delete(objects.CHOICES, key, stored.revision)
 
     async def history(self) -> list[objects.Choice]:
         """Return the choices, the oldest first."""
-        listing = await self.platform.list(HISTORY, POINTER)
-        found: list[objects.Choice] = []
-        for stored in listing.objects:
-            if stored.key == POINTER:
-                current = client.value_of(stored, objects.InForce)
-                found = merge(found, [*current.past, as_choice(current)])
-            elif stored.key == HISTORY:
-                found = merge(found, client.value_of(stored, list[objects.Choice]))
-        return found
+        listing = await self.store.list(objects.CHOICES)
+        found = [objects.decode(item.spec, objects.Choice) for item in listing.items]
+        kept = [item for item in found if item is not None]
+        return sorted(kept, key=lambda item: item.generation)
 
+    async def in_force(self, generation: int) -> objects.Choice | None:
+        """Return the choice that made a generation, if an operator made it here."""
+        return find(await self.history(), generation)
 
-def readable(stored: objects.Stored | None, kind: type[T]) -> T | None:
-    """Return an object's value; ``None`` if there is none or it can't be read."""
+
+def version_of(stored: stores.Stored | None) -> int:
+    """Return the version of the stored configuration; 0 if none can be read."""
     if stored is None:
-        return None
+        return 0
     try:
-        return client.value_of(stored, kind)
+        return configs.decode(stored.spec).version
     except codes.Failure:
-        return None
-
-
-def merge(
-    first: list[objects.Choice], second: list[objects.Choice]
-) -> list[objects.Choice]:
-    """Return the choices of both lists, one for each generation, in order."""
-    both = {choice.generation: choice for choice in [*first, *second]}
-    return [both[generation] for generation in sorted(both)]
-
-
-def as_choice(pointer: objects.InForce) -> objects.Choice:
-    """Return a pointer without its past."""
-    return objects.Choice(
-        pointer.generation,
-        pointer.preset,
-        pointer.revision,
-        pointer.operator,
-        pointer.at,
-    )
-
-
-def number_of(stored: objects.Stored) -> int:
-    """Return the revision that a key names; 0 if it names none."""
-    number = stored.key.rpartition("/")[2]
-    return int(number) if number.isdecimal() else 0
+        # Whoever chooses next puts a readable one in its place.
+        return 0
 
 
-def writer_of(stored: objects.Stored) -> str:
-    """Return the operator who wrote an object; empty if it is not known."""
-    operator, colon, _ = stored.write_id.partition(":")
-    return operator if colon else ""
+def find(past: list[objects.Choice], generation: int) -> objects.Choice | None:
+    """Return the choice of a generation."""
+    for item in past:
+        if item.generation == generation:
+            return item
+    return None
 
 
-def described(name: str, revision: int) -> str:
-    """Return a preset's name, and its revision if one is meant."""
-    return f"{name} revision {revision}" if revision else name
+def without_content(item: objects.Revision) -> objects.Revision:
+    """Return a revision as lists show it."""
+    return objects.Revision(item.name, item.revision, item.operator)
 
 
-def described_choice(choice: objects.Choice) -> str:
+def describe(choice: objects.Choice) -> str:
     """Return one line that tells a choice and who made it."""
     return (
         f"generation {choice.generation} is in force: preset {choice.preset} "
@@ -271,8 +192,11 @@
     )
 
 
-def conflict(winner: objects.Choice | None) -> codes.Failure:
+def conflict(generation: int, winner: objects.Choice | None) -> codes.Failure:
     """Return the failure of an operator who lost a race."""
-    if winner is None:
-        return codes.Failure(codes.CONFLICT, "nothing is in force")
-    return codes.Failure(codes.CONFLICT, described_choice(winner))
+    if winner is not None:
+        return codes.Failure(codes.CONFLICT, describe(winner))
+    if generation:
+        detail = f"generation {generation} is in force, written by the platform"
+        return codes.Failure(codes.CONFLICT, detail)
+    return codes.Failure(codes.CONFLICT, "the configuration changed meanwhile")
--- a/rattanridge/admin/server.py
+++ b/rattanridge/admin/server.py
@@ -7,11 +7,11 @@
 import aiohttp.web
 import msgspec
 
+from rattanridge import admin
 from rattanridge.admin import presets as preset_store, status
-from rattanridge.calls import bodies
-from rattanridge.control import replica
-from rattanridge.kernel import codes, log, metrics, registry, settings
-from rattanridge.objectapi import client
+from rattanridge.kernel import codes, registry, settings
+from rattanridge.mesh import node as nodes
+from rattanridge.web import bodies
 
 BODY_BYTES = 1_000_000
 ACTIVE_MOST = 32  # requests at once, so that none pile up on a slow platform
@@ -81,25 +81,17 @@
 class Server:
     """Serves operators.
 
-    :param config: the node's settings, with the tokens.
-    :param platform: the platform's client.
-    :param state: the node's replica.
+    :param node: the node beside which it runs.
     """
 
-    def __init__(
-        self,
-        config: settings.NodeSettings,
-        platform: client.Client,
-        state: replica.Replica,
-        counters: metrics.Counters,
-    ):
-        self.config = config
-        self.platform = platform
-        self.state = state
-        self.counters = counters
-        self.presets = preset_store.Presets(platform)
-        self.status = status.Status(config, platform, state)
-        self.log = log.Log("admin", config.name)
+    def __init__(self, node: nodes.Node):
+        registry.load_plugins(admin)
+        self.node = node
+        self.config = node.config
+        self.counters = node.meters
+        self.presets = preset_store.Presets(node.store)
+        self.status = status.Status(node)
+        self.log = node.log
         self.active = 0
 
     async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
@@ -119,7 +111,7 @@
         """Count and log a refusal; return the answer that tells it."""
         code = failure.code
         self.counters.add(f"admin.refused.{code.name}")
-        self.log.info(
+        self.log.note(
             "admin-refused", code=code.number, method=request.method, path=request.path
         )
         body = Error(code.number, code.name, failure.detail, failure.where)
@@ -226,8 +218,8 @@
 
 @operation("GET", "/counters", "viewer")
 async def show_counters(server: Server, request: Request) -> object:
-    """Return this node's counters."""
-    return dict(sorted(server.counters.values.items()))
+    """Return this node's counters by name and labels."""
+    return server.counters.values()
 
 
 def decode_text(body: bytes) -> str:
--- a/rattanridge/admin/status.py
+++ b/rattanridge/admin/status.py
@@ -1,16 +1,20 @@
-"""What an operator sees: configuration in force, nodes, roles, rollouts."""
+"""What an operator sees: configuration in force, nodes, endpoints, rollouts."""
+
+import asyncio
 
 import msgspec
 
-from rattanridge.control import messages, replica, source, zone as zones
-from rattanridge.kernel import codes, settings
-from rattanridge.objectapi import client, objects
+from rattanridge.admin import presets
+from rattanridge.kernel import codes
+from rattanridge.mesh import configs, node as nodes
+
+AT_ONCE = 64  # nodes that are asked at the same time
 
 
 class Behind(msgspec.Struct):
-    """A node that does not apply the chosen generation, and why.
+    """A node that does not apply the newest generation, and why.
 
-    :param code: result code; 0 while it has not told of it yet.
+    :param code: result code; 0 if it has not told any.
     """
 
     node: str
@@ -19,129 +23,132 @@
     reason: str = ""
 
 
+class Rollout(msgspec.Struct):
+    """A rollout as the node that answers knows it."""
+
+    service: str
+    new: str
+    state: str
+    share: float
+
+
 class Report(msgspec.Struct, kw_only=True):
-    """The system's state as one node and the platform tell it.
+    """The system's state as one node and the store tell it.
 
     :param platform: ``up`` or the reason why it can't be reached.
     :param node: name of the node that answers.
     :param node_generation: generation in force at that node.
-    :param in_force: the pointer in the platform, if it can be read.
-    :param nodes: number of nodes known, those lost lately included.
+    :param preset: preset that made it; empty if the platform's operator did.
+    :param operator: who chose that preset.
+    :param generation: highest generation that any node applies.
+    :param nodes: number of nodes known by their records.
     :param applied: number of nodes by generation.
-    :param behind: nodes that do not apply the chosen generation.
-    :param rejected: why nodes do not apply the newest generation.
-    :param roles: holder by role.
+    :param behind: nodes that do not apply the highest generation.
+    :param refused: why nodes refuse a configuration, by node.
     :param endpoints: number of endpoints by service, version and state.
-    :param rollouts: newest stage of each service.
     """
 
     platform: str
     node: str
     node_generation: int
-    preset: str
-    revision: int
-    in_force: objects.InForce | None = None
+    preset: str = ""
+    revision: int = 0
+    operator: str = ""
+    generation: int = 0
     nodes: int = 0
     applied: dict[str, int] = {}
     behind: list[Behind] = []
-    rejected: dict[str, messages.Rejection] = {}
-    roles: dict[str, str] = {}
+    refused: dict[str, str] = {}
     endpoints: dict[str, int] = {}
-    rollouts: list[messages.Stage] = []
+    rollouts: list[Rollout] = []
 
 
 class Status:
     """Collects reports.
 
-    :param config: the node's settings.
-    :param platform: the platform's client.
-    :param state: the node's replica.
+    :param node: the node that serves the operator.
     """
 
-    def __init__(
-        self,
-        config: settings.NodeSettings,
-        platform: client.Client,
-        state: replica.Replica,
-    ):
-        self.config = config
-        self.platform = platform
-        self.state = state
+    def __init__(self, node: nodes.Node):
+        self.node = node
+        self.presets = presets.Presets(node.store)
 
     async def collect(self) -> Report:
-        """Return a report; what the platform alone knows may be missing."""
+        """Return a report; what the store alone knows may be missing."""
         report = self.local()
+        found = await self.ask_nodes()
+        add_nodes(report, found)
         try:
-            listing = await self.platform.list(source.POINTER, "status/")
+            choice = await self.presets.in_force(report.node_generation)
         except codes.Failure as failure:
             report.platform = failure.format()
             return report
-        nodes: dict[str, messages.NodeState] = {}
-        for stored in listing.objects:
-            if stored.key == source.POINTER:
-                report.in_force = client.value_of(stored, objects.InForce)
-                report.in_force.past = []
-            else:
-                merge_nodes(nodes, client.value_of(stored, zones.ZoneStatus))
-        self.add_nodes(report, nodes)
+        if choice is not None:
+            report.preset = choice.preset
+            report.revision = choice.revision
+            report.operator = choice.operator
         return report
 
     def local(self) -> Report:
-        head = self.state.snapshot.head if self.state.snapshot else None
+        """Return what this node knows by itself."""
+        node = self.node
         report = Report(
-            platform="up",
-            node=self.config.name,
-            node_generation=self.state.generation,
-            preset=head.preset if head else "",
-            revision=head.revision if head else 0,
+            platform="up", node=node.config.name, node_generation=node.configs.version
         )
-        for record in self.state.table.all(messages.Role):
-            report.roles[record.role] = record.holder
-        for record in self.state.table.all(messages.Endpoint):
+        for record in node.directory.records.values():
             key = f"{record.service} {record.version} {record.state}"
             report.endpoints[key] = report.endpoints.get(key, 0) + 1
-        report.rollouts = self.state.table.all(messages.Stage)
+        for service, item in sorted(node.versions.rollouts.items()):
+            report.rollouts.append(
+                Rollout(service, item.order.version, item.state(), item.share())
+            )
         return report
 
-    def add_nodes(self, report: Report, nodes: dict[str, messages.NodeState]) -> None:
-        """Count the nodes by generation, and name those that are behind."""
-        # This node knows of itself without delay.
-        own = messages.NodeState(self.state.generation, self.state.rejection)
-        nodes[self.config.name] = own
-        chosen = report.in_force.generation if report.in_force else 0
-        report.nodes = len(nodes)
-        for name, node in sorted(nodes.items()):
-            generation = str(node.generation)
-            report.applied[generation] = report.applied.get(generation, 0) + 1
-            if node.rejection is not None:
-                report.rejected[name] = node.rejection
-            if node.generation < chosen:
-                report.behind.append(why_behind(name, node))
-
-
-def merge_nodes(nodes: dict[str, messages.NodeState], status: zones.ZoneStatus) -> None:
-    """Merge what two relays tell of a node: the higher, and standing, one wins.
-
-    One of them may have died: then its object is old until the next holder of
-    its role writes it.
-    """
-    for name, node in status.nodes.items():
-        known = nodes.get(name)
-        if known is None or rank(node) > rank(known):
-            nodes[name] = node
-
-
-def rank(node: messages.NodeState) -> tuple:
-    """Return the order by which two reports of one node are compared."""
-    return (not node.lost_at, node.generation, node.lost_at)
-
-
-def why_behind(name: str, node: messages.NodeState) -> Behind:
-    """Return why a node does not apply the chosen generation."""
-    if node.rejection is not None:
-        why = node.rejection
-        return Behind(name, node.generation, why.code, why.reason)
-    if node.lost_at:
-        code = codes.NODE_LOST
-        return Behind(name, node.generation, code.number, code.meaning)
-    return Behind(name, node.generation, 0, "no report yet")
+    async def ask_nodes(self) -> dict[str, configs.State | None]:
+        """Ask every known node what it has in force."""
+        node = self.node
+        limit = asyncio.Semaphore(AT_ONCE)
+
+        async def ask(name: str, address: str) -> tuple[str, configs.State | None]:
+            async with limit:
+                data = await node.fetch(address, configs.STATE_PAGE)
+            return name, read_state(data)
+
+        found = await asyncio.gather(
+            *(
+                ask(name, record.hop)
+                for name, record in node.directory.records.items()
+                if name != node.config.name
+            )
+        )
+        own = read_state(node.configs.state())
+        return {node.config.name: own, **dict(found)}
+
+
+def read_state(data: bytes | None) -> configs.State | None:
+    """Decode a node's answer; None if it gave none."""
+    if data is None:
+        return None
+    try:
+        return msgspec.json.decode(data, type=configs.State)
+    except (msgspec.MsgspecError, RecursionError):
+        return None
+
+
+def add_nodes(report: Report, found: dict[str, configs.State | None]) -> None:
+    """Count the nodes by generation, and name those that are behind."""
+    report.nodes = len(found)
+    told = [item.version for item in found.values() if item is not None]
+    report.generation = max(told, default=0)
+    for name, state in sorted(found.items()):
+        if state is None:
+            code = codes.NODE_LOST
+            report.behind.append(Behind(name, 0, code.number, code.meaning))
+            continue
+        key = str(state.version)
+        report.applied[key] = report.applied.get(key, 0) + 1
+        if state.refused:
+            report.refused[name] = state.refused
+        if state.version < report.generation:
+            reason = state.refused or "it has not heard of the newest one"
+            report.behind.append(Behind(name, state.version, 0, reason))
--- a/rattanridge/calls/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Call path: entry, exit, forwarding and what they decide."""
--- a/rattanridge/cli/check.py
+++ b/rattanridge/cli/check.py
@@ -6,8 +6,8 @@
 
 from rattanridge import policies
 from rattanridge.cli import main
-from rattanridge.kernel import codes, documents, presets, registry, settings
-from rattanridge.mesh import settings as mesh_settings
+from rattanridge.kernel import codes, documents, presets, registry
+from rattanridge.mesh import settings
 
 
 @main.COMMANDS.register("check")
@@ -17,11 +17,7 @@
     """Check a settings or preset FILE; exit 2 with code and line on an error."""
     registry.load_plugins(policies)
     text = documents.read(file)
-    keys = top_keys(text, file)
-    if "store" in keys:
-        found = mesh_settings.parse(text, file)
-        click.echo(f"{file}: settings of node {found.name} on the users' platform")
-    elif "routes" in keys:
+    if "routes" in top_keys(text, file):
         preset = presets.parse(text, file)
         click.echo(f"{file}: preset {preset.name}: {len(preset.routes)} routes")
     else:
--- a/rattanridge/cli/demo.py
+++ b/rattanridge/cli/demo.py
@@ -10,11 +10,12 @@
 import aiohttp
 import click
 
-from rattanridge.calls import headers
-from rattanridge.cli import demo_rollouts, main
+from rattanridge.admin import rollouts as admin_rollouts
+from rattanridge.cli import main
 from rattanridge.kernel import codes, log
-from rattanridge.measure import fleet
-from rattanridge.standin import upstream as upstreams
+from rattanridge.platform import orders
+from rattanridge.standin import fleet, upstream as upstreams
+from rattanridge.web import headers
 
 SERVICES = ("registry", "workshop")
 ZONES = ("tunis-a", "tunis-b")
@@ -22,6 +23,11 @@
 STEPS_SECONDS = 17.0  # that the steps take without pauses between them
 PAUSES = 3
 CRASHER = "cracked-seal"
+MOVED = "registry"  # service that gets new versions
+DEADLINE = 5.0  # seconds for a good version to take over
+LONG_DEADLINE = 60.0  # seconds; the bad version is taken back long before
+LIMIT = 20.0  # seconds
+SETTLE = 0.8  # seconds after which no call reaches a version that was taken back
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,11 +52,11 @@
         self.tally = Tally(collections.Counter(), set())
         self.broken: list[str] = []
         self.generations: dict[str, int] = {}
-        self.dead: list[upstreams.Upstream] = []
         self.began = time.monotonic()
         self.ending = False
 
     def say(self, text: str) -> None:
+        """Tell a person what happens."""
         click.echo(f"{time.monotonic() - self.began:5.1f}s  {text}")
 
     async def run(self) -> bool:
@@ -73,13 +79,15 @@
         """Start two services in two zones and put the first preset in force."""
         for zone in ZONES:
             for service in SERVICES:
-                shape = upstreams.Shape(service, slots=12)
-                name = f"{service}-{zone}"
-                await self.fleet.add(name, zone, shape, rollouts=demo_rollouts.TIMES)
+                await self.add(f"{service}-{zone}", zone, service, "v1")
         self.say(f"{len(self.fleet.hosts)} hosts in {len(ZONES)} zones are up")
         await self.choose("ordinary", 5.0)
         await self.fleet.wait_endpoints()
 
+    async def add(self, name: str, zone: str, service: str, version: str) -> fleet.Host:
+        """Start one host."""
+        return await self.fleet.add(name, zone, upstreams.Shape(service, version))
+
     async def choose(self, name: str, timeout: float) -> None:
         """Put a preset in force and say how long it took everywhere."""
         preset = fleet.make_preset(name, list(SERVICES), timeout)
@@ -96,35 +104,88 @@
         pause = max(self.seconds - STEPS_SECONDS, 0.0) / PAUSES
         await asyncio.sleep(pause)
         await self.choose("peak", 2.0)
-        moving = demo_rollouts.Rollouts(self.fleet, ZONES, self.say, self.expect)
-        await moving.run()
+        await self.complete_version("v2")
+        await self.take_back_version("v3")
         await self.kill_upstream()
         await asyncio.sleep(pause)
         await self.drain_upstream()
         await asyncio.sleep(pause)
 
+    async def complete_version(self, version: str) -> None:
+        """Let a good version take over."""
+        await self.add_version(version, 0.0)
+        ended = await self.move(version, DEADLINE)
+        self.expect(ended.state == orders.COMPLETED, f"{version} ended as {ended}")
+        await asyncio.sleep(SETTLE)
+        before = self.count_runs("v1")
+        await asyncio.sleep(SETTLE)
+        late = self.count_runs("v1") - before
+        self.expect(late == 0, f"the old version got {late} calls after the rollout")
+        self.say(f"{MOVED} {version} took over in time; v1 gets no call any more")
+
+    async def take_back_version(self, version: str) -> None:
+        """Let a bad version be taken back."""
+        await self.add_version(version, 1.0)
+        ended = await self.move(version, LONG_DEADLINE)
+        self.expect(ended.state == orders.TAKEN_BACK, f"{version} ended as {ended}")
+        await asyncio.sleep(SETTLE)
+        before = self.count_runs(version)
+        await asyncio.sleep(SETTLE)
+        late = self.count_runs(version) - before
+        self.expect(late == 0, f"a version taken back got {late} calls")
+        self.say(f"{MOVED} {version} was taken back: {ended.reason}")
+
+    async def add_version(self, version: str, error_rate: float) -> None:
+        """Start an endpoint of a version in each zone, beside the old ones."""
+        for zone in ZONES:
+            host = await self.add(f"{MOVED}-{version}-{zone}", zone, MOVED, version)
+            host.upstream.faults.error_rate = error_rate
+        await self.fleet.wait_endpoints()
+
+    async def move(self, version: str, deadline: float) -> admin_rollouts.Rollout:
+        """Start a rollout; return it once it has ended."""
+        node = next(iter(self.fleet.hosts.values())).node
+        operations = admin_rollouts.Rollouts(node)
+        await operations.start(
+            MOVED, admin_rollouts.Start(new=version, deadline=deadline)
+        )
+        self.say(f"rollout of {MOVED} to {version} started")
+        async with asyncio.timeout(LIMIT):
+            while True:
+                found = await operations.show(MOVED)
+                if found.state != orders.RUNNING:
+                    return found
+                await asyncio.sleep(0.1)
+
+    def count_runs(self, version: str) -> int:
+        """Return the calls that a version of the moved service got."""
+        return sum(
+            len(host.upstream.runs)
+            for host in self.fleet.hosts.values()
+            if host.upstream.shape.service == MOVED
+            and host.upstream.shape.version == version
+        )
+
     async def kill_upstream(self) -> None:
         """Let one upstream die while it runs a request."""
         host = self.fleet.hosts[f"workshop-{ZONES[0]}"]
         host.upstream.faults.crash_on = CRASHER
-        url = host.node.caller_url
+        url = f"http://{host.node.config.listen.callers}"
         async with aiohttp.ClientSession() as session:
             while not host.upstream.crashed.is_set():
                 await self.call(session, url, "POST", "workshop", CRASHER)
-        self.dead.append(host.upstream)
-        host.upstream = None
         self.say("one workshop upstream died while running a commission")
 
     async def drain_upstream(self) -> None:
-        """Let one upstream leave as planned, while the other one serves."""
-        host = self.fleet.hosts[f"registry-{ZONES[1]}"]
+        """Let one upstream leave as planned, while another one serves."""
+        host = self.fleet.hosts[f"{MOVED}-v2-{ZONES[1]}"]
         await host.upstream.drain()
         await asyncio.sleep(1.0)
         before = len(host.upstream.runs)
         await asyncio.sleep(1.0)
         late = len(host.upstream.runs) - before
         self.expect(late == 0, f"a leaving upstream got {late} calls")
-        self.say("one registry upstream drained and gets no new work")
+        self.say(f"one {MOVED} upstream drained and gets no new work")
 
     async def send_calls(self) -> None:
         """Send consultations and commissions to random nodes."""
@@ -134,17 +195,12 @@
             while not self.ending:
                 number += 1
                 host = self.random.choice(list(self.fleet.hosts.values()))
+                url = f"http://{host.node.config.listen.callers}"
                 method, service = ("GET", "registry")
                 if number % 5 == 0:
                     method, service = ("POST", "workshop")
                 task = asyncio.create_task(
-                    self.call(
-                        session,
-                        host.node.caller_url,
-                        method,
-                        service,
-                        f"order-{number}",
-                    )
+                    self.call(session, url, method, service, f"order-{number}")
                 )
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
@@ -161,7 +217,7 @@
     ) -> None:
         """Send one call and check that its answer is its own and whole."""
         self.tally.calls += 1
-        marks = {"Idempotency-Key": key} if method == "POST" else {}
+        marks = {upstreams.KEY: key} if method == "POST" else {}
         async with session.request(
             method, f"{url}/{service}/{key}", headers=marks
         ) as response:
@@ -183,7 +239,7 @@
         """Check that no node's generation ever falls."""
         while True:
             for name, host in self.fleet.hosts.items():
-                now = host.node.state.generation
+                now = host.node.configs.version
                 self.expect(
                     now >= self.generations.get(name, 0), f"{name} fell back to {now}"
                 )
@@ -192,8 +248,7 @@
 
     def check_runs(self) -> None:
         """Count commissions where they ran: none twice, none said not to have run."""
-        served = [host.upstream for host in self.fleet.hosts.values() if host.upstream]
-        runs = [run for item in [*served, *self.dead] for run in item.runs]
+        runs = [run for host in self.fleet.hosts.values() for run in host.upstream.runs]
         counts = collections.Counter(run.key for run in runs if run.method == "POST")
         twice = [key for key, count in counts.items() if count > 1]
         self.expect(not twice, f"commissions ran twice: {twice}")
@@ -201,11 +256,13 @@
         self.expect(not false, f"false 'not run': {false}")
 
     def expect(self, holds: bool, text: str) -> None:
+        """Note what does not hold."""
         if not holds:
             self.broken.append(text)
             self.say(f"BROKEN: {text}")
 
     def summarise(self) -> None:
+        """Print what callers saw."""
         self.say(f"{self.tally.calls} calls")
         for name, count in self.tally.answers.most_common():
             self.say(f"  {name}: {count}")
--- a/rattanridge/cli/preset.py
+++ b/rattanridge/cli/preset.py
@@ -92,20 +92,16 @@
 def wait_until_applied(remote: remote.Remote, generation: int, end: float) -> int:
     """Return the number of nodes once all known ones apply a generation.
 
-    Nodes that were lost lately count: nobody knows what they apply.
+    A node that does not answer counts: nobody knows what it applies.
     """
     while True:
         report = remote.call("GET", "/status")
-        applied = report["applied"]
-        behind = sum(n for key, n in applied.items() if int(key) < generation)
-        if applied and not behind:
+        applied = sum(
+            count for key, count in report["applied"].items() if int(key) >= generation
+        )
+        if applied and applied == report["nodes"]:
             return report["nodes"]
-        refused = [
-            why
-            for why in report["rejected"].values()
-            if why["generation"] >= generation
-        ]
-        if refused or time.monotonic() >= end:
+        if report["refused"] or time.monotonic() >= end:
             raise codes.Failure(codes.NOT_IN_FORCE, describe(report, generation))
         time.sleep(POLL)
 
--- a/rattanridge/cli/rollout.py
+++ b/rattanridge/cli/rollout.py
@@ -12,6 +12,7 @@
 from rattanridge.kernel import codes
 
 POLL = 0.5  # seconds
+DONE = "completed"
 UNITS = {"s": 1.0, "m": 60.0, "h": 3600.0}  # seconds
 TAKEN_BACK_EXIT = 3
 
@@ -38,23 +39,21 @@
 
 @rollout.command()
 @click.argument("service")
-@click.option("--from", "old", required=True, help="Version that traffic leaves.")
+@click.option("--from", "old", default="", help="Refuse if no endpoint has it.")
 @click.option("--to", "new", required=True, help="Version that traffic goes to.")
 @click.option(
     "--deadline", type=Duration(), required=True, help="Time to be done in, as 45m."
 )
-@click.option("--bake", type=Duration(), default=0.0, help="Watch so long after 100%.")
 @remote.options
 def start(
     service: str,
     old: str,
     new: str,
     deadline: float,
-    bake: float,
     remote: remote.Remote,
 ) -> None:
     """Start a rollout of SERVICE."""
-    body = {"old": old, "new": new, "deadline": deadline, "bake": bake}
+    body = {"old": old, "new": new, "deadline": deadline}
     answer = remote.call(
         "PUT", f"/rollouts/{remote.quote(service)}", msgspec.json.encode(body)
     )
@@ -78,11 +77,10 @@
     click.echo(format_rollout(answer))
     for index, step in enumerate(answer["plan"]):
         mark = ">" if answer["state"] == "running" and index == answer["step"] else " "
-        few = f" on {step['spread']} endpoints" if step["spread"] else ""
-        click.echo(
-            f"{mark} {step['share']:.0%} of idempotent, {step['once_share']:.0%} of "
-            f"other calls{few}, {step['hold']:.0f} s"
-        )
+        share = "the load of one endpoint"
+        if not step["one_endpoint"]:
+            share = f"{step['share']:.0%} of the requests"
+        click.echo(f"{mark} {share}")
 
 
 @rollout.command()
@@ -114,7 +112,7 @@
                 click.echo(line)
                 shown = line
             if answer["state"] != "running":
-                sys.exit(0 if answer["state"] == "done" else TAKEN_BACK_EXIT)
+                sys.exit(0 if answer["state"] == DONE else TAKEN_BACK_EXIT)
         time.sleep(POLL)
     raise codes.Failure(codes.ROLLOUT_DEADLINE, "it still runs")
 
@@ -131,14 +129,9 @@
 
 def format_rollout(item: dict[str, typing.Any]) -> str:
     """Return one line on a rollout."""
-    line = (
-        f"rollout {item['number']} of {item['service']} "
-        f"{item['old']} -> {item['new']}: {item['state']}"
-    )
+    line = f"rollout of {item['service']} to {item['new']}: {item['state']}"
     if item["state"] == "running":
-        step = item["plan"][item["step"]]
-        share = 0.5 if item["trial"] else step["share"]
-        line += f" step {item['step'] + 1} of {len(item['plan'])} share {share:.0%}"
-        line += " trial" if item["trial"] else ""
-        line += " LATE: the deadline can't be met" if item["late"] else ""
+        line += f" step {item['step'] + 1} of {len(item['plan'])}"
+        line += f" share {item['share']:.0%}"
+        line += f" led by {item['holder']}" if item["holder"] else ""
     return f"{line}: {item['reason']}" if item["reason"] else line
--- a/rattanridge/cli/status.py
+++ b/rattanridge/cli/status.py
@@ -16,7 +16,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 @remote.options
 def status(as_json: bool, remote: remote.Remote) -> None:
-    """Show the configuration in force, nodes, roles and rollouts."""
+    """Show the configuration in force, nodes, endpoints and rollouts."""
     report = remote.call("GET", "/status")
     if as_json:
         click.echo(json.dumps(report))
@@ -25,14 +25,12 @@
         click.echo(line)
 
 
-def format_rejected(rejected: dict[str, typing.Any]) -> list[str]:
+def format_refused(refused: dict[str, str]) -> list[str]:
     """Return a line for each reason, with the number of nodes that tell it."""
-    counts = collections.Counter(
-        (why["generation"], why["reason"]) for why in rejected.values()
-    )
+    counts = collections.Counter(refused.values())
     return [
-        f"rejected   generation {generation} by {count} nodes: {reason}"
-        for (generation, reason), count in sorted(counts.items())
+        f"refused    by {count} nodes: {reason}"
+        for reason, count in sorted(counts.items())
     ]
 
 
@@ -46,32 +44,25 @@
             f"(at node {report['node']})"
         ),
     ]
-    pointer = report["in_force"]
-    if pointer:
-        lines.append(
-            f"chosen     generation {pointer['generation']} by {pointer['operator']}"
-        )
+    if report["operator"]:
+        lines.append(f"chosen     by {report['operator']}")
     total = report["nodes"]
     applied = sorted(report["applied"].items(), key=lambda item: -int(item[0]))
     for generation, count in applied:
         lines.append(f"nodes      {count} of {total} apply generation {generation}")
-    lines += format_rejected(report["rejected"])
+    lines += format_refused(report["refused"])
     for item in report["behind"][:SHOWN]:
-        if not item["code"] or item["node"] not in report["rejected"]:
-            lines.append(
-                f"behind     {item['node']} at generation {item['generation']}: "
-                f"{item['code'] or '-'} {item['reason']}"
-            )
+        lines.append(
+            f"behind     {item['node']} at generation {item['generation']}: "
+            f"{item['code'] or '-'} {item['reason']}"
+        )
     if len(report["behind"]) > SHOWN:
         lines.append(f"behind     and {len(report['behind']) - SHOWN} more nodes")
-    for role, holder in sorted(report["roles"].items()):
-        lines.append(f"role       {role}: {holder or '-'}")
     for endpoint, count in sorted(report["endpoints"].items()):
         lines.append(f"endpoints  {count} {endpoint}")
-    for stage in report["rollouts"]:
+    for item in report["rollouts"]:
         lines.append(
-            f"rollout    {stage['service']} {stage['old']} -> {stage['new']} "
-            f"{stage['state']} share {stage['share']:.0%}"
-            + (f": {stage['reason']}" if stage["reason"] else "")
+            f"rollout    {item['service']} to {item['new']} "
+            f"{item['state']} share {item['share']:.0%}"
         )
     return lines
--- a/rattanridge/control/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Control path: configuration, membership and roles between nodes."""
--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -1,7 +1,7 @@
 """Numbered result codes and the exceptions that carry them.
 
-A code never changes its number or meaning. The table in ``docs/CODES.md`` is
-printed by ``rattanridge codes``.
+A code never changes its number or meaning, and a number that was given up is not
+used again. The table in ``docs/CODES.md`` is printed by ``rattanridge codes``.
 """
 
 import dataclasses
@@ -142,26 +142,9 @@
     2006, "watch-lost", 410, "The watch fell too far behind and must list again"
 )
 
-# 3xxx: control between nodes.
-HASH_MISMATCH = define(
-    3001, "hash-mismatch", 409, "A delta does not lead to the announced hash"
-)
-NO_RELAY = define(3002, "no-relay", 503, "No relay of the zone can be reached")
-NOT_AUTHENTIC = define(
-    3003, "not-authentic", 401, "A peer did not prove the shared key"
-)
-RELAY_BUSY = define(
-    3004, "relay-busy", 503, "The relay admits no more subscribers now; try later"
-)
-LEASE_LOST = define(
-    3005, "lease-lost", 409, "The lease of the role is no longer held here"
-)
-BAD_MESSAGE = define(3006, "bad-message", 400, "A control message cannot be read")
-OLD_GENERATION = define(
-    3007, "old-generation", 409, "The generation is not above the one in force"
-)
+# 3xxx: nodes among themselves.
 NODE_LOST = define(
-    3008, "node-lost", 503, "No relay hears the node, so nothing is known of it"
+    3008, "node-lost", 503, "The node does not answer, so nothing is known of it"
 )
 
 # 4xxx: requests that callers send wrongly, refused before any work.
@@ -182,9 +165,6 @@
 NOT_READY = define(5001, "not-ready", 503, "The node has no configuration yet")
 NO_ENDPOINT = define(5002, "no-endpoint", 503, "No endpoint of the service is usable")
 QUEUE_FULL = define(5003, "queue-full", 503, "The endpoint's queue is full")
-TOO_LATE = define(
-    5004, "too-late", 504, "The request cannot be answered before its deadline"
-)
 DEADLINE = define(5005, "deadline", 504, "The deadline passed while the work ran")
 CONNECT_FAILED = define(5006, "connect-failed", 503, "The upstream took no connection")
 UPSTREAM_FAILED = define(
@@ -206,14 +186,9 @@
 WRONG_ENDPOINT = define(
     5015, "wrong-endpoint", 503, "The endpoint is not beside this node (any more)"
 )
-CLAIM_UNAVAILABLE = define(
-    5016, "claim-unavailable", 503, "The claim could not be recorded, so nothing ran"
-)
 ALREADY_ACCEPTED = define(
     5017, "already-accepted", 409, "The same request was accepted; outcome unknown"
 )
-CLAIMS_FULL = define(5018, "claims-full", 503, "The claims of the slice are full")
-CANCELLED = define(5019, "cancelled", 499, "The caller went away")
 KEY_CONFLICT = define(
     5020, "key-conflict", 409, "The same key was used for another request"
 )
@@ -233,15 +208,6 @@
 MEMORY_FULL = define(
     5031, "memory-full", 503, "The node holds too many bytes of bodies already"
 )
-ANSWER_TOO_LARGE = define(
-    5032, "answer-too-large", 502, "The answer is too large to be held whole"
-)
-ANSWER_UNFRAMED = define(
-    5033,
-    "answer-unframed",
-    502,
-    "The answer has no length, so a cut could not be told from its end",
-)
 INTERNAL = define(5034, "internal", 500, "The node itself failed; see its log")
 
 # 6xxx: rollouts.
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -4,9 +4,8 @@
 
 import msgspec
 
-from rattanridge.kernel import codes, documents, registry, settings
+from rattanridge.kernel import codes, documents, routes, settings
 
-Fraction = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 Prefix = typing.Annotated[str, msgspec.Meta(pattern=r"^/", max_length=512)]
 Host = typing.Annotated[
     str,
@@ -15,45 +14,22 @@
     ),
 ]
 Method = typing.Annotated[str, msgspec.Meta(pattern=r"^([A-Z]{1,16}|\*)$")]
+Attempts = typing.Annotated[int, msgspec.Meta(ge=1, le=10)]
 
-PRIORITIES = ("high", "normal", "low")
-
-# Filled by the plug-ins of ``policies``.
-KEY_SOURCES: registry.Registry[type] = registry.Registry("key source")
-
-# Registries by the field of ``Service`` that names one of their plug-ins; the
-# modules of ``policies`` fill it.
-PLUGINS: registry.Registry[registry.Registry] = registry.Registry("kind of plug-in")
-
-
-class KeySource(settings.Struct):
-    """Where a request's idempotency key comes from.
-
-    :param source: name of a registered key source.
-    :param name: header or JSON field that the source reads.
-    """
-
-    source: str = "fingerprint"
-    name: str = ""
+PRIORITIES = ("high", "normal", "low")  # by rank
+ANY_METHOD = "*"
+TARGET_SHARE = 0.5  # of the timeout: the target latency of a route without one
 
 
 class Service(settings.Struct):
-    """How calls to one service are placed and limited.
-
-    :param balancer: name of a registered balancer.
-    :param retries: name of a registered retry policy.
-    :param hedging: name of a registered hedge policy.
-    :param order: name of a registered queue order.
-    :param queue: requests that may wait at one endpoint.
-    :param warmup: seconds over which a new endpoint's share grows.
+    """A service that routes lead to.
+
+    :param health_path: path of its health check.
+    :param connections: connections that one endpoint takes.
     """
 
-    balancer: str = "two-choices"
-    retries: str = "budget"
-    hedging: str = "fixed"
-    order: str = "deadline"
-    queue: settings.Count = 24
-    warmup: typing.Annotated[float, msgspec.Meta(ge=0, le=600)] = 5.0
+    health_path: Prefix = "/healthz"
+    connections: settings.Count = 100
 
 
 class Route(settings.Struct, kw_only=True):
@@ -66,28 +42,25 @@
     :param idempotent: whether the work may run more than once.
     :param priority: ``high``, ``normal`` or ``low``.
     :param timeout: seconds within which a caller is answered.
-    :param retry_budget: retries allowed, as a fraction of successes.
-    :param key: idempotency-key source of non-idempotent requests.
-    :param hedge: seconds after which an idempotent request is sent to a second
-        endpoint as well; 0 turns hedging off.
+    :param target: seconds within which an answer is timely; 0 takes a part of
+        the timeout.
+    :param attempts: endpoints that one request may be sent to.
+    :param key: idempotency-key source, for work that must run at most once
+        however often its caller sends it.
     """
 
-    host: Host = "*"
+    host: Host = routes.ANY_HOST
     prefix: Prefix = "/"
     methods: typing.Annotated[list[Method], msgspec.Meta(min_length=1)] = msgspec.field(
-        default_factory=lambda: ["*"]
+        default_factory=lambda: [ANY_METHOD]
     )
     service: settings.Name
     idempotent: bool = False
     priority: typing.Literal["high", "normal", "low"] = "normal"
     timeout: settings.Seconds = 5.0
-    retry_budget: Fraction = 0.1
-    key: KeySource = msgspec.field(default_factory=KeySource)
-    hedge: typing.Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
-
-    def label(self) -> str:
-        """Return what the route matches; the same under every preset."""
-        return f"{','.join(self.methods)} {self.host}{self.prefix}"
+    target: typing.Annotated[float, msgspec.Meta(ge=0, le=86400)] = 0.0
+    attempts: Attempts = 3
+    key: routes.KeySource | None = None
 
 
 class Preset(settings.Struct, kw_only=True):
@@ -114,13 +87,8 @@
 
 
 def check(preset: Preset, where: str = "preset") -> None:
-    """Refuse what types can't say.
-
-    These are unknown plug-ins, routes to missing services, and two routes that
-    match the same requests.
-    """
-    for name, service in preset.services.items():
-        check_plugins(service, f"{where}: services.{name}")
+    """Refuse what types can't say: routes to missing services, unknown key
+    sources, and two routes that match the same requests."""
     seen: set[tuple[str, str, str]] = set()
     for index, route in enumerate(preset.routes):
         place = f"{where}: routes[{index}]"
@@ -135,21 +103,45 @@
             seen.add(match)
 
 
-def check_key(key: KeySource, place: str) -> None:
+def check_key(key: routes.KeySource | None, place: str) -> None:
     """Refuse a key source that is not registered or lacks the name it reads."""
+    if key is None:
+        return
     try:
-        kind = KEY_SOURCES.get(key.source)
+        routes.KEY_SOURCES.get(key.source)
     except KeyError as error:
         raise codes.Failure(codes.BAD_FIELD, str(error.args[0]), where=place)
-    if kind.needs_name and not key.name:
+    if not key.name:
         detail = f"key source {key.source!r} needs a name"
         raise codes.Failure(codes.BAD_FIELD, detail, where=place)
 
 
-def check_plugins(service: Service, place: str) -> None:
-    """Refuse a service that names a plug-in which is not registered."""
-    for field in PLUGINS.names():
-        try:
-            PLUGINS.get(field).get(getattr(service, field))
-        except KeyError as error:
-            raise codes.Failure(codes.BAD_FIELD, str(error.args[0]), where=place)
+def configure(preset: Preset, version: int) -> routes.Configuration:
+    """Return the configuration that puts a preset in force."""
+    services = {
+        name: routes.Service(name, item.health_path, item.connections)
+        for name, item in preset.services.items()
+    }
+    found = [
+        make_route(f"r{index:05}", item) for index, item in enumerate(preset.routes)
+    ]
+    return routes.Configuration(version, routes.index(found), services)
+
+
+def make_route(name: str, item: Route) -> routes.Route:
+    """Return a preset's route as nodes know it."""
+    methods = frozenset() if ANY_METHOD in item.methods else frozenset(item.methods)
+    return routes.Route(
+        name=name,
+        host=item.host,
+        prefix=item.prefix.rstrip("/") + "/",
+        idempotent=item.idempotent,
+        timeout=item.timeout,
+        target_latency=item.target or TARGET_SHARE * item.timeout,
+        priority=PRIORITIES.index(item.priority),
+        attempts=item.attempts,
+        shares=(routes.Share(item.service, 1),),
+        methods=methods,
+        bare=True,
+        key=item.key,
+    )
--- a/rattanridge/kernel/routes.py
+++ b/rattanridge/kernel/routes.py
@@ -2,6 +2,25 @@
 
 import dataclasses
 
+import msgspec
+
+from rattanridge.kernel import registry
+
+# Filled by the plug-ins of ``policies``; each reads a request's idempotency key.
+KEY_SOURCES: registry.Registry[type] = registry.Registry("key source")
+ANY_HOST = "*"
+
+
+class KeySource(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where a request's idempotency key comes from.
+
+    :param source: name of a registered key source.
+    :param name: header or JSON field that the source reads.
+    """
+
+    source: str
+    name: str = ""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Share:
@@ -16,7 +35,7 @@
     """Where the requests of one host and path prefix go.
 
     :param name: the operator's name of the route.
-    :param host: lower-case host without a port.
+    :param host: lower-case host without a port, or ``*`` for any.
     :param prefix: begins and ends with a slash.
     :param idempotent: whether its requests may run more than once.
     :param timeout: seconds that a request is kept waiting at most.
@@ -24,6 +43,9 @@
     :param priority: rank of its requests; 0 comes first.
     :param attempts: endpoints that one request may be sent to.
     :param shares: services and their weights; one or more.
+    :param methods: HTTP methods that it takes; empty for any.
+    :param bare: whether it takes the prefix without its last slash, too.
+    :param key: what makes two sendings the same request, if that is to be known.
     """
 
     name: str
@@ -35,6 +57,17 @@
     priority: int
     attempts: int
     shares: tuple[Share, ...]
+    methods: frozenset[str] = frozenset()
+    bare: bool = False
+    key: KeySource | None = None
+
+    def matches(self, path: str, method: str) -> bool:
+        """Whether a request is the route's."""
+        if self.methods and method not in self.methods:
+            return False
+        if path.startswith(self.prefix):
+            return True
+        return self.bare and path == self.prefix[:-1]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -46,8 +79,8 @@
     """
 
     name: str
-    health_path: str
-    connections: int
+    health_path: str = "/healthz"
+    connections: int = 100
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -71,13 +104,15 @@
     version: int
     routes: dict[str, tuple[Route, ...]]
     services: dict[str, Service]
-    limits: Limits
-
-    def match(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix that begins the path."""
-        for route in self.routes.get(host, ()):
-            if path.startswith(route.prefix):
-                return route
+    limits: Limits = Limits()
+
+    def match(self, host: str, path: str, method: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path; one for
+        the very host comes before one for any."""
+        for name in (host, ANY_HOST):
+            for route in self.routes.get(name, ()):
+                if route.matches(path, method):
+                    return route
         return None
 
 
--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 
 from rattanridge.kernel import codes, routes
 from rattanridge.mesh import (
+    access as accesses,
     calls,
     directory as directories,
     events,
@@ -15,6 +17,7 @@
 from rattanridge.policies import placement, repeats
 
 MOVES = 3  # exits that may refuse a call before any endpoint saw it
+LOSSES = 2  # endpoints that may break off under a call, which may be the reason
 ENDING_FACTOR = 8.0  # of a route's mean time: longer than nearly all its requests
 ENDING_RESERVE = 1.0  # seconds
 NO_ENDPOINT_RETRY_AFTER = 0.3  # seconds
@@ -29,17 +32,46 @@
     codes.DRAINING,
     codes.STOPPING,
 )
+# Answers that another endpoint would give as well.
+FINAL = (codes.QUARANTINED,)
 
 Keep = collections.abc.Callable[
     [str, list[placement.Candidate], bool], list[placement.Candidate]
 ]
 
 
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far a call has come.
+
+    :param tried: nodes that it was sent to.
+    :param arrivals: endpoints that it reached.
+    :param moves: exits that refused it before its endpoint saw it.
+    :param losses: endpoints that broke off under it.
+    :param best: the answer to give if no better one comes.
+    """
+
+    tried: set[str] = dataclasses.field(default_factory=set)
+    arrivals: int = 0
+    moves: int = 0
+    losses: int = 0
+    best: calls.Answer | None = None
+
+    def add(self, node: str, answer: calls.Answer) -> None:
+        """Count one answer."""
+        self.tried.add(node)
+        self.arrivals += answer.arrived
+        self.moves += not answer.arrived
+        self.losses += answer.code is codes.UPSTREAM_FAILED
+        self.best = better(self.best, answer)
+
+
 class Attempts:
     """Runs calls at the endpoints of their service.
 
     :param keep: leaves the candidates whose version a call may go to.
     :param hint: told the configuration's version at each exit that answers.
+    :param access: marks what is sent to other nodes.
     """
 
     def __init__(
@@ -49,6 +81,7 @@
         exit: exits.Exit,
         keep: Keep,
         hint: collections.abc.Callable[[int, str], None],
+        access: accesses.Access,
         log: events.Events,
         meters: events.Meters,
     ):
@@ -59,8 +92,8 @@
         self.hint = hint
         self.log = log
         self.meters = meters
-        self.peers = forwarders.Peers()
-        self.placer = placement.Placer(config.zone)
+        self.peers = forwarders.Peers(access)
+        self.placer = placement.PLACERS.get(config.policies.placement)(config.zone)
         self.budgets: dict[str, repeats.Budget] = {}
         self.probes: set[asyncio.Task] = set()
         self.ends_at = float("inf")
@@ -71,7 +104,8 @@
         if found is None:
             limits = self.config.repeats
             made = repeats.Settings(limits.ratio, limits.least, limits.window)
-            found = self.budgets[service] = repeats.Budget(made)
+            kind = repeats.BUDGETS.get(self.config.policies.repeats)
+            found = self.budgets[service] = kind(made)
         return found
 
     async def run(self, call: calls.Call, route: routes.Route) -> calls.Answer:
@@ -81,23 +115,18 @@
         self.budget(call.service).note_request(loop.time())
         if call.repeated:
             self.budget(call.service).owe(loop.time())
-        tried: set[str] = set()
-        arrivals = moves = 0
-        last: calls.Answer | None = None
+        progress = Progress()
         while True:
-            chosen = self.choose(call, route, tried)
+            chosen = self.choose(call, route, progress.tried)
             if chosen is None:
-                return last or calls.refuse(no_endpoint(call))
+                return progress.best or calls.refuse(no_endpoint(call))
             answer = await self.send(chosen, call)
             self.learn(chosen, call, answer)
-            tried.add(chosen.node)
-            arrivals += answer.arrived
-            moves += not answer.arrived
-            last = better(last, answer)
-            if not self.may_repeat(call, route, answer, arrivals, moves):
-                return last
+            progress.add(chosen.node, answer)
+            if not self.may_repeat(call, route, answer, progress):
+                return progress.best
             self.note(call, chosen, answer)
-            call.repeated = call.repeated or arrivals > 0
+            call.repeated = call.repeated or progress.arrivals > 0
 
     def check_end(self, route: routes.Route) -> None:
         """Refuse a call that may still run when this process has to end."""
@@ -179,21 +208,24 @@
         call: calls.Call,
         route: routes.Route,
         answer: calls.Answer,
-        arrivals: int,
-        moves: int,
+        progress: Progress,
     ) -> bool:
         """Whether the call may go to another endpoint after this answer."""
         if answer.code is None and answer.status < FAILED_STATUS:
             return False
+        if answer.code in FINAL:
+            return False
         if answer.ran is not codes.Ran.NOT_RUN and not call.idempotent:
             return False
         now = asyncio.get_running_loop().time()
         work = self.placer.mean(route.name).seconds
         if now + work > call.deadline:
             return False
-        if moves >= MOVES or arrivals >= route.attempts:
+        if progress.moves >= MOVES or progress.arrivals >= route.attempts:
+            return False
+        if progress.losses >= LOSSES:
             return False
-        if not arrivals:
+        if not progress.arrivals:
             return True
         nodes = max(len(self.directory.records), 1)
         if self.budget(call.service).take(nodes, now):
--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -4,10 +4,10 @@
 
 import multidict
 
-from rattanridge.calls import headers as call_headers
 from rattanridge.kernel import codes
 from rattanridge.platform import headers
 from rattanridge.policies import placement
+from rattanridge.web import headers as own_headers
 
 Headers = list[tuple[str, str]]
 
@@ -113,7 +113,12 @@
     return [
         (name, value)
         for name, value in source.items()
-        if not call_headers.is_dropped(name)
+        if not own_headers.is_dropped(name)
         and name.lower() not in OWN
         and name.lower() not in named
     ]
+
+
+def as_mapping(found: Headers) -> multidict.CIMultiDict:
+    """Return headers by name, whatever its case."""
+    return multidict.CIMultiDict(found)
--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -3,17 +3,33 @@
 import asyncio
 import collections.abc
 
+import msgspec
+
 from rattanridge.kernel import codes, routes
 from rattanridge.mesh import events, watching
 from rattanridge.platform import configs, store as stores
 
 HINT_WAIT = 0.7  # seconds that the watch has to tell what another node knows
 PAGE = "/configuration"
+STATE_PAGE = "/state"
 
 Learn = collections.abc.Callable[[str], collections.abc.Awaitable[None]]
 Fetch = collections.abc.Callable[[str, str], collections.abc.Awaitable[bytes | None]]
 
 
+class State(msgspec.Struct):
+    """What a node has in force.
+
+    :param version: version of its configuration; 0 if it has none.
+    :param refused: the last one that could not be used, and why; else empty.
+    :param store: whether the store answers it.
+    """
+
+    version: int
+    refused: str = ""
+    store: bool = True
+
+
 class Configs:
     """Takes over newer versions, each decoded and checked whole.
 
@@ -37,6 +53,7 @@
         self.health = health
         self.informant = ""
         self.content = b""
+        self.refused = ""
         self.log = log
         self.meters = meters
         self.current: routes.Configuration | None = None
@@ -47,6 +64,11 @@
         """Version in force; 0 if there is none yet."""
         return self.current.version if self.current is not None else 0
 
+    def state(self) -> bytes:
+        """Return what this node has in force, as other nodes read it."""
+        state = State(self.version, self.refused, self.health.up.is_set())
+        return msgspec.json.encode(state)
+
     def take_all(self, items: list[stores.Stored]) -> None:
         """Take over what a list holds."""
         for item in items:
@@ -69,6 +91,7 @@
                 code=failure.code.number,
                 why=str(failure),
             )
+            self.refused = f"{source}: {failure}"
             return
         if found.version <= self.version:
             return
@@ -80,6 +103,7 @@
         )
         self.current = found
         self.content = content
+        self.refused = ""
         self.meters.version.set(found.version)
 
     def hint(self, version: int, address: str = "") -> None:
--- a/rattanridge/mesh/connections.py
+++ b/rattanridge/mesh/connections.py
@@ -25,6 +25,7 @@
 IDLE_DEFAULT = 8.0  # seconds that an unused connection is kept
 FRESH = 0.02  # seconds without use after which a connection is looked at first
 UNACKED_TIMEOUT = 1500  # milliseconds that sent bytes may stay unacknowledged
+REFUSED = ConnectionRefusedError.__name__  # detail: nobody listens
 
 Matches = collections.abc.Callable[["Response"], bool]
 
--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -233,6 +233,7 @@
             ramp.began,
             self.config.name,
             (rollout.status.turn if rollout.status is not None else 0) + 1,
+            why,
         )
         stored = await self.store.replace_status(
             orders.KIND,
--- a/rattanridge/mesh/directory.py
+++ b/rattanridge/mesh/directory.py
@@ -1,11 +1,9 @@
 """The endpoints of each service, from the records of all nodes."""
 
-import asyncio
-
 import msgspec
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import events, records, watching
+from rattanridge.mesh import events, records, suspects as suspecting
 from rattanridge.platform import store as stores
 from rattanridge.policies import placement
 
@@ -22,9 +20,13 @@
 
 
 class Directory:
-    """Candidates by service, kept in step with the store's records."""
+    """Candidates by service, kept in step with the store's records.
+
+    :param suspects: gets the evidence that the records carry.
+    """
 
-    def __init__(self, log: events.Events):
+    def __init__(self, suspects: suspecting.Suspects, log: events.Events):
+        self.suspects = suspects
         self.log = log
         self.records: dict[str, records.Record] = {}
         self.revisions: dict[str, int] = {}
@@ -80,6 +82,7 @@
         if self.records.get(item.name) == record:
             return
         self.records[item.name] = record
+        self.suspects.take(item.name, record.suspects)
         self.log.note(
             "record-changed",
             name=item.name,
@@ -146,109 +149,10 @@
     def remove(self, name: str) -> None:
         """Forget a node."""
         if self.records.pop(name, None) is not None:
+            self.suspects.take(name, ())
             self.log.note("record-removed", name=name)
         self.drop(name)
 
     def of(self, service: str) -> list[placement.Candidate]:
         """Return the candidates of a service."""
         return self.services.get(service, [])
-
-
-class Publisher:
-    """Keeps the node's own record in the store as it should be.
-
-    Each write is conditional, so one that happens late can't undo a newer one.
-
-    :param name: the node's name, which is also the record's.
-    :param health: of the store; while it is away nothing is written.
-    """
-
-    def __init__(
-        self,
-        name: str,
-        store: stores.Store,
-        health: watching.Health,
-        log: events.Events,
-    ):
-        self.name = name
-        self.store = store
-        self.health = health
-        self.log = log
-        self.wanted: records.Record | None = None
-        self.known: records.Record | None = None
-        self.revision = 0
-        self.changed = asyncio.Event()
-        self.written = asyncio.Event()
-
-    def publish(self, record: records.Record | None) -> None:
-        """Ask for a record in the store; None asks for none."""
-        if record != self.wanted:
-            self.wanted = record
-            self.written.clear()
-            self.changed.set()
-
-    def see(self, item: stores.Stored) -> None:
-        """Take what the store holds; write again if that is not what is wanted."""
-        if item.name != self.name or item.revision < self.revision:
-            return
-        self.note(None if item.deleted else item)
-        if self.known != self.wanted:
-            self.changed.set()
-
-    def note(self, item: stores.Stored | None) -> None:
-        """Remember what the store holds."""
-        self.revision = item.revision if item is not None else 0
-        self.known = None
-        if item is None:
-            return
-        try:
-            self.known = records.decode(item.spec)
-        except codes.Failure as failure:
-            self.log.note("record-unreadable", name=self.name, why=failure.detail)
-
-    async def run(self, pause: float) -> None:
-        """Write on each change; after a failure again after ``pause`` seconds."""
-        while True:
-            await self.changed.wait()
-            self.changed.clear()
-            while not await self.settle():
-                await asyncio.sleep(pause)
-                await self.health.up.wait()
-            self.written.set()
-
-    async def settle(self) -> bool:
-        """Bring the store in step; return whether that is done."""
-        wanted = self.wanted
-        try:
-            if wanted == self.known and (wanted is None or self.revision):
-                return True
-            await self.write(wanted)
-        except codes.Failure as failure:
-            self.log.note("record-not-written", code=failure.code.number)
-            await self.look()
-            return False
-        return wanted == self.wanted
-
-    async def write(self, wanted: records.Record | None) -> None:
-        """Make the one write that is due."""
-        if wanted is None:
-            await self.store.delete(records.KIND, self.name, self.revision)
-            self.note(None)
-            return
-        spec = records.encode(wanted)
-        if self.revision:
-            stored = await self.store.replace(
-                records.KIND, self.name, spec, self.revision
-            )
-        else:
-            stored = await self.store.create(records.KIND, self.name, spec)
-        self.revision = stored.revision
-        self.known = wanted
-        self.log.note("record-written", revision=self.revision, state=wanted.state)
-
-    async def look(self) -> None:
-        """Read back after a write whose outcome is not known."""
-        try:
-            self.note(await self.store.get(records.KIND, self.name))
-        except codes.Failure as failure:
-            self.log.note("record-not-read", code=failure.code.number)
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -6,17 +6,24 @@
 import aiohttp.web
 import multidict
 
-from rattanridge.calls import bodies, headers as call_headers
 from rattanridge.kernel import codes, routes
-from rattanridge.mesh import attempts, calls, configs, events, settings
+from rattanridge.mesh import (
+    attempts,
+    calls,
+    claims,
+    configs,
+    events,
+    settings,
+    suspects as suspecting,
+)
 from rattanridge.platform import headers
 from rattanridge.policies import splitting
+from rattanridge.web import bodies, headers as own_headers, memory
 
 RETURN_MARGIN = 0.02  # seconds of a caller's time kept for the way back
 DEFAULT_DEADLINE = 30.0  # seconds for a caller that names none
 LEAST_RETRY_AFTER = 0.05  # seconds
 RETRY_SPREAD = (0.8, 1.5)  # of the time told, so that callers don't return together
-PROMISES = (408, 421, 429, 503)
 
 
 class Entry:
@@ -24,6 +31,8 @@
 
     :param configs: the configuration in force.
     :param attempts: sends calls to endpoints.
+    :param claims: guards calls that carry an idempotency key.
+    :param suspects: holds back requests of which upstreams die.
     """
 
     def __init__(
@@ -31,12 +40,17 @@
         config: settings.Settings,
         configs: configs.Configs,
         attempts: attempts.Attempts,
+        claims: claims.Claims,
+        suspects: suspecting.Suspects,
         log: events.Events,
         meters: events.Meters,
     ):
         self.config = config
         self.configs = configs
         self.attempts = attempts
+        self.claims = claims
+        self.suspects = suspects
+        self.held = memory.Held(config.limits.held_bytes)
         self.log = log
         self.meters = meters
         self.splitter = splitting.Splitter()
@@ -53,7 +67,7 @@
         call = None
         try:
             call, route = await self.read(request, began)
-            answer = await self.attempts.run(call, route)
+            answer = await self.run(call, route)
         except codes.Failure as failure:
             answer = calls.refuse(failure)
         except asyncio.CancelledError:
@@ -61,9 +75,20 @@
             raise
         finally:
             self.active -= 1
+            if call is not None:
+                self.held.release(call.body)
         self.account(request, call, answer, began)
         return self.respond(answer)
 
+    async def run(self, call: calls.Call, route: routes.Route) -> calls.Answer:
+        """Run a call, at most once in the fleet if its route has a key source."""
+        self.suspects.check(call)
+        if route.key is None or route.idempotent:
+            return await self.attempts.run(call, route)
+        return await self.claims.guard(
+            call, route, lambda: self.attempts.run(call, route)
+        )
+
     async def read(
         self, request: aiohttp.web.BaseRequest, began: float
     ) -> tuple[calls.Call, routes.Route]:
@@ -71,14 +96,15 @@
         current = self.configs.current
         if current is None:
             raise codes.Failure(codes.NOT_READY, retry_after=1.0)
-        host = call_headers.host_of(request.headers.get("Host", ""))
+        host = own_headers.host_of(request.headers.get("Host", ""))
         path = request.raw_path
-        route = current.match(host, path.partition("?")[0])
+        route = current.match(host, path.partition("?")[0], request.method)
         if route is None:
             raise codes.Failure(codes.NO_ROUTE, f"{host} {path}")
         left = headers.parse_deadline(request.headers.get(headers.DEADLINE))
         left = DEFAULT_DEADLINE if left is None else left
-        body = await bodies.read_body(request, current.limits.body_bytes)
+        limit = min(current.limits.body_bytes, self.config.limits.body_bytes)
+        body = await bodies.read_body(request, limit, self.held)
         parent = self.parent(request)
         call = calls.Call(
             attempt=request.headers.get(headers.ATTEMPT, ""),
@@ -104,15 +130,15 @@
         """Return the id of the request beside the node that waits for this one;
         empty if none does."""
         parent = headers.parent_of(request.headers.get(headers.ATTEMPT, ""))
-        return parent if parent in self.attempts.exit.running else ""
+        return parent if parent and parent in self.attempts.exit.running else ""
 
     def respond(self, answer: calls.Answer) -> aiohttp.web.Response:
         """Return the response that a caller gets."""
         found = multidict.CIMultiDict(answer.headers)
         status = answer.status
+        found[own_headers.RAN] = answer.ran.value
         if answer.code is not None:
-            found[call_headers.CODE] = str(answer.code.number)
-            found[call_headers.RAN] = answer.ran.value
+            found[own_headers.CODE] = str(answer.code.number)
             if answer.ran is codes.Ran.NOT_RUN and status >= 500:
                 status = 503
                 wait = max(answer.retry_after, LEAST_RETRY_AFTER)
--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -64,6 +64,18 @@
         """Count a call to the store."""
         self.store_calls.labels(call, outcome).inc()
 
+    def values(self) -> dict[str, float]:
+        """Return all counters that counted anything, by name and labels."""
+        found: dict[str, float] = {}
+        for family in self.registry.collect():
+            for sample in family.samples:
+                if sample.name.endswith("_total") and sample.value:
+                    labels = ",".join(sample.labels.values())
+                    found[f"{sample.name.removesuffix('_total')}{{{labels}}}"] = (
+                        sample.value
+                    )
+        return found
+
     def page(self) -> bytes:
         """Return all figures as text."""
         return prometheus_client.generate_latest(self.registry)
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -9,11 +9,13 @@
     events,
     judging,
     settings,
+    suspects as suspecting,
     upstream as upstreams,
 )
 from rattanridge.platform import headers
 from rattanridge.policies import placement, queueing
 
+LOOK_PAUSE = 0.05  # seconds after a broken connection until the upstream is looked at
 ANSWER_MARGIN = 0.08  # seconds past the deadline for the upstream's own answer
 PROMISES = (408, 421, 429, 503)  # statuses that tell a caller: it did not run
 MISDIRECTED = 421
@@ -24,22 +26,31 @@
 
     :param config: the node's settings.
     :param upstream: what is known of the upstream.
+    :param suspects: told of requests under which the upstream ends.
     """
 
     def __init__(
         self,
         config: settings.Settings,
         upstream: upstreams.Upstream,
+        suspects: suspecting.Suspects,
         log: events.Events,
         meters: events.Meters,
     ):
         self.config = config
         self.upstream = upstream
+        self.suspects = suspects
         self.log = log
         self.meters = meters
         self.pool = connections.Pool()
-        self.queue = queueing.Queue(1)
+        self.queue = queueing.Queue(
+            1,
+            queueing.ORDERS.get(config.policies.order),
+            queueing.ADMISSIONS.get(config.policies.admission),
+        )
+        self.identity = upstream.identity
         self.tasks: set[asyncio.Task] = set()
+        self.looking: asyncio.Task | None = None
         # Whether each attempt at the upstream is a repeat, by its id.
         self.running: dict[str, bool] = {}
         self.stopping = False
@@ -49,6 +60,9 @@
     def follow(self) -> None:
         """Follow a change of the upstream."""
         upstream = self.upstream
+        if upstream.identity != self.identity:
+            self.identity = upstream.identity
+            self.suspects.ended()
         self.queue.resize(max(upstream.slots, 1))
         if upstream.state is upstreams.State.READY:
             return
@@ -132,6 +146,7 @@
         """Refuse what the upstream can't be given now."""
         if self.stopping:
             raise codes.Failure(codes.STOPPING)
+        self.suspects.check(call)
         failure = self.upstream.refusal(call.service) or self.judge.refusal()
         if failure is not None:
             raise failure
@@ -146,7 +161,7 @@
         try:
             connection = await self.pool.acquire(address, call.deadline - loop.time())
         except codes.Failure as failure:
-            self.upstream.unreachable(failure.detail)
+            self.note_unreachable(failure)
             raise
         began = loop.time()
         data = self.write(call, identity, call.deadline - began)
@@ -163,6 +178,8 @@
             raise codes.Failure(codes.DEADLINE, ran=codes.Ran.UNKNOWN)
         except codes.Failure:
             self.judge.observe(call, None, loop.time() - began)
+            self.suspects.broken(call, loop.time() - began)
+            self.look_soon()
             raise
         finally:
             self.running.pop(call.attempt, None)
@@ -170,6 +187,28 @@
         self.pool.release(address, connection, response)
         return self.read(call, response, identity, spent)
 
+    def note_unreachable(self, failure: codes.Failure) -> None:
+        """The upstream took no connection; if nobody listens, it has ended."""
+        self.upstream.unreachable(failure.detail)
+        if failure.detail == connections.REFUSED:
+            self.suspects.ended()
+
+    def look_soon(self) -> None:
+        """See whether the upstream is still there, once for many broken calls."""
+        if self.looking is None or self.looking.done():
+            self.looking = asyncio.create_task(self.look())
+
+    async def look(self) -> None:
+        """Open a connection to the upstream, kept for the next request."""
+        await asyncio.sleep(LOOK_PAUSE)
+        address = self.upstream.address
+        try:
+            connection = await self.pool.connect(address, connections.CONNECT_TIMEOUT)
+        except codes.Failure as failure:
+            self.note_unreachable(failure)
+            return
+        self.pool.keep(address, connection)
+
     def write(
         self, call: calls.Call, identity: upstreams.Identity, left: float
     ) -> bytes:
@@ -191,6 +230,7 @@
     ) -> calls.Answer:
         """Judge an answer: the upstream's own, or a proof that nothing ran."""
         self.upstream.answered()
+        self.suspects.answered(call)
         if response.status == MISDIRECTED:
             self.upstream.misdirected(identity)
             return calls.refuse(codes.Failure(codes.WRONG_ENDPOINT), arrived=True)
@@ -213,7 +253,7 @@
     """Whether an answer belongs to a call. A failure may come without an id."""
     attempt = response.headers.get(headers.ATTEMPT)
     if attempt is None:
-        return response.status >= 300
+        return response.status >= 300 or not call.attempt
     return attempt == call.attempt
 
 
--- a/rattanridge/mesh/marks.py
+++ b/rattanridge/mesh/marks.py
@@ -6,10 +6,8 @@
 from rattanridge.mesh import calls
 from rattanridge.platform import headers
 from rattanridge.policies import placement
+from rattanridge.web import headers as own_headers
 
-CALL = "Rattanridge-Call"
-ANSWER = "Rattanridge-Answer"
-PREFIX = "rattanridge-"
 CALL_FIELDS = 9
 ANSWER_FIELDS = 10
 SECONDS_MOST = 3600.0
@@ -36,7 +34,7 @@
     attempt: str, method: str, path: str, marks: dict[str, str], body: bytes
 ) -> calls.Call:
     """Build a call from what another node forwarded; raise if it is unreadable."""
-    parts = marks.get(CALL, "").split(",")
+    parts = marks.get(own_headers.CALL, "").split(",")
     left = headers.parse_deadline(marks.get(headers.DEADLINE))
     if len(parts) != CALL_FIELDS or left is None:
         raise codes.Failure(codes.BAD_REQUEST, "mark of a forwarded call")
--- a/rattanridge/mesh/membership.py
+++ b/rattanridge/mesh/membership.py
@@ -7,8 +7,10 @@
 from rattanridge.mesh import (
     directory as directories,
     events,
+    publisher as publishers,
     records,
     settings,
+    suspects as suspecting,
     upstream as upstreams,
     watching,
 )
@@ -32,20 +34,23 @@
         store: stores.Store,
         health: watching.Health,
         upstream: upstreams.Upstream,
+        suspects: suspecting.Suspects,
         fetch: Fetch,
         log: events.Events,
     ):
         self.config = config
         self.store = store
         self.upstream = upstream
+        self.suspects = suspects
         self.fetch = fetch
         self.log = log
-        self.directory = directories.Directory(log)
-        self.publisher = directories.Publisher(config.name, store, health, log)
+        self.directory = directories.Directory(suspects, log)
+        self.publisher = publishers.Publisher(config.name, store, health, log)
         self.removals: set[asyncio.Task] = set()
         self.known = False
         self.stopping = False
         upstream.listeners.append(self.publish)
+        suspects.listeners.append(self.publish)
 
     async def learn(self, address: str) -> None:
         """Take over another node's records, until the store can be asked.
@@ -104,6 +109,15 @@
                 "predecessor-not-removed", name=item.name, code=failure.code.number
             )
 
+    def is_first(self) -> bool:
+        """Whether this node is the first one by name among those that run."""
+        running = [
+            name
+            for name, record in self.directory.records.items()
+            if record.state == records.READY
+        ]
+        return min(running, default="") == self.config.name
+
     def restore(self, name: str) -> None:
         """Take over what an earlier process knew of the upstream."""
         record = self.directory.records.get(name)
@@ -135,6 +149,7 @@
             upstream.version,
             upstream.slots,
             STOPPING if self.stopping else upstream.state.value,
+            self.suspects.own(),
         )
         self.publisher.publish(record)
 
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -7,10 +7,11 @@
 
 import aiohttp.web
 
-from rattanridge.calls import server as servers
 from rattanridge.kernel import addresses, codes, sink as sinks
 from rattanridge.mesh import (
+    access as accesses,
     attempts,
+    claims,
     configs,
     coordinator,
     entry,
@@ -20,6 +21,7 @@
     ports,
     records,
     settings,
+    suspects as suspecting,
     upstream as upstreams,
     versions,
     watching,
@@ -30,6 +32,7 @@
     orders,
     store as stores,
 )
+from rattanridge.web import server as servers
 
 DRAIN_STEP = 0.05  # seconds between looks at what still runs
 QUESTIONS = 2.6  # seconds until the platform has asked twice whether it is ready
@@ -61,9 +64,17 @@
         self.meters = events.Meters()
         self.store = stores.Store(config.store, self.meters.observe_store)
         self.health = watching.Health(self.log)
+        self.access = accesses.Access(config)
         self.upstream = upstreams.Upstream(config, self.log)
+        self.suspects = suspecting.Suspects(config.name, self.log, self.meters)
         self.membership = membership.Membership(
-            config, self.store, self.health, self.upstream, self.fetch, self.log
+            config,
+            self.store,
+            self.health,
+            self.upstream,
+            self.suspects,
+            self.fetch,
+            self.log,
         )
         self.directory = self.membership.directory
         self.configs = configs.Configs(
@@ -74,7 +85,9 @@
             self.log,
             self.meters,
         )
-        self.exit = exits.Exit(config, self.upstream, self.log, self.meters)
+        self.exit = exits.Exit(
+            config, self.upstream, self.suspects, self.log, self.meters
+        )
         self.versions = versions.Versions(self.log, self.meters, time.monotonic)
         self.attempts = attempts.Attempts(
             config,
@@ -82,14 +95,24 @@
             self.exit,
             self.versions.keep,
             self.configs.hint,
+            self.access,
             self.log,
             self.meters,
         )
+        self.claims = claims.Claims(
+            config, self.store, self.membership.is_first, self.log, self.meters
+        )
         self.entry = entry.Entry(
-            config, self.configs, self.attempts, self.log, self.meters
+            config,
+            self.configs,
+            self.attempts,
+            self.claims,
+            self.suspects,
+            self.log,
+            self.meters,
         )
         self.hops = ports.Hops(
-            config, self.exit, self.configs, self.directory, self.meters
+            config, self.exit, self.configs, self.directory, self.access, self.meters
         )
         self.heartbeats = ports.Heartbeats(
             self.upstream, self.membership.settled, self.log, self.meters
@@ -143,6 +166,7 @@
             self.begin(watch.run())
         self.begin(self.membership.publisher.run(RECORD_RETRY))
         self.begin(self.coordinator.run())
+        self.begin(self.claims.sweep())
         self.begin(self.tend())
         gc.collect()
         gc.freeze()
@@ -167,7 +191,7 @@
     async def listen(self, handler: servers.Handler, address: str) -> None:
         """Serve HTTP at ``host:port``."""
         host, _, port = address.rpartition(":")
-        served = servers.Server(handler, self.config, self.meters)
+        served = servers.Server(handler, self.config, self.meters, self.log)
         runner = aiohttp.web.ServerRunner(served, shutdown_timeout=0.2)
         await runner.setup()
         self.runners.append(runner)
@@ -211,6 +235,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL)
             self.exit.pool.sweep()
+            self.suspects.expire()
             self.attempts.peers.pool.sweep()
             if self.file is not None and self.file.changed():
                 self.reload()
--- a/rattanridge/mesh/peers.py
+++ b/rattanridge/mesh/peers.py
@@ -3,8 +3,9 @@
 import asyncio
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import calls, connections, marks
+from rattanridge.mesh import access, calls, connections, marks
 from rattanridge.platform import headers
+from rattanridge.web import headers as own_headers
 
 ANSWER_MARGIN = 0.14  # seconds past the deadline for the exit's own answer
 PROBE_TIMEOUT = 0.5  # seconds for a connection that no request waits for
@@ -12,9 +13,13 @@
 
 
 class Peers:
-    """Sends calls to other nodes."""
+    """Sends calls to other nodes.
 
-    def __init__(self) -> None:
+    :param access: marks what is sent.
+    """
+
+    def __init__(self, access: access.Access):
+        self.access = access
         self.pool = connections.Pool()
 
     async def run(self, address: str, call: calls.Call) -> calls.Answer:
@@ -35,7 +40,8 @@
 
     async def fetch(self, address: str, method: str, path: str) -> bytes | None:
         """Ask another node something beside calls; None if it does not answer."""
-        request = connections.write_request(method, path, [("Host", address)], b"")
+        sent = [("Host", address), *self.access.marks]
+        request = connections.write_request(method, path, sent, b"")
         try:
             async with asyncio.timeout(ASK_TIMEOUT):
                 connection = await self.pool.acquire(address, ASK_TIMEOUT)
@@ -57,7 +63,8 @@
             *call.headers,
             (headers.DEADLINE, headers.format_deadline(left)),
             (headers.CALLER, call.caller),
-            (marks.CALL, marks.write_call(call)),
+            (own_headers.CALL, marks.write_call(call)),
+            *self.access.marks,
         ]
         data = connections.write_request(call.method, call.path, sent, call.body)
         try:
@@ -75,7 +82,7 @@
     def read(self, response: connections.Response) -> calls.Answer:
         """Read an exit's answer with its mark."""
         answer = calls.Answer(response.status, [], response.body)
-        if not marks.read_answer(answer, response.headers.get(marks.ANSWER, "")):
+        if not marks.read_answer(answer, response.headers.get(own_headers.ANSWER, "")):
             raise codes.Failure(
                 codes.PEER_FAILED, "no mark on the answer", ran=codes.Ran.UNKNOWN
             )
--- a/rattanridge/mesh/ports.py
+++ b/rattanridge/mesh/ports.py
@@ -4,9 +4,9 @@
 
 import aiohttp.web
 
-from rattanridge.calls import bodies
 from rattanridge.kernel import codes
 from rattanridge.mesh import (
+    access as accesses,
     calls,
     configs as configurations,
     directory as directories,
@@ -18,6 +18,7 @@
     upstream as upstreams,
 )
 from rattanridge.platform import headers, heartbeats
+from rattanridge.web import bodies, headers as own_headers
 
 JSON = "application/json"
 
@@ -25,7 +26,10 @@
 
 
 class Hops:
-    """Calls that other nodes forward to the exit here."""
+    """Calls that other nodes forward to the exit here.
+
+    :param access: checks who sends.
+    """
 
     def __init__(
         self,
@@ -33,24 +37,27 @@
         exit: exits.Exit,
         configs: configurations.Configs,
         directory: directories.Directory,
+        access: accesses.Access,
         meters: events.Meters,
     ):
         self.directory = directory
         self.config = config
         self.exit = exit
         self.configs = configs
+        self.access = access
         self.meters = meters
 
     async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
         """Run one forwarded call, or answer a question of another node."""
-        if marks.CALL not in request.headers:
+        self.access.check(request)
+        if own_headers.CALL not in request.headers:
             return self.answer_node(request)
         try:
             answer = await self.exit.run(await self.read(request))
         except codes.Failure as failure:
             answer = calls.refuse(failure)
         answer.version = self.configs.version
-        sent = [*answer.headers, (marks.ANSWER, marks.write_answer(answer))]
+        sent = [*answer.headers, (own_headers.ANSWER, marks.write_answer(answer))]
         return aiohttp.web.Response(
             status=answer.status, headers=sent, body=answer.body
         )
@@ -64,6 +71,8 @@
             return aiohttp.web.Response(body=self.directory.page(), content_type=JSON)
         if request.path == configurations.PAGE:
             return aiohttp.web.Response(body=self.configs.content, content_type=JSON)
+        if request.path == configurations.STATE_PAGE:
+            return aiohttp.web.Response(body=self.configs.state(), content_type=JSON)
         page, _, version = request.path.rpartition("/")
         if page != judging.BRAKE_PAGE or request.method != "POST":
             return aiohttp.web.Response(status=404)
--- a/rattanridge/mesh/records.py
+++ b/rattanridge/mesh/records.py
@@ -3,18 +3,20 @@
 import msgspec
 
 from rattanridge.kernel import codes
+from rattanridge.policies import quarantine
 
 KIND = "nodes"
 READY = "ready"
 
 
-class Record(msgspec.Struct, frozen=True):
+class Record(msgspec.Struct, frozen=True, omit_defaults=True):
     """What a node tells the others of itself and of the upstream beside it.
 
     :param hop: address for calls from other nodes.
     :param endpoint: id of the upstream; empty while none is known.
     :param incarnation: milliseconds since the epoch of the upstream's start.
     :param state: ``ready`` if the upstream takes requests here, else why not.
+    :param suspects: requests of which the upstream seems to have died.
     """
 
     hop: str
@@ -25,6 +27,7 @@
     version: str
     slots: int
     state: str
+    suspects: tuple[quarantine.Suspect, ...] = ()
 
 
 def decode(data: bytes) -> Record:
--- a/rattanridge/mesh/settings.py
+++ b/rattanridge/mesh/settings.py
@@ -4,21 +4,22 @@
 
 import msgspec
 
-from rattanridge.kernel import documents, settings
+from rattanridge.kernel import codes, documents, registry, settings
+from rattanridge.policies import placement, queueing, repeats
 
+KEY_LENGTH_LEAST = 8  # characters of the shared key
+ADDRESSES = ("callers", "hops", "ready", "heartbeats", "metrics", "admin")
 
-class Struct(msgspec.Struct, forbid_unknown_fields=True):
-    """Base of settings classes: slots, and no unknown keys."""
 
-
-class Listen(Struct):
+class Listen(settings.Struct):
     """Addresses ``host:port`` that the node listens on.
 
     :param callers: for callers and the upstream's own calls.
     :param hops: for calls that other nodes forward.
     :param ready: for the platform's question whether the node is ready.
     :param heartbeats: for the heartbeats of the upstream beside it.
-    :param metrics: for the metrics.
+    :param metrics: for the metrics; none if it is empty.
+    :param admin: for the administration API; none if it is empty.
     """
 
     callers: str
@@ -26,21 +27,19 @@
     ready: str
     heartbeats: str
     metrics: str = ""
+    admin: str = ""
 
 
-class Drain(Struct):
+class Drain(settings.Struct):
     """Times of leaving.
 
     :param grace: seconds from SIGTERM until the process is killed.
-    :param upstream_ms: milliseconds from the acknowledgement that an upstream
-        leaves until nothing more may reach it.
     """
 
     grace: settings.Seconds = 6.0
-    upstream_ms: settings.Count = 2_000
 
 
-class Repeats(Struct):
+class Repeats(settings.Struct):
     """The budget of requests that are sent to a second endpoint."""
 
     ratio: float = 0.2
@@ -48,20 +47,55 @@
     window: settings.Seconds = 10.0
 
 
-class Limits(Struct):
+class Limits(settings.Struct):
     """Bounds of what a node takes and keeps.
 
+    :param held_bytes: bodies over 64 KiB that a node holds at once.
     :param connections: connections that each port takes.
     :param log_lines: lines a second for each kind of event.
     """
 
     header_bytes: settings.Count = 32_768
     body_bytes: settings.Bytes = 67_108_864
+    held_bytes: settings.Bytes = 80_000_000
     connections: settings.Count = 1_500
     log_lines: settings.Count = 20
 
 
-class Settings(Struct, kw_only=True):
+class Claims(settings.Struct):
+    """Times of the claims of requests that must run at most once.
+
+    :param keep: seconds that a claim is kept after its request's deadline; must
+        exceed the time within which callers send a request again.
+    """
+
+    keep: settings.Seconds = 900.0
+
+
+class Policies(settings.Struct):
+    """Names of the plug-ins that decide.
+
+    :param placement: which endpoint a request goes to.
+    :param order: which waiting request comes next.
+    :param admission: who may wait at an exit.
+    :param repeats: whether a request is sent to a second endpoint.
+    """
+
+    placement: str = "expected-time"
+    order: str = "timely-first"
+    admission: str = "short-queue"
+    repeats: str = "shared-budget"
+
+
+PLUGINS: dict[str, registry.Registry] = {
+    "placement": placement.PLACERS,
+    "order": queueing.ORDERS,
+    "admission": queueing.ADMISSIONS,
+    "repeats": repeats.BUDGETS,
+}
+
+
+class Settings(settings.Struct, kw_only=True):
     """Everything that one node needs to know.
 
     :param name: the node's name, unique in the fleet.
@@ -70,6 +104,8 @@
     :param upstream: ``host:port`` of that upstream.
     :param store: ``host:port`` of the platform's store.
     :param heartbeat_ms: milliseconds between two heartbeats of an upstream.
+    :param key: secret that nodes prove to each other; none if it is empty.
+    :param tokens: who may use the administration API.
     """
 
     name: str
@@ -79,15 +115,24 @@
     upstream: str = ""
     store: str
     heartbeat_ms: settings.Count = 1_500
+    key: str = ""
+    tokens: list[settings.Token] = []
     listen: Listen
     drain: Drain = msgspec.field(default_factory=Drain)
     repeats: Repeats = msgspec.field(default_factory=Repeats)
     limits: Limits = msgspec.field(default_factory=Limits)
+    claims: Claims = msgspec.field(default_factory=Claims)
+    policies: Policies = msgspec.field(default_factory=Policies)
 
 
 def parse(text: str, where: str = "settings") -> Settings:
     """Decode and check settings given as YAML text."""
-    return documents.decode(text, Settings, where)
+    found = documents.decode(text, Settings, where)
+    try:
+        check(found, where)
+    except codes.Failure as failure:
+        raise documents.point(failure, text, where)
+    return found
 
 
 def load(path: str) -> Settings:
@@ -95,6 +140,29 @@
     return parse(documents.read(path), path)
 
 
+def check(found: Settings, where: str) -> None:
+    """Check what types can't say: addresses, tokens, names of plug-ins."""
+    for name in ("name", "zone", "service"):
+        settings.check_word(getattr(found, name), name, where)
+    settings.check_address(found.store, "store", where)
+    settings.check_address(found.upstream, "upstream", where)
+    settings.check_tokens(found.tokens, where)
+    if found.key and len(found.key) < KEY_LENGTH_LEAST:
+        settings.refuse(where, "key", f"shorter than {KEY_LENGTH_LEAST} characters")
+    seen: set[str] = set()
+    for name in ADDRESSES:
+        address = getattr(found.listen, name)
+        settings.check_address(address, f"listen.{name}", where)
+        if address and address in seen:
+            settings.refuse(where, f"listen.{name}", f"{address} has another use")
+        seen.add(address)
+    for name, plugins in PLUGINS.items():
+        chosen = getattr(found.policies, name)
+        if chosen not in plugins.items:
+            known = ", ".join(plugins.names())
+            settings.refuse(where, f"policies.{name}", f"{chosen!r}; known: {known}")
+
+
 class File:
     """A settings file that may change at any time.
 
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -1,4 +1,4 @@
-"""Decodes the operator's configuration into the kernel's types."""
+"""The operator's configuration on the wire, and the kernel's types for it."""
 
 import msgspec
 
@@ -7,7 +7,8 @@
 KIND = "config"
 NAME = "main"
 IDEMPOTENT_KIND = "safe"
-KINDS = ("safe", "unsafe")
+ONCE_KIND = "unsafe"
+KINDS = (IDEMPOTENT_KIND, ONCE_KIND)
 VERSION_BASE = 16
 DEFAULT_TIMEOUT_MS = 10_000.0  # for a route that names none
 
@@ -19,6 +20,17 @@
     weight: int = msgspec.field(name="Weight")
 
 
+class WireExtras(msgspec.Struct, omit_defaults=True):
+    """What a preset says of a route beyond the platform's own fields.
+
+    :param bare: whether the prefix without its last slash is taken, too.
+    """
+
+    methods: list[str] = msgspec.field(name="Methods", default_factory=list)
+    bare: bool = msgspec.field(name="BarePrefix", default=False)
+    key: routes.KeySource | None = msgspec.field(name="IdempotencyKey", default=None)
+
+
 class WireRoute(msgspec.Struct):
     """One path of a host. ``Kind`` says whether a request may be repeated."""
 
@@ -29,8 +41,15 @@
     timeout_ms: float = msgspec.field(name="TimeoutMs", default=DEFAULT_TIMEOUT_MS)
     target_ms: float = msgspec.field(name="TargetLatencyMs", default=0.0)
     attempts: int = msgspec.field(name="MaxAttempts", default=1)
-    service: str = msgspec.field(name="Service", default="")
-    split: list[WireShare] = msgspec.field(name="TrafficSplit", default_factory=list)
+    service: str | msgspec.UnsetType = msgspec.field(
+        name="Service", default=msgspec.UNSET
+    )
+    split: list[WireShare] | msgspec.UnsetType = msgspec.field(
+        name="TrafficSplit", default=msgspec.UNSET
+    )
+    extras: WireExtras | msgspec.UnsetType = msgspec.field(
+        name="Extras", default=msgspec.UNSET
+    )
 
 
 class WireHost(msgspec.Struct):
@@ -95,10 +114,9 @@
     host: str, item: WireRoute, services: dict[str, routes.Service]
 ) -> routes.Route:
     """Decode one route; its services must be part of the configuration."""
-    shares = tuple(routes.Share(part.service, part.weight) for part in item.split)
-    if not shares:
-        shares = (routes.Share(item.service, 1),)
+    shares = decode_shares(item)
     check_route(item, shares, services)
+    extras = item.extras or WireExtras()
     return routes.Route(
         name=item.name,
         host=host.lower(),
@@ -109,9 +127,19 @@
         priority=item.priority,
         attempts=max(item.attempts, 1),
         shares=shares,
+        methods=frozenset(extras.methods),
+        bare=extras.bare,
+        key=extras.key,
     )
 
 
+def decode_shares(item: WireRoute) -> tuple[routes.Share, ...]:
+    """Return the services of a route that names one, or a split."""
+    if item.split:
+        return tuple(routes.Share(part.service, part.weight) for part in item.split)
+    return (routes.Share(item.service or "", 1),)
+
+
 def check_route(
     item: WireRoute,
     shares: tuple[routes.Share, ...],
@@ -132,3 +160,46 @@
     for share in shares:
         if share.service not in services:
             raise codes.Failure(codes.MISSING_SERVICE, share.service, where=where)
+
+
+def encode(found: routes.Configuration) -> bytes:
+    """Return a configuration as the operator writes it."""
+    limits = found.limits
+    wire = WireConfiguration(
+        f"{found.version:08x}",
+        [
+            WireHost(host, [encode_route(route) for route in group])
+            for host, group in found.routes.items()
+        ],
+        [
+            WireService(item.name, item.health_path, item.connections)
+            for item in found.services.values()
+        ],
+        WireLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout * 1000,
+            limits.idle_timeout * 1000,
+        ),
+    )
+    return msgspec.json.encode(wire)
+
+
+def encode_route(route: routes.Route) -> WireRoute:
+    """Return a route on the wire; what the platform has no field for, as extras."""
+    wire = WireRoute(
+        route.name,
+        route.prefix,
+        IDEMPOTENT_KIND if route.idempotent else ONCE_KIND,
+        route.priority,
+        route.timeout * 1000,
+        route.target_latency * 1000,
+        route.attempts,
+    )
+    if len(route.shares) == 1:
+        wire.service = route.shares[0].service
+    else:
+        wire.split = [WireShare(item.service, item.weight) for item in route.shares]
+    if route.methods or route.bare or route.key:
+        wire.extras = WireExtras(sorted(route.methods), route.bare, route.key)
+    return wire
--- a/rattanridge/platform/heartbeats.py
+++ b/rattanridge/platform/heartbeats.py
@@ -1,4 +1,4 @@
-"""Decodes what an upstream says of itself to the node beside it."""
+"""What an upstream says of itself to the node beside it."""
 
 import dataclasses
 
@@ -9,7 +9,9 @@
 PREFIX = "/api/instances/"
 READY_PATH = "/api/readyz"
 MAX_BYTES = 65_536
-STATES = ("ready", "draining")
+READY = "ready"
+DRAINING = "draining"
+STATES = (READY, DRAINING)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -45,6 +47,7 @@
     state: str = msgspec.field(name="State")
     sequence: int = msgspec.field(name="Sequence")
     cold_ms: float = msgspec.field(name="ColdRemainingMs", default=0.0)
+    zone: str = msgspec.field(name="Zone", default="")
     born: int = 0
 
 
@@ -70,11 +73,27 @@
         wire.address,
         wire.version,
         wire.slots,
-        wire.state != "ready",
+        wire.state == DRAINING,
         wire.cold_ms / 1000,
     )
 
 
+def encode(beat: Heartbeat, zone: str = "") -> bytes:
+    """Return a heartbeat as an upstream sends it."""
+    wire = WireHeartbeat(
+        beat.service,
+        beat.address,
+        beat.version,
+        beat.slots,
+        DRAINING if beat.draining else READY,
+        beat.sequence,
+        beat.cold * 1000,
+        zone,
+        beat.incarnation,
+    )
+    return msgspec.json.encode(wire)
+
+
 def decode_leave(data: bytes) -> int:
     """Return the incarnation that a farewell names; 0 if it names none."""
     try:
--- a/rattanridge/platform/orders.py
+++ b/rattanridge/platform/orders.py
@@ -38,6 +38,7 @@
         below 0 before that.
     :param holder: node that coordinates the order.
     :param turn: grows with each write, so that a stalled holder shows.
+    :param reason: why the order ended as it did; empty while it runs.
     """
 
     state: str
@@ -49,6 +50,7 @@
     began: float = -1.0
     holder: str = ""
     turn: int = 0
+    reason: str = ""
 
 
 class WireOrder(msgspec.Struct):
@@ -71,6 +73,7 @@
     began: float = msgspec.field(name="BeganS", default=-1.0)
     holder: str = msgspec.field(name="Holder", default="")
     turn: int = msgspec.field(name="Turn", default=0)
+    reason: str = msgspec.field(name="Reason", default="")
 
 
 def decode_order(data: bytes) -> Order:
@@ -82,6 +85,11 @@
     return Order(wire.service, wire.version, wire.duration)
 
 
+def encode_order(order: Order) -> bytes:
+    """Return an order as the operator writes it."""
+    return msgspec.json.encode(WireOrder(order.service, order.version, order.duration))
+
+
 def decode_status(data: bytes) -> Status | None:
     """Decode a status; None if there is none or it is unreadable."""
     try:
--- a/rattanridge/policies/evidence.py
+++ b/rattanridge/policies/evidence.py
@@ -14,6 +14,9 @@
 LEAST_ERRORS = 4  # failures below which a version is not blamed
 ERROR_SHARE = 0.15  # of the requests; less than this is not a bad version
 ERROR_FACTOR = 3.0  # of the old version's share of failures
+USUAL_SHARE = 0.05  # of failures that any version may have
+CHANCE = 2e-4  # probability below which failures are no bad luck
+MANY_CALLS = 200  # of which a share of failures is no bad luck
 LEAST_TIMED = 12  # requests of each version without which times say nothing
 SLOW_QUANTILE = 0.75
 SLOW_FACTOR = 2.6  # between the quantiles; endpoints of one version differ less
@@ -102,7 +105,20 @@
     if new.errors < LEAST_ERRORS:
         return False
     share = new.error_share()
-    return share >= ERROR_SHARE and share >= ERROR_FACTOR * old.error_share()
+    if share < ERROR_SHARE or share < ERROR_FACTOR * old.error_share():
+        return False
+    if new.calls >= MANY_CALLS:
+        return True
+    usual = max(old.error_share(), USUAL_SHARE)
+    return tail(new.errors, new.calls, usual) <= CHANCE
+
+
+def tail(errors: int, calls: int, share: float) -> float:
+    """Return the probability of so many failures or more, by bad luck alone."""
+    return sum(
+        math.comb(calls, count) * share**count * (1.0 - share) ** (calls - count)
+        for count in range(errors, calls + 1)
+    )
 
 
 def is_slow(old: Counts, new: Counts) -> bool:
--- a/rattanridge/policies/placement.py
+++ b/rattanridge/policies/placement.py
@@ -8,6 +8,9 @@
 import collections.abc
 import dataclasses
 import random
+import typing
+
+from rattanridge.kernel import registry
 
 REPORT_AGE = 2.0  # seconds after which a reported load says nothing any more
 FACTOR_WEIGHT = 0.2  # of one answer in an endpoint's speed factor
@@ -159,6 +162,10 @@
         self.seconds += self.weight * (seconds - self.seconds)
 
 
+PLACERS: registry.Registry[type["Placer"]] = registry.Registry("placement")
+
+
+@PLACERS.register("expected-time")
 class Placer:
     """Chooses by expected time, the own zone first.
 
@@ -168,6 +175,8 @@
     :param zone: the entry's own availability zone.
     """
 
+    zone_penalty: typing.ClassVar[float] = ZONE_PENALTY
+
     def __init__(self, zone: str, rng: random.Random | None = None):
         self.zone = zone
         self.random = rng or random.Random()
@@ -212,7 +221,7 @@
             item.wait(work, now), item.silence(now) - PATIENCE * usual
         )
         if item.zone != self.zone:
-            expected += ZONE_PENALTY * target
+            expected += self.zone_penalty * target
         expected += SHED_PENALTY * target * item.shed_share(now)
         return expected + JITTER * target * self.random.random()
 
@@ -221,3 +230,35 @@
         mean = self.mean(route)
         mean.note(seconds)
         item.note_work(seconds / mean.seconds, now)
+
+
+@PLACERS.register("any-zone")
+class AnyZone(Placer):
+    """Chooses by expected time, whatever the zone."""
+
+    zone_penalty = 0.0
+
+
+@PLACERS.register("least-busy")
+class LeastBusy(Placer):
+    """Chooses by load alone: neither speed nor shed requests count."""
+
+    def learn(self, item: Candidate, route: str, seconds: float, now: float) -> None:
+        """Learn the route's mean time only."""
+        self.mean(route).note(seconds)
+
+    def cost(self, item: Candidate, work: float, target: float, now: float) -> float:
+        """Return the expected seconds at an endpoint as fast as any other."""
+        expected = work + item.wait(work, now)
+        if item.zone != self.zone:
+            expected += self.zone_penalty * target
+        return expected + JITTER * target * self.random.random()
+
+
+@PLACERS.register("random")
+class Random(Placer):
+    """Chooses at random among the endpoints that were usable just now."""
+
+    def cost(self, item: Candidate, work: float, target: float, now: float) -> float:
+        """Return a random number."""
+        return self.random.random()
--- a/rattanridge/policies/queueing.py
+++ b/rattanridge/policies/queueing.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 
-from rattanridge.kernel import codes
+from rattanridge.kernel import codes, registry
 
 MEAN_WEIGHT = 0.1  # of one request in a route's mean time
 DEFAULT_WORK = 0.05  # seconds, before a route's own time is known
@@ -37,9 +38,55 @@
     number: int = 0
     ready: asyncio.Future | None = None
 
-    def order(self) -> tuple[bool, int, int]:
-        """Return its place among requests that are all timely."""
-        return (not self.nested, self.rank, self.number)
+
+Order = collections.abc.Callable[[Ticket, bool], tuple]
+Admission = collections.abc.Callable[["Queue", Ticket, float], bool]
+ORDERS: registry.Registry[Order] = registry.Registry("queue order")
+ADMISSIONS: registry.Registry[Admission] = registry.Registry("admission")
+
+
+@ORDERS.register("timely-first")
+def timely_first(ticket: Ticket, late: bool) -> tuple:
+    """Return a request's place: what can be timely, then nested calls, then rank."""
+    return (late, not ticket.nested, ticket.rank, ticket.number)
+
+
+@ORDERS.register("by-rank")
+def by_rank(ticket: Ticket, late: bool) -> tuple:
+    """Return a request's place; nested calls have no precedence."""
+    return (late, ticket.rank, ticket.number)
+
+
+@ORDERS.register("arrival")
+def by_arrival(ticket: Ticket, late: bool) -> tuple:
+    """Return a request's place: first come, first served."""
+    return (ticket.number,)
+
+
+@ADMISSIONS.register("short-queue")
+def admit_timely(queue: "Queue", ticket: Ticket, now: float) -> bool:
+    """Whether a request may wait: not if it would be pointless.
+
+    One that will be late may wait for a part of its time only.
+    """
+    wait = queue.wait_of(ticket)
+    finish = now + wait + queue.times.of(ticket.route)
+    late = finish > ticket.timely_until and not ticket.nested
+    late_wait = LATE_SHARE * (ticket.deadline - now)
+    return finish <= ticket.deadline and not (late and wait > late_wait)
+
+
+@ADMISSIONS.register("until-deadline")
+def admit_until_deadline(queue: "Queue", ticket: Ticket, now: float) -> bool:
+    """Whether a request may wait: as long as its deadline can be met."""
+    work = queue.times.of(ticket.route)
+    return now + queue.wait_of(ticket) + work <= ticket.deadline
+
+
+@ADMISSIONS.register("no-queue")
+def admit_none(queue: "Queue", ticket: Ticket, now: float) -> bool:
+    """Whether a request may wait: never, so the entry looks elsewhere at once."""
+    return False
 
 
 class Times:
@@ -67,8 +114,15 @@
     :param slots: requests that the endpoint runs at once.
     """
 
-    def __init__(self, slots: int):
+    def __init__(
+        self,
+        slots: int,
+        order: Order = timely_first,
+        admission: Admission = admit_timely,
+    ):
         self.slots = slots
+        self.order = order
+        self.admission = admission
         self.running = 0
         self.waiting: list[Ticket] = []
         self.times = Times()
@@ -89,24 +143,21 @@
 
     def admit(self, ticket: Ticket, now: float) -> None:
         """Queue a request, or refuse it at once if waiting is pointless."""
-        work = self.times.of(ticket.route)
-        wait = self.wait_of(ticket)
-        finish = now + wait + work
-        late_wait = LATE_SHARE * (ticket.deadline - now)
-        late = finish > ticket.timely_until and not ticket.nested
-        if finish > ticket.deadline or (late and wait > late_wait):
-            raise codes.Failure(codes.QUEUE_FULL, retry_after=self.retry_after())
         self.numbers += 1
         ticket.number = self.numbers
+        if not self.admission(self, ticket, now):
+            raise codes.Failure(codes.QUEUE_FULL, retry_after=self.retry_after())
         ticket.ready = asyncio.get_running_loop().create_future()
         self.waiting.append(ticket)
         self.watch(ticket, now)
 
     def wait_of(self, ticket: Ticket) -> float:
         """Return the seconds until a request of this order would get a slot."""
-        place = (not ticket.nested, ticket.rank, self.numbers + 1)
+        place = self.order(ticket, False)
         ahead = sum(
-            self.times.of(item.route) for item in self.waiting if item.order() < place
+            self.times.of(item.route)
+            for item in self.waiting
+            if self.order(item, False) < place
         )
         return (ahead + self.running * self.mean() / 2) / self.slots
 
@@ -183,7 +234,7 @@
         least = None
         for item in self.waiting:
             late = now + self.times.of(item.route) > item.timely_until
-            place = (late, *item.order())
+            place = self.order(item, late)
             if least is None or place < least:
                 best, least = item, place
         return best
--- a/rattanridge/policies/repeats.py
+++ b/rattanridge/policies/repeats.py
@@ -9,6 +9,8 @@
 import collections
 import dataclasses
 
+from rattanridge.kernel import registry
+
 BUCKETS = 10  # that a window is counted in
 SAFETY = 0.8  # of the budget: nodes don't count a window from the same moment
 
@@ -27,6 +29,10 @@
     window: float
 
 
+BUDGETS: registry.Registry[type["Budget"]] = registry.Registry("repeats policy")
+
+
+@BUDGETS.register("shared-budget")
 class Budget:
     """One node's part of one service's budget."""
 
@@ -70,3 +76,12 @@
             return False
         self.add(self.repeats, now)
         return True
+
+
+@BUDGETS.register("none")
+class NoRepeats(Budget):
+    """Allows no repeat."""
+
+    def take(self, nodes: int, now: float) -> bool:
+        """Refuse."""
+        return False
--- a/rattanridge/calls/bodies.py
+++ b/rattanridge/web/bodies.py
@@ -6,8 +6,8 @@
 import aiohttp.hdrs
 import aiohttp.web
 
-from rattanridge.calls import memory
 from rattanridge.kernel import codes
+from rattanridge.web import memory
 
 PART_SECONDS = 10.0  # within which the next part of a body must come
 BROKEN = (aiohttp.ClientError, aiohttp.web.RequestPayloadError, OSError)
--- a/rattanridge/calls/server.py
+++ b/rattanridge/web/server.py
@@ -14,8 +14,8 @@
 import aiohttp.web_protocol
 import yarl
 
-from rattanridge.calls import responses
-from rattanridge.kernel import codes, log
+from rattanridge.kernel import codes
+from rattanridge.web import responses
 
 IDLE_SECONDS = 75.0  # that a connection may wait for its next request
 FIRST_REQUEST_SECONDS = 10.0  # within which a new connection sends its first one
@@ -49,6 +49,14 @@
     def add(self, name: str) -> None: ...
 
 
+class Log(typing.Protocol):
+    """Takes events; those that may come often, through ``note``."""
+
+    def note(self, event: str, **fields: object) -> None: ...
+
+    def error(self, event: str, **fields: object) -> None: ...
+
+
 class Request(aiohttp.web.BaseRequest):
     """One request; its answer does not tell the library's name."""
 
@@ -121,6 +129,7 @@
         handler: Handler,
         config: Config,
         counters: Counters,
+        log: Log,
     ):
         super().__init__(
             self.handle, request_factory=self.make_request, handler_cancellation=True
@@ -128,7 +137,7 @@
         self.handler = handler
         self.limits = config.limits
         self.counters = counters
-        self.log = log.Log("http", config.name)
+        self.log = log
 
     def __call__(self) -> Protocol:
         return Protocol(
@@ -185,8 +194,7 @@
                 codes.INTERNAL, type(error).__name__, ran=codes.Ran.UNKNOWN
             )
         self.counters.add(f"http.refused.{failure.code.name}")
-        self.log.log(
-            "error" if failure.code is codes.INTERNAL else "info",
+        self.log.note(
             "http-refused",
             code=failure.code.number,
             method=request.method,
