--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -49,6 +49,16 @@
         old = {ROUTE: counts(rng, 400, 0.4, 6.0)}
         assert not evidence.find_fault(old, {ROUTE: counts(rng, 100, 0.5, 6.0)})
 
+    @pytest.mark.parametrize("seed", range(40))
+    def test_bad_luck_in_an_overload_blames_nobody(self, seed):
+        """The first few requests of the new version fail by chance."""
+        rng = random.Random(seed)
+        old = {ROUTE: counts(rng, 400, 0.25)}
+        new = evidence.Counts()
+        for _ in range(60):
+            new.merge(counts(rng, 1, 0.25))
+            assert not evidence.fails(old[ROUTE], new)
+
     def test_counts_since_an_earlier_look(self):
         rng = random.Random(1)
         made = counts(rng, 50, 0.2)
