Cheaper watches, storms by lists, room for a version that takes over

In a storm the newest version is listed now and then. A version without room for the load is not completed.

--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -9,7 +9,7 @@
 from rattanridge.mesh import events, watching
 from rattanridge.platform import configs, store as stores
 
-HINT_WAIT = 0.7  # seconds that the watch has to tell what another node knows
+HINT_WAIT = 1.2  # seconds that the watch has to tell what another node knows
 PAGE = "/configuration"
 STATE_PAGE = "/state"
 
@@ -100,6 +100,7 @@
             version=found.version,
             before=self.version,
             source=source,
+            bytes=len(content),
         )
         self.current = found
         self.content = content
--- a/rattanridge/mesh/connections.py
+++ b/rattanridge/mesh/connections.py
@@ -53,6 +53,7 @@
         "idle_limit",
         "matches",
         "parser",
+        "rested",
         "stray",
         "used_at",
     )
@@ -65,6 +66,7 @@
         self.matches: Matches | None = None
         self.broken = ""
         self.stray = 0
+        self.rested = 0.0
         self.idle_limit = IDLE_DEFAULT
         self.used_at = loop.time()
 
@@ -218,16 +220,21 @@
         self.idle: dict[str, list[Connection]] = {}
         self.opened = 0
 
-    async def acquire(self, address: str, timeout: float) -> Connection:
+    async def acquire(
+        self, address: str, timeout: float, longest_rest: float = float("inf")
+    ) -> Connection:
         """Return a connection that can be written to.
 
         Raises ``connect-failed`` if there is none; then nothing was sent.
+
+        :param longest_rest: seconds without use after which one is not taken.
         """
         kept = self.idle.get(address)
         now = self.loop.time()
-        while kept:
+        while kept and now - kept[-1].used_at <= longest_rest:
             connection = kept.pop()
             if self.usable(connection, now):
+                connection.rested = now - connection.used_at
                 return connection
             connection.end("not used for too long")
         return await self.connect(address, min(timeout, CONNECT_TIMEOUT))
--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -178,16 +178,30 @@
             await self.write(rollout, case, orders.TAKEN_BACK, fault)
             return
         endpoints = self.count_new(case)
-        before = (ramp.step, ramp.began)
+        before = (ramp.step, ramp.began, ramp.has_room())
+        ramp.room = self.room(case)
         ramp.look(endpoints, case.old, case.new)
         if ramp.done():
             await self.write(rollout, case, orders.COMPLETED, "in time")
         elif ramp.out_of_time():
+            why = "not proved in time" if ramp.has_room() else "too few endpoints"
             await self.brake(case)
-            await self.write(rollout, case, orders.TAKEN_BACK, "not proved in time")
-        elif before != (ramp.step, ramp.began) or self.is_stale(rollout):
+            await self.write(rollout, case, orders.TAKEN_BACK, why)
+        elif self.is_news(ramp, before) or self.is_stale(rollout):
             await self.write(rollout, case, orders.RUNNING, "")
 
+    def is_news(self, ramp: ramps.Ramp, before: tuple[int, float, bool]) -> bool:
+        """Whether the share changed since the last look."""
+        return before != (ramp.step, ramp.began, ramp.has_room())
+
+    def room(self, case: Case) -> float:
+        """Return the new version's slots over the old one's."""
+        slots = {True: 0, False: 0}
+        for item in self.directory.of(case.order.service):
+            if not item.lost:
+                slots[item.version == case.order.version] += item.slots
+        return slots[True] / slots[False] if slots[False] else float("inf")
+
     def count_new(self, case: Case) -> int:
         """Return the number of endpoints of the new version."""
         return sum(
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -13,7 +13,7 @@
     upstream as upstreams,
 )
 from rattanridge.platform import headers
-from rattanridge.policies import placement, queueing
+from rattanridge.policies import placement, queueing, resting
 
 LOOK_PAUSE = 0.05  # seconds after a broken connection until the upstream is looked at
 ANSWER_MARGIN = 0.08  # seconds past the deadline for the upstream's own answer
@@ -43,6 +43,7 @@
         self.log = log
         self.meters = meters
         self.pool = connections.Pool()
+        self.resting = resting.Resting()
         self.queue = queueing.Queue(
             1,
             queueing.ORDERS.get(config.policies.order),
@@ -158,8 +159,11 @@
         loop = asyncio.get_running_loop()
         identity = self.upstream.identity
         address = self.upstream.address
+        longest = self.resting.longest(not call.idempotent, loop.time())
         try:
-            connection = await self.pool.acquire(address, call.deadline - loop.time())
+            connection = await self.pool.acquire(
+                address, call.deadline - loop.time(), longest
+            )
         except codes.Failure as failure:
             self.note_unreachable(failure)
             raise
@@ -177,9 +181,7 @@
             self.judge.observe(call, None, loop.time() - began)
             raise codes.Failure(codes.DEADLINE, ran=codes.Ran.UNKNOWN)
         except codes.Failure:
-            self.judge.observe(call, None, loop.time() - began)
-            self.suspects.broken(call, loop.time() - began)
-            self.look_soon()
+            self.note_broken(call, connection, loop.time() - began)
             raise
         finally:
             self.running.pop(call.attempt, None)
@@ -187,6 +189,18 @@
         self.pool.release(address, connection, response)
         return self.read(call, response, identity, spent)
 
+    def note_broken(
+        self, call: calls.Call, connection: connections.Connection, lasted: float
+    ) -> None:
+        """The upstream's connection broke under a request."""
+        self.judge.observe(call, None, lasted)
+        now = asyncio.get_running_loop().time()
+        if self.resting.note_broken(connection.rested, lasted, now):
+            self.log.note("connection-forgotten", rested=connection.rested)
+            return
+        self.suspects.broken(call, lasted)
+        self.look_soon()
+
     def note_unreachable(self, failure: codes.Failure) -> None:
         """The upstream took no connection; if nobody listens, it has ended."""
         self.upstream.unreachable(failure.detail)
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -40,6 +40,8 @@
 RESERVE = 0.5  # seconds of the grace time kept for ending
 SWEEP_INTERVAL = 1.0  # seconds
 ROLLOUT_SETTLE = 0.1  # seconds; a version that is taken back must not wait
+CONFIG_SETTLE = 0.25  # seconds; a watch returns each version that came meanwhile
+RECORDS_SETTLE = 0.8  # seconds; exits refuse what a record does not tell yet
 BACKLOG = 512  # connections that wait to be accepted
 RECORD_RETRY = 0.5  # seconds before a record is written again
 
@@ -118,10 +120,26 @@
             self.upstream, self.membership.settled, self.log, self.meters
         )
         self.watches = [
-            self.watch(wire_configs.KIND, self.configs.take_all, self.configs.take),
-            self.watch(records.KIND, self.membership.take_all, self.membership.take),
             self.watch(
-                orders.KIND, self.versions.take_all, self.versions.take, ROLLOUT_SETTLE
+                wire_configs.KIND,
+                self.configs.take_all,
+                self.configs.take,
+                CONFIG_SETTLE,
+                large=True,
+            ),
+            self.watch(
+                records.KIND,
+                self.membership.take_all,
+                self.membership.take,
+                RECORDS_SETTLE,
+                stale=True,
+            ),
+            self.watch(
+                orders.KIND,
+                self.versions.take_all,
+                self.versions.take,
+                ROLLOUT_SETTLE,
+                stale=True,
             ),
         ]
         self.coordinator = coordinator.Coordinator(
@@ -146,10 +164,12 @@
         kind: str,
         take_all: watching.TakeAll,
         take: watching.TakeOne,
-        settle: float = watching.SETTLE,
+        settle: float,
+        **more: bool,
     ) -> watching.Watch:
+        """Return a watch of one kind; ``more`` as it takes it."""
         return watching.Watch(
-            self.store, kind, self.health, take_all, take, self.log, settle
+            self.store, kind, self.health, take_all, take, self.log, settle, **more
         )
 
     async def start(self) -> None:
--- a/rattanridge/mesh/watching.py
+++ b/rattanridge/mesh/watching.py
@@ -8,12 +8,13 @@
 from rattanridge.mesh import events
 from rattanridge.platform import store as stores
 
-WAIT = (3.0, 9.0)  # seconds that a watch waits; nodes must not renew theirs together
+WAIT = (4.0, 10.0)  # seconds that a watch waits; nodes must not renew theirs together
 DOUBT_PAUSE = 2.0  # seconds between two lists that a doubt causes
 FIRST_PAUSE = 0.1  # seconds before the first call after a failed one
 LONGEST_PAUSE = 0.9  # seconds
 LIST_SPREAD = 0.15  # seconds over which nodes spread the lists of a lost history
-SETTLE = 0.5  # seconds after a change, in which more changes gather
+STORM_GAP = 2.0  # seconds; changes closer to one another are a storm
+STORM_SETTLE = 0.9  # seconds between two lists in a storm
 
 TakeAll = collections.abc.Callable[[list[stores.Stored]], None]
 TakeOne = collections.abc.Callable[[stores.Stored], None]
@@ -74,6 +75,10 @@
     :param take: gets one changed or deleted object.
     :param settle: seconds after a change before the next watch; changes that
         gather meanwhile come with one call.
+    :param stale: whether changes may be heard seconds late; it is much cheaper.
+    :param large: whether the objects are large. A watch returns all versions since
+        the last one; in a storm of changes a list returns the newest ones only,
+        which keeps slow links free.
     """
 
     def __init__(
@@ -84,9 +89,14 @@
         take_all: TakeAll,
         take: TakeOne,
         log: events.Events,
-        settle: float = SETTLE,
+        settle: float,
+        stale: bool = False,
+        large: bool = False,
     ):
+        self.large = large
+        self.changed_at = float("-inf")
         self.settle = settle
+        self.stale_reads = stale
         self.store = store
         self.kind = kind
         self.health = health
@@ -94,6 +104,7 @@
         self.take = take
         self.log = log
         self.revision = 0
+        self.newest = 0
         self.listed = False
         self.heard_at = 0.0
         self.waiting: asyncio.Task | None = None
@@ -124,6 +135,7 @@
             self.log.info("list-old", kind=self.kind, revision=listing.revision)
             raise codes.Failure(codes.PLATFORM_BUSY, "an old list")
         self.revision = listing.revision
+        self.newest = max((item.revision for item in listing.items), default=0)
         self.take_all(listing.items)
         self.listed = True
 
@@ -133,7 +145,7 @@
             raise codes.Failure(codes.WATCH_LOST, "doubted")
         wait = self.health.random.uniform(*WAIT)
         self.waiting = asyncio.create_task(
-            self.store.watch(self.kind, self.revision, wait)
+            self.store.watch(self.kind, self.revision, wait, self.stale_reads)
         )
         try:
             changes = await self.waiting
@@ -148,9 +160,29 @@
         self.revision = max(self.revision, changes.revision)
         for item in changes.items:
             self.take(item)
-        if changes.items:
+        if not changes.items:
+            return
+        if self.is_storm() and self.large:
+            await self.pass_storm()
+        else:
             await asyncio.sleep(self.settle)
 
+    def is_storm(self) -> bool:
+        """Whether this change came soon after the one before."""
+        now = asyncio.get_running_loop().time()
+        gap = now - self.changed_at
+        self.changed_at = now
+        return gap < STORM_GAP
+
+    async def pass_storm(self) -> None:
+        """List now and then until nothing changes any more."""
+        newest = -1
+        while newest < self.newest:
+            newest = self.newest
+            await asyncio.sleep(STORM_SETTLE)
+            await self.list()
+        self.log.note("watch-storm-passed", kind=self.kind, revision=self.revision)
+
     def interrupt(self) -> None:
         """End the watch that waits, or the next one; then the kind is listed again."""
         self.stale = True
--- a/rattanridge/platform/store.py
+++ b/rattanridge/platform/store.py
@@ -30,6 +30,7 @@
 WATCH = "Watch"
 WAIT = "WaitMs"
 REVISION = "Revision"
+STALE = "AllowStale"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -186,13 +187,20 @@
                 return Listing(items, wire.revision)
             query = {AFTER: items[-1].name}
 
-    async def watch(self, kind: str, revision: int, wait: float) -> Listing:
+    async def watch(
+        self, kind: str, revision: int, wait: float, stale: bool = False
+    ) -> Listing:
         """Wait for changes after a revision, at most ``wait`` seconds.
 
+        :param stale: whether changes may be told seconds late; then the call costs
+            a tenth, and does not count against the store's rate.
+
         Raises ``watch-lost`` if the store's history no longer reaches back so far,
         or if the watch stays silent beyond its time.
         """
         query = {WATCH: str(revision), WAIT: str(int(wait * 1000))}
+        if stale:
+            query[STALE] = "1"
         try:
             async with asyncio.timeout(wait + WATCH_MARGIN):
                 data = await self.call("watch", "GET", kind, query, timeout=None)
--- a/rattanridge/policies/ramp.py
+++ b/rattanridge/policies/ramp.py
@@ -2,7 +2,9 @@
 
 Answers this load: a version that must be in force in time if it is good, and
 that may have seen only a tenth of the requests if it is bad. One of its
-endpoints gets its whole load early, for a fault may show only then.
+endpoints gets its whole load early, for a fault may show only then. A version
+whose endpoints leave meanwhile gets no more than they can carry, and does not
+replace the old one: that one's endpoints stop as soon as it has.
 """
 
 import dataclasses
@@ -11,6 +13,7 @@
 
 END_RESERVE = 0.08  # of the duration, kept for the last write
 LEAST_RESERVE = 1.0  # seconds
+LEAST_ROOM = 0.6  # of the old version's slots, without which it is not replaced
 LEAST_CALLS = 8  # on each route that the old version serves, before the last step
 FULL = 1.0
 
@@ -46,6 +49,7 @@
     :param duration: seconds within which it is to be done.
     :param elapsed: seconds since the order.
     :param began: seconds after the order when the first new endpoint was ready.
+    :param room: slots of the new version's ready endpoints over the old one's.
     """
 
     duration: float
@@ -53,6 +57,7 @@
     began: float = -1.0
     step: int = 0
     step_at: float = 0.0
+    room: float = 1.0
 
     def usable(self) -> float:
         """Return the seconds from the first endpoint until all must be done."""
@@ -89,7 +94,15 @@
         if self.began < 0:
             return 0.0
         step = STEPS[self.step]
-        return 1.0 / max(endpoints, 1) if step.one_endpoint else step.share
+        if step.one_endpoint:
+            return 1.0 / max(endpoints, 1)
+        if self.has_room():
+            return step.share
+        return min(step.share, self.room / (1.0 + self.room))
+
+    def has_room(self) -> bool:
+        """Whether the new version could carry the load of the old one."""
+        return self.room >= LEAST_ROOM
 
     def one_endpoint(self) -> bool:
         """Whether only one of the new endpoints is used."""
@@ -97,7 +110,7 @@
 
     def done(self) -> bool:
         """Whether the last step has lasted long enough."""
-        if self.began < 0 or self.step < len(STEPS) - 1:
+        if self.began < 0 or self.step < len(STEPS) - 1 or not self.has_room():
             return False
         held = self.elapsed - self.step_at
         return held >= STEPS[-1].part * self.usable() or self.out_of_time()
--- a/rattanridge/standin/metadata.py
+++ b/rattanridge/standin/metadata.py
@@ -83,6 +83,7 @@
         kind, _, rest = request.path.removeprefix(PREFIX).partition("/")
         name, _, part = rest.partition("/")
         response = await self.answer(request, kind, name, part)
+        self.sent += len(response.body or b"")
         if self.faults.lost and request.method != "GET":
             request.transport.abort()
         return response
@@ -211,8 +212,8 @@
 
     def reply(self, body: object, status: int = 200) -> aiohttp.web.Response:
         """Return an answer with a JSON body."""
-        data = msgspec.json.encode(body)
-        self.sent += len(data)
         return aiohttp.web.Response(
-            status=status, body=data, content_type="application/json"
+            status=status,
+            body=msgspec.json.encode(body),
+            content_type="application/json",
         )
--- a/tests/test_mesh_rollouts.py
+++ b/tests/test_mesh_rollouts.py
@@ -21,7 +21,7 @@
 
 async def start(world):
     await world.start("workshop", "registry", "registry", slots=12)
-    await world.add("registry", "b", 12, "v2")
+    await world.add("registry", "b", 24, "v2")
     await world.settle()
     await world.order("registry", "v2", DURATION)
 
@@ -111,3 +111,17 @@
         await send_until(world, lambda: world.nodes[3].exit.judge.braked_until > 0)
         assert world.nodes[3].exit.judge.refusal() is not None
         world.store.faults.lost = False
+
+
+class TestRoom:
+    async def test_a_version_without_enough_endpoints_is_taken_back(self, world):
+        await world.start("workshop", "registry", "registry", slots=12)
+        await world.add("registry", "b", 6, "v2")
+        await world.settle()
+        await world.order("registry", "v2", 4.0)
+        statuses = await send_until(world, lambda: state(world) == orders.TAKEN_BACK)
+        assert state(world) == orders.TAKEN_BACK
+        assert set(statuses) == {200}
+        stored = world.store.objects[orders.KIND, "registry"]
+        status = orders.decode_status(bytes(stored.status))
+        assert status.reason == "too few endpoints"
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 import pytest_asyncio
 
@@ -204,3 +205,22 @@
         await world.wait(lambda: len(world.nodes[0].directory.of("registry")) == 1)
         assert (await world.call("/lookup/1"))[0] == 200
         await stopping
+
+
+class TestStorm:
+    async def test_versions_in_quick_succession_are_not_all_fetched(
+        self, world, monkeypatch
+    ):
+        """The configuration is large and links are slow."""
+        monkeypatch.setattr(watching, "STORM_SETTLE", 0.2)
+        await world.start("registry")
+        stored = world.store.objects[configs.KIND, configs.NAME]
+        size = len(msgspec.json.encode(stored))
+        before = world.store.sent
+        for version in range(2, 32):
+            await world.configure(version, *mesh_world.PLAIN)
+            await asyncio.sleep(0.03)
+        await world.wait(lambda: world.nodes[0].configs.version == 31, 2.0)
+        assert world.store.sent - before < 15 * size
+        await world.configure(40, *mesh_world.PLAIN)
+        await world.wait(lambda: world.nodes[0].configs.version == 40, 2.0)
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -116,6 +116,20 @@
         assert done is None
         assert bad <= 0.1 * rate * duration + 50
 
+    @pytest.mark.parametrize("room", [0.25, 0.5])
+    def test_a_version_whose_endpoints_leave_does_not_take_over(self, room):
+        """Two of its four endpoints are taken away; the old ones would stop too."""
+        made = ramp.Ramp(14.0)
+        old = {ROUTE: evidence.Counts(calls=900)}
+        new = {ROUTE: evidence.Counts(calls=90)}
+        while not made.out_of_time():
+            made.elapsed += 0.35
+            made.room = 1.0 if made.elapsed < 6.0 else room
+            made.look(4, old, new)
+            assert not made.done()
+            if made.elapsed > 6.0 and not made.one_endpoint():
+                assert made.share(2) <= room / (1.0 + room)
+
     def test_without_endpoints_nothing_moves(self):
         made = ramp.Ramp(14.0)
         made.elapsed = 8.0
