--- a/rattanridge/cli/standin.py
+++ b/rattanridge/cli/standin.py
@@ -59,6 +59,8 @@
 @click.option("--work", default=0.005, show_default=True, help="Seconds a request.")
 @click.option("--cold-start", default=0.0, help="Seconds of extra work at first.")
 @click.option("--seed", default=0, show_default=True)
+@click.option("--tell", default="", help="HOST:PORT to report, if it is another one.")
+@click.option("--journal", default="", help="File to which each run is written.")
 @fault_option
 def upstream(
     service: str,
@@ -69,6 +71,8 @@
     work: float,
     cold_start: float,
     seed: int,
+    tell: str,
+    journal: str,
     faults: tuple[str, ...],
 ) -> None:
     """Run an upstream stand-in that reports itself to the node beside it.
@@ -78,7 +82,8 @@
     """
     log.configure()
     shape = upstreams.Shape(service, version, slots, work, cold_start)
-    served = upstreams.Upstream(shape, node, seed)
+    served = upstreams.Upstream(shape, node, seed, journal)
+    served.told_address = tell
     served.faults = parse_faults(faults, upstreams.Faults)
 
     async def start() -> None:
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -244,7 +244,6 @@
     ) -> calls.Answer:
         """Judge an answer: the upstream's own, or a proof that nothing ran."""
         self.upstream.answered()
-        self.suspects.answered(call)
         if response.status == MISDIRECTED:
             self.upstream.misdirected(identity)
             return calls.refuse(codes.Failure(codes.WRONG_ENDPOINT), arrived=True)
@@ -253,6 +252,7 @@
         self.queue.times.note(call.route, spent)
         self.meters.upstream_seconds.observe(spent)
         self.judge.observe(call, response.status, spent)
+        self.suspects.answered(call)
         check_answer(response)
         return calls.Answer(
             response.status,
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -157,6 +157,9 @@
         raise codes.Failure(codes.BAD_FIELD, "a weight below zero", where=where)
     if not any(share.weight > 0 for share in shares):
         raise codes.Failure(codes.BAD_FIELD, "no weight above zero", where=where)
+    key = item.extras.key if item.extras else None
+    if key is not None and key.source not in routes.KEY_SOURCES.items:
+        raise codes.Failure(codes.BAD_FIELD, f"key source {key.source!r}", where=where)
     for share in shares:
         if share.service not in services:
             raise codes.Failure(codes.MISSING_SERVICE, share.service, where=where)
--- /dev/null
+++ b/rattanridge/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real processes on one machine, faults from outside, promises checked."""
--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -25,6 +25,7 @@
 KEY = "Idempotency-Key"
 PROOF = "proof"
 WRONG_ENDPOINT = 421
+ACKNOWLEDGED = 200
 
 
 class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -102,11 +103,15 @@
     :param shape: what it is.
     :param node: ``host:port`` for the heartbeats; empty: none are sent.
     :param seed: seed of work times and errors.
+    :param journal: file to which each run is written as it begins, so that it is
+        known after a kill; empty: none.
     """
 
-    def __init__(self, shape: Shape, node: str = "", seed: int = 0):
+    def __init__(self, shape: Shape, node: str = "", seed: int = 0, journal: str = ""):
         self.shape = shape
         self.node = node
+        self.journal = journal
+        self.told_address = ""
         self.random = random.Random(seed)
         self.faults = Faults()
         self.endpoint = f"i-{uuid.uuid4().hex[:10]}"
@@ -171,7 +176,7 @@
             self.incarnation,
             self.sequence,
             self.shape.service,
-            self.address,
+            self.told_address or self.address,
             self.shape.version,
             self.shape.slots,
             self.draining,
@@ -200,7 +205,10 @@
     async def drain(self) -> int:
         """Say that no new work is wanted; return the status that answers it."""
         self.draining = True
-        return await self.beat()
+        status = await self.beat()
+        if status == ACKNOWLEDGED:
+            self.write("farewell")
+        return status
 
     async def say_farewell(self) -> int:
         """Say that it is gone; return the status that answers it."""
@@ -269,6 +277,7 @@
     ) -> aiohttp.web.Response:
         """Run one request; the count happens before anything else."""
         self.runs.append(run)
+        self.write("run", attempt=run.attempt, key=run.key)
         self.counts["runs"] += 1
         hit = self.hit(run)
         self.running += 1
@@ -287,6 +296,14 @@
         finally:
             self.running -= 1
 
+    def write(self, event: str, **fields: str) -> None:
+        """Write a line to the journal, if there is one."""
+        if not self.journal:
+            return
+        line = {"event": event, "endpoint": self.endpoint, "at": time.time()} | fields
+        with open(self.journal, "ab") as journal:
+            journal.write(msgspec.json.encode(line) + b"\n")
+
     def give_up(self, run: Run) -> aiohttp.web.Response:
         """Answer a request whose deadline ended its work."""
         run.cancelled = True
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -151,6 +151,26 @@
         )
         assert configs.decode(configs.encode(made)) == made
 
+    def test_an_unknown_key_source_is_refused(self):
+        extras = configs.WireExtras(key=routes.KeySource("none-such", "x"))
+        wire = configs.WireConfiguration(
+            "1",
+            [
+                configs.WireHost(
+                    "h",
+                    [
+                        configs.WireRoute(
+                            "r", "/p/", "unsafe", service="a", extras=extras
+                        )
+                    ],
+                )
+            ],
+            [configs.WireService("a")],
+        )
+        with pytest.raises(codes.Failure) as caught:
+            configs.decode(msgspec.json.encode(wire))
+        assert caught.value.code is codes.BAD_FIELD
+
     def test_a_plain_route_has_the_platform_s_fields_only(self):
         wire = configs.WireRoute("r", "/p/", "safe", service="s")
         assert set(msgspec.json.decode(msgspec.json.encode(wire))) == {
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,124 @@
+"""The fault soak: its proxy, its checks, and a short run of it."""
+
+import asyncio
+
+import pytest
+
+from rattanridge.soak import callers, faults, promises, proxy, soak
+
+AT = 100.0
+# Seeds that failed once, each with the cause.
+FAILED_SEEDS = {
+    # A check's fault: a node that was stopped just after its start had taken
+    # nothing from callers that got no connection.
+    5: 0.2,
+}
+
+
+class TestProxy:
+    async def echo(self, reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    async def start(self):
+        server = await asyncio.start_server(self.echo, "127.0.0.1", 0)
+        made = proxy.Proxy(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        await made.start()
+        host, _, port = made.address.rpartition(":")
+        return server, made, host, int(port)
+
+    @pytest.mark.parametrize(
+        ("mode", "answered"),
+        [
+            (proxy.Mode(), True),
+            (proxy.Mode(delay=0.01), True),
+            (proxy.Mode(mute_up=True), False),
+            (proxy.Mode(mute_down=True), False),
+        ],
+    )
+    async def test_modes(self, mode, answered):
+        server, made, host, port = await self.start()
+        made.mode = mode
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"hello")
+        try:
+            async with asyncio.timeout(0.3):
+                assert await reader.read(100) == b"hello"
+            assert answered
+        except TimeoutError:
+            assert not answered
+        writer.close()
+        await made.stop()
+        server.close()
+
+    async def test_reset(self):
+        server, made, host, port = await self.start()
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"hello")
+        await reader.read(100)
+        made.reset()
+        with pytest.raises(ConnectionError):
+            if not await reader.read(100):
+                raise ConnectionResetError
+        writer.close()
+        await made.stop()
+        server.close()
+
+
+def sending(attempt, **more):
+    return callers.Sent(attempt, "POST", "/a/1", "", "host-0", AT, **more)
+
+
+class TestPromises:
+    """Each check finds what it is there for."""
+
+    def test_twice(self):
+        runs = [promises.Run("e", "1", "", AT), promises.Run("f", "1", "", AT)]
+        assert promises.check_once(runs, [sending("1")])
+        runs = [promises.Run("e", "1", "k", AT), promises.Run("f", "2", "k", AT)]
+        assert promises.check_once(runs, [sending("1"), sending("2")])
+        runs = [promises.Run("e", "1", "k", AT), promises.Run("f", "2", "l", AT)]
+        assert not promises.check_once(runs, [sending("1"), sending("2")])
+
+    def test_false_refusal(self):
+        runs = [promises.Run("e", "1", "", AT)]
+        assert promises.check_refusals(runs, [sending("1", ran="not-run")])
+        assert not promises.check_refusals(runs, [sending("2", ran="not-run")])
+
+    def test_another_s_answer(self):
+        assert promises.check_answers([sending("1", status=200, body=b"s v1 /a/2 ")])
+        assert not promises.check_answers(
+            [sending("1", status=200, body=b"s v1 /a/1 ")]
+        )
+
+    def test_late_for_a_leaving_upstream(self):
+        late = AT + promises.DRAIN_BOUND + 0.5
+        assert promises.check_leaving([promises.Run("e", "1", "", late)], {"e": AT})
+        assert not promises.check_leaving([promises.Run("f", "1", "", late)], {"e": AT})
+
+    @pytest.mark.parametrize(
+        ("cut", "broken"),
+        [
+            ("ServerDisconnectedError", True),
+            (promises.NO_CONNECTION, False),
+            ("", False),
+        ],
+    )
+    def test_cut_by_a_planned_stop(self, cut, broken):
+        windows = [faults.Window(promises.PLANNED_STOP, "host-0", AT + 0.2, AT + 3)]
+        found = promises.check_planned_stops([sending("1", cut=cut)], windows)
+        assert bool(found) is broken
+
+
+class TestSoak:
+    @pytest.mark.parametrize(("seed", "minutes"), [(1, 0.07)])
+    def test_a_short_run(self, seed, minutes, tmp_path):
+        outcome = asyncio.run(soak.Soak(seed, minutes * 60, tmp_path).run())
+        assert not outcome.broken
+        assert outcome.answered > 0.5 * outcome.calls
+
+    @pytest.mark.parametrize(("seed", "minutes"), FAILED_SEEDS.items())
+    def test_seeds_that_failed_once(self, seed, minutes, tmp_path):
+        outcome = asyncio.run(soak.Soak(seed, minutes * 60, tmp_path).run())
+        assert not outcome.broken
