The exit of a stopping node takes nothing that may be cut

An entry refuses what it may not finish; now the exit does so, too, by the same rule, and the call goes elsewhere.

--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -14,12 +14,10 @@
     peers as forwarders,
     settings,
 )
-from rattanridge.policies import placement, repeats
+from rattanridge.policies import placement, queueing, repeats
 
 MOVES = 3  # exits that may refuse a call before any endpoint saw it
 LOSSES = 2  # endpoints that may break off under a call, which may be the reason
-ENDING_FACTOR = 8.0  # of a route's mean time: longer than nearly all its requests
-ENDING_RESERVE = 1.0  # seconds
 NO_ENDPOINT_RETRY_AFTER = 0.3  # seconds
 FAILED_STATUS = 500
 # Refusals that tell of an exit that can't reach its endpoint at all.
@@ -132,7 +130,7 @@
         """Refuse a call that may still run when this process has to end."""
         left = self.ends_at - asyncio.get_running_loop().time()
         work = self.placer.mean(route.name).seconds or placement.DEFAULT_WORK
-        if left < ENDING_RESERVE + ENDING_FACTOR * work:
+        if queueing.may_outlast(work, left):
             raise codes.Failure(codes.STOPPING, retry_after=max(left, 0.0))
 
     def choose(
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -55,6 +55,7 @@
         # Whether each attempt at the upstream is a repeat, by its id.
         self.running: dict[str, bool] = {}
         self.stopping = False
+        self.ends_at = float("inf")
         self.judge = judging.Judge(upstream, log)
         upstream.listeners.append(self.follow)
 
@@ -145,7 +146,7 @@
 
     def check(self, call: calls.Call) -> None:
         """Refuse what the upstream can't be given now."""
-        if self.stopping:
+        if self.stopping or self.may_outlast(call):
             raise codes.Failure(codes.STOPPING)
         self.suspects.check(call)
         failure = self.upstream.refusal(call.service) or self.judge.refusal()
@@ -154,6 +155,14 @@
         if self.upstream.doubted(len(self.running)):
             raise codes.Failure(codes.NO_ENDPOINT, "silent")
 
+    def may_outlast(self, call: calls.Call) -> bool:
+        """Whether a call may still run when this process has to end.
+
+        Entries that have not heard that it stops still send here.
+        """
+        left = self.ends_at - asyncio.get_running_loop().time()
+        return queueing.may_outlast(self.queue.times.of(call.route), left)
+
     async def send(self, call: calls.Call) -> calls.Answer:
         """Send a call to the upstream and return what it says."""
         loop = asyncio.get_running_loop()
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -284,7 +284,7 @@
         self.membership.stopping = True
         self.membership.publish()
         last = began + self.config.drain.grace - RESERVE
-        self.attempts.ends_at = last
+        self.attempts.ends_at = self.exit.ends_at = last
         while loop.time() < last:
             await asyncio.sleep(DRAIN_STEP)
             passed = loop.time() - began
--- a/rattanridge/policies/queueing.py
+++ b/rattanridge/policies/queueing.py
@@ -17,6 +17,8 @@
 LEAST_RETRY_AFTER = 0.05  # seconds
 LONGEST_RETRY_AFTER = 5.0  # seconds
 FINISH_SHARE = 0.8  # of the mean time without which a start is pointless
+ENDING_FACTOR = 8.0  # of a route's mean time: longer than nearly all its requests
+ENDING_RESERVE = 1.0  # seconds
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -89,6 +91,15 @@
     return False
 
 
+def may_outlast(work: float, left: float) -> bool:
+    """Whether a request may still run when its process ends.
+
+    :param work: mean seconds of its route.
+    :param left: seconds until the process has to end.
+    """
+    return left < ENDING_RESERVE + ENDING_FACTOR * work
+
+
 class Times:
     """The mean time that an endpoint takes for the requests of each route."""
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -332,6 +332,30 @@
         assert statuses[-1] == 503
         assert world.upstreams[0].runs == mesh_world.finished(world.upstreams[0])
 
+    async def test_the_exit_of_a_stopping_node_takes_nothing_that_may_be_cut(
+        self, world
+    ):
+        """Nodes that do not hear of it, as the store is away, go on sending."""
+        await world.start("workshop", "registry")
+        world.store.faults.silent = True
+        world.upstreams[1].shape.work = 1.2
+        assert (await world.call("/lookup/1"))[0] == 200
+        node = world.nodes[1]
+        node.config.drain.grace = 4.0
+        stopping = asyncio.create_task(node.stop())
+        answers = []
+
+        async def send_on():
+            while not stopping.done():
+                answers.append(await world.call("/lookup/1"))
+                await asyncio.sleep(0.02)
+
+        await asyncio.gather(stopping, *(send_on() for _ in range(4)))
+        upstream = world.upstreams[1]
+        assert upstream.runs == mesh_world.finished(upstream)
+        for status, found, _ in answers:
+            assert status == 200 or found["Rattanridge-Ran"] == "not-run"
+
     async def test_stop_finishes_what_runs(self, world):
         await world.start("registry", "workshop")
         world.upstreams[0].shape.work = 0.3
