--- a/rattanridge/admin/writing.py
+++ b/rattanridge/admin/writing.py
@@ -9,7 +9,6 @@
 
 TRIES = 4
 PAUSE = 0.2  # seconds before the second try; doubles
-UNSURE = (codes.PLATFORM_DOWN, codes.PLATFORM_BUSY)
 
 
 async def create(
@@ -46,7 +45,7 @@
             return await store.create(kind, name, spec)
         except codes.Failure as failure:
             lost = failure.code is codes.PLATFORM_CONFLICT
-            if not lost and failure.code not in UNSURE:
+            if not lost and failure.code not in stores.PASSING:
                 raise
             found = await read_back(store, kind, name, failure)
             if found is not None and settles(found):
@@ -67,7 +66,7 @@
     try:
         return await store.get(kind, name)
     except codes.Failure as error:
-        if error.code in UNSURE:
+        if error.code in stores.PASSING:
             return None
         raise failure
 
--- a/rattanridge/mesh/claims.py
+++ b/rattanridge/mesh/claims.py
@@ -7,18 +7,13 @@
 
 import asyncio
 import collections.abc
-import enum
-import hashlib
 import secrets
 import time
 
-import msgspec
-
 from rattanridge import policies
 from rattanridge.kernel import codes, registry, routes
-from rattanridge.mesh import calls, events, settings
+from rattanridge.mesh import calls, claim as claiming, events, settings
 from rattanridge.platform import store as stores
-from rattanridge.web import headers
 
 KIND = "claims"
 POLL = 0.1  # seconds between looks at a claim whose first sending still runs
@@ -26,9 +21,7 @@
 LATE = 30.0  # seconds after its deadline in which work may still end
 TELL_TRIES = 6
 TELL_PAUSE = 0.3  # seconds before an outcome is written again; doubles
-ANSWER_MOST = 256_000  # bytes of a body that is recorded
 SWEEP_INTERVAL = 60.0  # seconds between two rounds of removing old claims
-UNSURE = (codes.PLATFORM_DOWN, codes.PLATFORM_BUSY)
 
 # The key sources register themselves.
 registry.load_plugins(policies)
@@ -36,37 +29,6 @@
 Work = collections.abc.Callable[[], collections.abc.Awaitable[calls.Answer]]
 
 
-class State(enum.StrEnum):
-    """What became of the sending that holds a claim."""
-
-    RUNNING = "running"
-    DONE = "done"
-    UNKNOWN = "unknown"
-
-
-class Recorded(msgspec.Struct):
-    """An answer that repeats get."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes
-
-
-class Claim(msgspec.Struct):
-    """One claim as the store keeps it.
-
-    :param digest: hash of the request; another one with the key is a conflict.
-    :param sending: random name of the sending that holds it.
-    :param ends: seconds since the epoch until which that one may still run.
-    """
-
-    digest: str
-    sending: str
-    ends: float
-    state: State = State.RUNNING
-    answer: Recorded | None = None
-
-
 class Claims:
     """Guards calls with a key.
 
@@ -120,10 +82,12 @@
             self.log.error("claim-failed", why=repr(error))
 
     async def execute(self, call: calls.Call, key: str, work: Work) -> calls.Answer:
-        """Claim, run, and write what became of it."""
-        name = identify(call, key)
+        """claiming.Claim, run, and write what became of it."""
+        name = claiming.identify(call, key)
         left = call.deadline - asyncio.get_running_loop().time()
-        own = Claim(digest(call), secrets.token_hex(6), time.time() + left + LATE)
+        own = claiming.Claim(
+            claiming.digest(call), secrets.token_hex(6), time.time() + left + LATE
+        )
         while True:
             found, revision = await self.claim(call, name, own)
             if found.sending == own.sending:
@@ -133,7 +97,9 @@
             if answer is not None:
                 return answer
 
-    async def claim(self, call: calls.Call, name: str, own: Claim) -> tuple[Claim, int]:
+    async def claim(
+        self, call: calls.Call, name: str, own: claiming.Claim
+    ) -> tuple[claiming.Claim, int]:
         """Create a claim; return the one that the store holds, with its revision.
 
         A write without an answer may still happen, so it is repeated with the
@@ -143,16 +109,18 @@
             try:
                 return await self.create(name, own)
             except codes.Failure as failure:
-                if failure.code not in UNSURE or not self.has_time(call):
+                if failure.code not in stores.PASSING or not self.has_time(call):
                     self.begin(self.withdraw(name, own))
                     raise unchecked(failure)
             await asyncio.sleep(POLL)
 
-    async def create(self, name: str, own: Claim) -> tuple[Claim, int]:
+    async def create(
+        self, name: str, own: claiming.Claim
+    ) -> tuple[claiming.Claim, int]:
         """Create a claim, or return the one that the store holds."""
         while True:
             try:
-                stored = await self.store.create(KIND, name, encode(own))
+                stored = await self.store.create(KIND, name, claiming.encode(own))
                 return own, stored.revision
             except codes.Failure as failure:
                 if failure.code is codes.PLATFORM_BUSY:
@@ -167,19 +135,19 @@
         left = call.deadline - asyncio.get_running_loop().time()
         return left > LEAST_LEFT + POLL
 
-    async def look(self, name: str) -> tuple[Claim, int] | None:
+    async def look(self, name: str) -> tuple[claiming.Claim, int] | None:
         """Return a claim with its revision; None if there is none that counts."""
         stored = await self.store.get(KIND, name)
         if stored is None or stored.deleted:
             return None
-        claim = decode(stored.spec)
+        claim = claiming.decode(stored.spec)
         if claim is None or time.time() > claim.ends + self.config.claims.keep:
             await self.remove(name, stored.revision)
             return None
         return claim, stored.revision
 
     async def run(
-        self, name: str, revision: int, own: Claim, work: Work
+        self, name: str, revision: int, own: claiming.Claim, work: Work
     ) -> calls.Answer:
         """Run the work of a granted claim."""
         try:
@@ -189,17 +157,21 @@
         if answer.ran is codes.Ran.NOT_RUN:
             self.begin(self.withdraw(name, own))
             return answer
-        own.state = State.DONE if answer.ran is codes.Ran.RAN else State.UNKNOWN
-        own.answer = record(answer)
+        own.state = (
+            claiming.State.DONE
+            if answer.ran is codes.Ran.RAN
+            else claiming.State.UNKNOWN
+        )
+        own.answer = claiming.record(answer)
         self.begin(self.tell(name, revision, own))
         return answer
 
-    async def tell(self, name: str, revision: int, own: Claim) -> None:
+    async def tell(self, name: str, revision: int, own: claiming.Claim) -> None:
         """Write what became of a sending, as often as needed within bounds."""
         pause = TELL_PAUSE
         for _ in range(TELL_TRIES):
             try:
-                await self.store.replace(KIND, name, encode(own), revision)
+                await self.store.replace(KIND, name, claiming.encode(own), revision)
                 return
             except codes.Failure as failure:
                 if failure.code is codes.PLATFORM_CONFLICT:
@@ -209,7 +181,7 @@
         self.meters.add("claims.outcome-lost")
         self.log.note("claim-outcome-lost", claim=name)
 
-    async def withdraw(self, name: str, own: Claim) -> None:
+    async def withdraw(self, name: str, own: claiming.Claim) -> None:
         """Remove a claim whose request has not run, also one that comes late."""
         pause = TELL_PAUSE
         for _ in range(TELL_TRIES):
@@ -226,13 +198,13 @@
             pause *= 2
 
     async def answer(
-        self, call: calls.Call, name: str, own: Claim, found: Claim
+        self, call: calls.Call, name: str, own: claiming.Claim, found: claiming.Claim
     ) -> calls.Answer | None:
         """Answer a sending whose request another sending holds; None if that one
         has given the claim back."""
         if found.digest != own.digest:
             raise codes.Failure(codes.KEY_CONFLICT)
-        while found.state is State.RUNNING and time.time() < found.ends:
+        while found.state is claiming.State.RUNNING and time.time() < found.ends:
             if not self.has_time(call):
                 break
             await asyncio.sleep(POLL)
@@ -247,8 +219,8 @@
         self.meters.add(f"claims.repeated.{found.state.value}")
         self.log.note("claim-held", id=call.attempt, claim=name, state=found.state)
         if found.answer is not None:
-            return replay(found.answer)
-        ran = codes.Ran.RAN if found.state is State.DONE else codes.Ran.UNKNOWN
+            return claiming.replay(found.answer)
+        ran = codes.Ran.RAN if found.state is claiming.State.DONE else codes.Ran.UNKNOWN
         raise codes.Failure(codes.ALREADY_ACCEPTED, ran=ran)
 
     async def remove(self, name: str, revision: int) -> None:
@@ -270,7 +242,7 @@
                 self.log.note("claims-not-listed", code=failure.code.number)
                 continue
             for item in listing.items:
-                claim = decode(item.spec)
+                claim = claiming.decode(item.spec)
                 oldest = time.time() - self.config.claims.keep
                 if claim is None or claim.ends < oldest:
                     await self.remove(item.name, item.revision)
@@ -284,49 +256,3 @@
         ran=codes.Ran.UNKNOWN,
         retry_after=1.0,
     )
-
-
-def identify(call: calls.Call, key: str) -> str:
-    """Return the name of a request's claim."""
-    return hash_parts(call.service, call.method, call.path.partition("?")[0], key)
-
-
-def digest(call: calls.Call) -> str:
-    """Return the hash of what a repeat must have in common."""
-    return hash_parts(call.path, call.body.hex())
-
-
-def hash_parts(*parts: str) -> str:
-    """Return one hash over texts, whose borders count."""
-    state = hashlib.blake2b(digest_size=16)
-    for part in parts:
-        data = part.encode(errors="surrogateescape")
-        state.update(len(data).to_bytes(4, "big") + data)
-    return state.hexdigest()
-
-
-def encode(claim: Claim) -> bytes:
-    """Return a claim as the store keeps it."""
-    return msgspec.json.encode(claim)
-
-
-def decode(data: bytes) -> Claim | None:
-    """Decode a claim; None if it is unreadable."""
-    try:
-        return msgspec.json.decode(data, type=Claim)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
-        return None
-
-
-def record(answer: calls.Answer) -> Recorded | None:
-    """Return an answer for the record, unless it is too large or none."""
-    if answer.code is not None or len(answer.body) > ANSWER_MOST:
-        return None
-    kept = [(str(name), str(value)) for name, value in answer.headers]
-    return Recorded(answer.status, kept, answer.body)
-
-
-def replay(recorded: Recorded) -> calls.Answer:
-    """Return a recorded answer, marked as such."""
-    kept = [*recorded.headers, (headers.RECORDED, "1")]
-    return calls.Answer(recorded.status, kept, recorded.body)
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -28,7 +28,6 @@
 )
 from rattanridge.platform import (
     configs as wire_configs,
-    heartbeats,
     orders,
     store as stores,
 )
@@ -177,10 +176,11 @@
         listen = self.config.listen
         await self.listen(self.entry.serve, listen.callers)
         await self.listen(self.hops.serve, listen.hops)
-        await self.listen(self.serve_ready, listen.ready)
+        await self.listen(ports.Ready(self.ready).serve, listen.ready)
         await self.listen(self.heartbeats.serve, listen.heartbeats)
         if listen.metrics:
-            await self.listen(self.serve_metrics, listen.metrics)
+            metrics = ports.Metrics(self.meters, self.exit, self.upstream, self.watches)
+            await self.listen(metrics.serve, listen.metrics)
         self.log.start()
         for watch in self.watches:
             self.begin(watch.run())
@@ -230,26 +230,6 @@
             and self.membership.known
         )
 
-    async def serve_ready(
-        self, request: aiohttp.web.BaseRequest
-    ) -> aiohttp.web.Response:
-        """Answer the platform's question."""
-        if request.path != heartbeats.READY_PATH:
-            return aiohttp.web.Response(status=404)
-        return aiohttp.web.Response(status=200 if self.ready() else 503)
-
-    async def serve_metrics(
-        self, request: aiohttp.web.BaseRequest
-    ) -> aiohttp.web.Response:
-        """Return the metrics."""
-        now = asyncio.get_running_loop().time()
-        self.meters.running.set(self.exit.queue.running)
-        self.meters.waiting.set(len(self.exit.queue.waiting))
-        for watch in self.watches:
-            self.meters.age.labels(watch.kind).set(now - watch.heard_at)
-        self.meters.age.labels("heartbeat").set(now - self.upstream.heard_at)
-        return aiohttp.web.Response(body=self.meters.page(), content_type="text/plain")
-
     async def tend(self) -> None:
         """Look after connections and the settings file, again and again."""
         while True:
--- a/rattanridge/mesh/ports.py
+++ b/rattanridge/mesh/ports.py
@@ -1,5 +1,6 @@
 """The ports of a node other than the callers' one."""
 
+import asyncio
 import collections.abc
 
 import aiohttp.web
@@ -16,6 +17,7 @@
     marks,
     settings,
     upstream as upstreams,
+    watching,
 )
 from rattanridge.platform import headers, heartbeats
 from rattanridge.web import bodies, headers as own_headers
@@ -137,3 +139,48 @@
                 await self.settled()
         else:
             raise codes.Failure(codes.BAD_REQUEST, method)
+
+
+class Ready:
+    """The platform's question whether callers may be sent here.
+
+    :param ready: answers it.
+    """
+
+    def __init__(self, ready: collections.abc.Callable[[], bool]):
+        self.ready = ready
+
+    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+        """Answer 200 if they may."""
+        if request.path != heartbeats.READY_PATH:
+            return aiohttp.web.Response(status=404)
+        return aiohttp.web.Response(status=200 if self.ready() else 503)
+
+
+class Metrics:
+    """Counters, gauges and histograms in the text format of Prometheus.
+
+    :param watches: whose ages are told.
+    """
+
+    def __init__(
+        self,
+        meters: events.Meters,
+        exit: exits.Exit,
+        upstream: upstreams.Upstream,
+        watches: list[watching.Watch],
+    ):
+        self.meters = meters
+        self.exit = exit
+        self.upstream = upstream
+        self.watches = watches
+
+    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+        """Return all figures."""
+        now = asyncio.get_running_loop().time()
+        self.meters.running.set(self.exit.queue.running)
+        self.meters.waiting.set(len(self.exit.queue.waiting))
+        for watch in self.watches:
+            self.meters.age.labels(watch.kind).set(now - watch.heard_at)
+        self.meters.age.labels("heartbeat").set(now - self.upstream.heard_at)
+        return aiohttp.web.Response(body=self.meters.page(), content_type="text/plain")
--- a/rattanridge/platform/store.py
+++ b/rattanridge/platform/store.py
@@ -25,6 +25,9 @@
     503: codes.PLATFORM_BUSY,
 }
 
+# Failures of which another try may be free.
+PASSING = (codes.PLATFORM_DOWN, codes.PLATFORM_BUSY)
+
 # Parameters of a query.
 AFTER = "after"
 WATCH = "Watch"
--- a/rattanridge/standin/metadata.py
+++ b/rattanridge/standin/metadata.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from rattanridge.platform import store as stores
+from rattanridge.standin import faults
 
 HISTORY = 1000  # changes that a watch may go back
 PREFIX = "/api/objects/"
@@ -73,7 +74,8 @@
     async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
         """Answer one call, or fail it as the faults say."""
         if request.path == FAULTS_PATH:
-            return await self.set_faults(request)
+            self.faults, answer = await faults.exchange(request, self.faults)
+            return answer
         self.calls += 1
         await asyncio.sleep(self.faults.delay)
         if self.faults.silent:
@@ -88,17 +90,6 @@
             request.transport.abort()
         return response
 
-    async def set_faults(
-        self, request: aiohttp.web.BaseRequest
-    ) -> aiohttp.web.Response:
-        """Return the faults in force, after taking over others."""
-        if request.method == "PUT":
-            try:
-                self.faults = msgspec.json.decode(await request.read(), type=Faults)
-            except msgspec.MsgspecError as error:
-                return aiohttp.web.Response(text=str(error), status=400)
-        return self.reply(self.faults)
-
     async def answer(
         self, request: aiohttp.web.BaseRequest, kind: str, name: str, part: str
     ) -> aiohttp.web.Response:
--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -18,6 +18,7 @@
 
 from rattanridge.kernel import log
 from rattanridge.platform import headers, heartbeats
+from rattanridge.standin import faults
 
 RENEW_INTERVAL = 1.0  # seconds between heartbeats
 LEAVE_STEP = 0.02  # seconds between looks at the requests still running
@@ -235,7 +236,8 @@
     async def handle(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
         """Answer one request."""
         if request.path == "/-/faults":
-            return await self.set_faults(request)
+            self.faults, answer = await faults.exchange(request, self.faults)
+            return answer
         if request.path == "/-/counts":
             return aiohttp.web.json_response(dict(self.counts) | {"peak": self.peak})
         if request.headers.get(headers.ENDPOINT, self.endpoint) != self.endpoint:
@@ -253,17 +255,6 @@
             return aiohttp.web.Response(status=503, headers={headers.NOT_RUN: "1"})
         return await self.work(request, run)
 
-    async def set_faults(
-        self, request: aiohttp.web.BaseRequest
-    ) -> aiohttp.web.Response:
-        """Return the faults in force, after taking over others."""
-        if request.method == "PUT":
-            try:
-                self.faults = msgspec.json.decode(await request.read(), type=Faults)
-            except msgspec.MsgspecError as error:
-                return aiohttp.web.Response(text=str(error), status=400)
-        return aiohttp.web.Response(body=msgspec.json.encode(self.faults))
-
     def hit(self, run: Run) -> bool:
         """Whether faults hit this request."""
         return (
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -6,7 +6,7 @@
 import pytest
 
 from rattanridge.kernel import codes, presets
-from rattanridge.mesh import claims
+from rattanridge.mesh import claim, claims
 from rattanridge.standin import fleet, upstream as upstreams
 from rattanridge.web import headers
 
@@ -46,7 +46,7 @@
 
 def stored_claims(running):
     return [
-        claims.decode(bytes(item.spec))
+        claim.decode(bytes(item.spec))
         for (kind, _), item in running.store.objects.items()
         if kind == claims.KIND
     ]
@@ -109,7 +109,7 @@
         assert response.headers[headers.RAN] == codes.Ran.UNKNOWN
         upstream.faults.lose = False
         await running.wait(
-            lambda: stored_claims(running)[0].state is claims.State.UNKNOWN
+            lambda: stored_claims(running)[0].state is claim.State.UNKNOWN
         )
         response = await post(session, running, "three")
         assert response.headers[headers.CODE] == str(codes.ALREADY_ACCEPTED.number)
