--- a/rattanridge/mesh/watching.py
+++ b/rattanridge/mesh/watching.py
@@ -96,7 +96,7 @@
         self.large = large
         self.changed_at = float("-inf")
         self.settle = settle
-        self.stale_reads = stale
+        self.stale = stale
         self.store = store
         self.kind = kind
         self.health = health
@@ -108,7 +108,7 @@
         self.listed = False
         self.heard_at = 0.0
         self.waiting: asyncio.Task | None = None
-        self.stale = False
+        self.doubted = False
         health.watches.append(self)
 
     async def run(self) -> None:
@@ -128,7 +128,7 @@
 
     async def list(self) -> None:
         """Take over all objects, unless the answer is older than what is known."""
-        self.stale = False
+        self.doubted = False
         listing = await self.store.list(self.kind)
         self.hear()
         if listing.revision < self.revision:
@@ -141,11 +141,11 @@
 
     async def step(self) -> None:
         """Wait for changes once and take them over."""
-        if self.stale:
+        if self.doubted:
             raise codes.Failure(codes.WATCH_LOST, "doubted")
         wait = self.health.random.uniform(*WAIT)
         self.waiting = asyncio.create_task(
-            self.store.watch(self.kind, self.revision, wait, self.stale_reads)
+            self.store.watch(self.kind, self.revision, wait, self.stale)
         )
         try:
             changes = await self.waiting
@@ -185,7 +185,7 @@
 
     def interrupt(self) -> None:
         """End the watch that waits, or the next one; then the kind is listed again."""
-        self.stale = True
+        self.doubted = True
         if self.waiting is not None:
             self.waiting.cancel()
 
