One copy of what the change had written twice

Found in reading the whole change again:

- Five functions decoded JSON "or None" each in its own way: kernel/reading.py.
- Claims and held-back requests hashed parts with their lengths each by itself: kernel/hashing.py.
A claim's digest hashes the body, not its hexadecimal text, which took twice its memory; digests are compared with one another only.
- Whether a status answers its order was decided three times; the administration asks the function of mesh/versions.py, and reads an order once where it did twice.
- The statuses that promise "not run", the nodes that run, how an upstream's heartbeats begin, and killing or pausing a part in the soak stood twice.
- status listed all choices of presets to find one whose name is known.
- Importing claims loaded all plug-ins for the sake of the key sources; it imports these.
A docstring that a rename had spoilt.
The soak told nothing of a choice that was refused.

--- a/rattanridge/admin/objects.py
+++ b/rattanridge/admin/objects.py
@@ -47,14 +47,6 @@
     return f"{generation:010}"
 
 
-def decode(data: bytes, kind: type) -> object | None:
-    """Decode an object; None if it is unreadable or another writer's."""
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
-        return None
-
-
 def encode(value: object) -> bytes:
     """Return an object as the store keeps it; refuse what is too large."""
     data = msgspec.json.encode(value)
--- a/rattanridge/admin/presets.py
+++ b/rattanridge/admin/presets.py
@@ -10,7 +10,7 @@
 import time
 
 from rattanridge.admin import objects, writing
-from rattanridge.kernel import codes, presets
+from rattanridge.kernel import codes, presets, reading
 from rattanridge.platform import configs, store as stores
 
 
@@ -46,7 +46,7 @@
         found = await writing.create(
             self.store, objects.PRESETS, key, objects.encode(made)
         )
-        winner = objects.decode(found.spec, objects.Revision)
+        winner = reading.read_json(found.spec, objects.Revision)
         if winner is not None and winner.content == made.content:
             return winner
         who = winner.operator if winner is not None else "another writer"
@@ -56,7 +56,9 @@
     async def revisions(self, name: str = "") -> list[objects.Revision]:
         """Return all revisions of one preset, or of all, in order."""
         listing = await self.store.list(objects.PRESETS)
-        found = [objects.decode(item.spec, objects.Revision) for item in listing.items]
+        found = [
+            reading.read_json(item.spec, objects.Revision) for item in listing.items
+        ]
         kept = [item for item in found if item is not None and item.content is not None]
         if name:
             kept = [item for item in kept if item.name == name]
@@ -118,7 +120,7 @@
             objects.choice_key(chosen.generation),
             objects.encode(chosen),
         )
-        winner = objects.decode(found.spec, objects.Choice)
+        winner = reading.read_json(found.spec, objects.Choice)
         if winner != chosen:
             raise conflict(chosen.generation, winner)
 
@@ -151,13 +153,15 @@
     async def history(self) -> list[objects.Choice]:
         """Return the choices, the oldest first."""
         listing = await self.store.list(objects.CHOICES)
-        found = [objects.decode(item.spec, objects.Choice) for item in listing.items]
+        found = [reading.read_json(item.spec, objects.Choice) for item in listing.items]
         kept = [item for item in found if item is not None]
         return sorted(kept, key=lambda item: item.generation)
 
     async def in_force(self, generation: int) -> objects.Choice | None:
         """Return the choice that made a generation, if an operator made it here."""
-        return find(await self.history(), generation)
+        key = objects.choice_key(generation)
+        stored = await self.store.get(objects.CHOICES, key)
+        return reading.read_json(stored.spec, objects.Choice) if stored else None
 
 
 def version_of(stored: stores.Stored | None) -> int:
--- a/rattanridge/admin/rollouts.py
+++ b/rattanridge/admin/rollouts.py
@@ -6,7 +6,7 @@
 
 from rattanridge.admin import server, writing
 from rattanridge.kernel import codes, settings
-from rattanridge.mesh import node as nodes
+from rattanridge.mesh import node as nodes, versions
 from rattanridge.platform import orders, store as stores
 from rattanridge.policies import ramp
 
@@ -71,8 +71,9 @@
         """Start a rollout; of racing operators one succeeds."""
         self.check(service, asked)
         stored = await self.store.get(orders.KIND, service)
-        if stored is not None and read(stored).state == orders.RUNNING:
-            raise running(read(stored))
+        known = read(stored) if stored is not None else None
+        if known is not None and known.state == orders.RUNNING:
+            raise running(known)
         order = orders.Order(service, asked.new, asked.deadline)
         try:
             made = await writing.replace(
@@ -130,7 +131,7 @@
             if known.state != orders.RUNNING:
                 detail = f"the rollout of {service} to {known.new} is {known.state}"
                 raise codes.Failure(codes.ROLLOUT_ENDED, detail)
-            status = cancelled(stored, known.new, operator)
+            status = cancelled(stored, operator)
             try:
                 return read(
                     await self.store.replace_status(
@@ -146,11 +147,9 @@
         raise codes.Failure(codes.CONFLICT, f"{service} changes all the time")
 
 
-def cancelled(stored: stores.Stored, version: str, operator: str) -> orders.Status:
+def cancelled(stored: stores.Stored, operator: str) -> orders.Status:
     """Return the status that takes an order back for an operator."""
-    status = orders.decode_status(stored.status)
-    if status is None or status.version != version:
-        status = orders.Status(orders.RUNNING, version)
+    status = status_of(orders.decode_order(stored.spec), stored)
     return dataclasses.replace(
         status,
         state=orders.TAKEN_BACK,
@@ -161,12 +160,16 @@
     )
 
 
+def status_of(order: orders.Order, stored: stores.Stored) -> orders.Status:
+    """Return the status of a stored order; one without an answer is running."""
+    found = versions.answer_of(order, orders.decode_status(stored.status))
+    return found or orders.Status(orders.RUNNING, order.version)
+
+
 def read(stored: stores.Stored) -> Rollout:
     """Return an order with its status as operators see it."""
     order = orders.decode_order(stored.spec)
-    status = orders.decode_status(stored.status)
-    if status is None or status.version != order.version:
-        status = orders.Status(orders.RUNNING, order.version)
+    status = status_of(order, stored)
     return Rollout(
         order.service,
         order.version,
--- a/rattanridge/admin/status.py
+++ b/rattanridge/admin/status.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from rattanridge.admin import presets
-from rattanridge.kernel import codes
+from rattanridge.kernel import codes, reading
 from rattanridge.mesh import configs, node as nodes
 
 AT_ONCE = 64  # nodes that are asked at the same time
@@ -127,12 +127,7 @@
 
 def read_state(data: bytes | None) -> configs.State | None:
     """Decode a node's answer; None if it gave none."""
-    if data is None:
-        return None
-    try:
-        return msgspec.json.decode(data, type=configs.State)
-    except (msgspec.MsgspecError, RecursionError):
-        return None
+    return reading.read_json(data, configs.State) if data is not None else None
 
 
 def add_nodes(report: Report, found: dict[str, configs.State | None]) -> None:
--- /dev/null
+++ b/rattanridge/kernel/reading.py
@@ -0,0 +1,15 @@
+"""JSON from other programs, which may be anything."""
+
+import typing
+
+import msgspec
+
+T = typing.TypeVar("T")
+
+
+def read_json(data: bytes, kind: type[T]) -> T | None:
+    """Decode JSON into a type; None if it is unreadable."""
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+        return None
--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -10,6 +10,7 @@
 from rattanridge.web import headers as own_headers
 
 Headers = list[tuple[str, str]]
+PROMISES = (408, 421, 429, 503)  # statuses that tell a caller: it did not run
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,7 +84,7 @@
 def refuse(failure: codes.Failure, arrived: bool = False) -> Answer:
     """Return the answer that tells a coded failure."""
     status = failure.code.status
-    if failure.ran is not codes.Ran.NOT_RUN and status in (408, 421, 429, 503):
+    if failure.ran is not codes.Ran.NOT_RUN and status in PROMISES:
         status = 502
     return Answer(
         status,
--- a/rattanridge/mesh/claim.py
+++ b/rattanridge/mesh/claim.py
@@ -1,13 +1,14 @@
 """One claim of a request with an idempotency key, as the store keeps it."""
 
 import enum
-import hashlib
 
 import msgspec
 
+from rattanridge.kernel import hashing, reading
 from rattanridge.mesh import calls
 from rattanridge.web import headers
 
+HASH_BYTES = 16
 ANSWER_MOST = 256_000  # bytes of a body that is recorded
 
 
@@ -44,21 +45,20 @@
 
 def identify(call: calls.Call, key: str) -> str:
     """Return the name of a request's claim."""
-    return hash_parts(call.service, call.method, call.path.partition("?")[0], key)
+    path = call.path.partition("?")[0]
+    return hash_texts(call.service, call.method, path, key)
 
 
 def digest(call: calls.Call) -> str:
     """Return the hash of what a repeat must have in common."""
-    return hash_parts(call.path, call.body.hex())
+    path = call.path.encode(errors="surrogateescape")
+    return hashing.hash_parts(path, call.body, size=HASH_BYTES)
 
 
-def hash_parts(*parts: str) -> str:
+def hash_texts(*texts: str) -> str:
     """Return one hash over texts, whose borders count."""
-    state = hashlib.blake2b(digest_size=16)
-    for part in parts:
-        data = part.encode(errors="surrogateescape")
-        state.update(len(data).to_bytes(4, "big") + data)
-    return state.hexdigest()
+    parts = (text.encode(errors="surrogateescape") for text in texts)
+    return hashing.hash_parts(*parts, size=HASH_BYTES)
 
 
 def encode(claim: Claim) -> bytes:
@@ -68,10 +68,7 @@
 
 def decode(data: bytes) -> Claim | None:
     """Decode a claim; None if it is unreadable."""
-    try:
-        return msgspec.json.decode(data, type=Claim)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
-        return None
+    return reading.read_json(data, Claim)
 
 
 def record(answer: calls.Answer) -> Recorded | None:
--- a/rattanridge/mesh/claims.py
+++ b/rattanridge/mesh/claims.py
@@ -10,10 +10,10 @@
 import secrets
 import time
 
-from rattanridge import policies
-from rattanridge.kernel import codes, registry, routes
+from rattanridge.kernel import codes, routes
 from rattanridge.mesh import calls, claim as claiming, events, settings
 from rattanridge.platform import store as stores
+from rattanridge.policies import keys
 
 KIND = "claims"
 POLL = 0.1  # seconds between looks at a claim whose first sending still runs
@@ -23,9 +23,6 @@
 TELL_PAUSE = 0.3  # seconds before an outcome is written again; doubles
 SWEEP_INTERVAL = 60.0  # seconds between two rounds of removing old claims
 
-# The key sources register themselves.
-registry.load_plugins(policies)
-
 Work = collections.abc.Callable[[], collections.abc.Awaitable[calls.Answer]]
 
 
@@ -58,8 +55,7 @@
 
         The work goes on if the caller goes away: a repeat gets its answer.
         """
-        source = routes.KEY_SOURCES.get(route.key.source)(route.key.name)
-        key = source.read(calls.as_mapping(call.headers), call.body)
+        key = keys.read(route.key, calls.as_mapping(call.headers), call.body)
         if not key:
             self.meters.add("claims.no-key")
             return await work()
@@ -82,7 +78,7 @@
             self.log.error("claim-failed", why=repr(error))
 
     async def execute(self, call: calls.Call, key: str, work: Work) -> calls.Answer:
-        """claiming.Claim, run, and write what became of it."""
+        """Claim, run, and write what became of it."""
         name = claiming.identify(call, key)
         left = call.deadline - asyncio.get_running_loop().time()
         own = claiming.Claim(
--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -146,11 +146,7 @@
     def rank(self, service: str) -> int:
         """Return this node's place among those that may coordinate."""
         own = place(service, self.config.name)
-        return sum(
-            place(service, name) < own
-            for name, record in self.directory.records.items()
-            if record.state == "ready"
-        )
+        return sum(place(service, name) < own for name in self.directory.running())
 
     async def gather(self, case: Case) -> None:
         """Ask all exits of the service for their evidence."""
--- a/rattanridge/mesh/directory.py
+++ b/rattanridge/mesh/directory.py
@@ -153,6 +153,14 @@
             self.log.note("record-removed", name=name)
         self.drop(name)
 
+    def running(self) -> list[str]:
+        """Return the names of the nodes whose upstream takes requests there."""
+        return [
+            name
+            for name, record in self.records.items()
+            if record.state == records.READY
+        ]
+
     def of(self, service: str) -> list[placement.Candidate]:
         """Return the candidates of a service."""
         return self.services.get(service, [])
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -17,7 +17,6 @@
 
 LOOK_PAUSE = 0.05  # seconds after a broken connection until the upstream is looked at
 ANSWER_MARGIN = 0.08  # seconds past the deadline for the upstream's own answer
-PROMISES = (408, 421, 429, 503)  # statuses that tell a caller: it did not run
 MISDIRECTED = 421
 
 
@@ -287,7 +286,7 @@
             raise codes.Failure(codes.ANSWER_CUT, "no proof", ran=codes.Ran.UNKNOWN)
         if "Content-Encoding" in response.headers:
             raise codes.Failure(codes.ANSWER_CUT, "encoded", ran=codes.Ran.UNKNOWN)
-    if response.status in PROMISES:
+    if response.status in calls.PROMISES:
         # It would tell the caller that the request did not run; no proof says so.
         raise codes.Failure(
             codes.UPSTREAM_FAILED, str(response.status), ran=codes.Ran.UNKNOWN
--- a/rattanridge/mesh/judging.py
+++ b/rattanridge/mesh/judging.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes
+from rattanridge.kernel import codes, reading
 from rattanridge.mesh import calls, events, upstream as upstreams
 from rattanridge.policies import evidence
 
@@ -82,7 +82,4 @@
 
 def decode(data: bytes) -> Report | None:
     """Decode a report; None if it is unreadable."""
-    try:
-        return msgspec.json.decode(data, type=Report)
-    except (msgspec.MsgspecError, RecursionError):
-        return None
+    return reading.read_json(data, Report)
--- a/rattanridge/mesh/membership.py
+++ b/rattanridge/mesh/membership.py
@@ -111,12 +111,7 @@
 
     def is_first(self) -> bool:
         """Whether this node is the first one by name among those that run."""
-        running = [
-            name
-            for name, record in self.directory.records.items()
-            if record.state == records.READY
-        ]
-        return min(running, default="") == self.config.name
+        return min(self.directory.running(), default="") == self.config.name
 
     def restore(self, name: str) -> None:
         """Take over what an earlier process knew of the upstream."""
--- a/rattanridge/mesh/versions.py
+++ b/rattanridge/mesh/versions.py
@@ -28,9 +28,7 @@
 
     def answer(self) -> orders.Status | None:
         """Return the status if it answers this order, not an earlier one."""
-        if self.status is None or self.status.version != self.order.version:
-            return None
-        return self.status
+        return answer_of(self.order, self.status)
 
     def state(self) -> str:
         """Return the state; an order without an answer to it is running."""
@@ -43,6 +41,15 @@
         return answer.share if answer is not None else 0.0
 
 
+def answer_of(
+    order: orders.Order, status: orders.Status | None
+) -> orders.Status | None:
+    """Return a status if it answers an order, not an earlier one."""
+    if status is None or status.version != order.version:
+        return None
+    return status
+
+
 class Versions:
     """Follows the orders and divides the candidates by version.
 
--- a/rattanridge/platform/heartbeats.py
+++ b/rattanridge/platform/heartbeats.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes
+from rattanridge.kernel import codes, reading
 
 PREFIX = "/api/instances/"
 READY_PATH = "/api/readyz"
@@ -96,7 +96,5 @@
 
 def decode_leave(data: bytes) -> int:
     """Return the incarnation that a farewell names; 0 if it names none."""
-    try:
-        return msgspec.json.decode(data, type=WireLeave).born if data else 0
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
-        return 0
+    wire = reading.read_json(data, WireLeave)
+    return wire.born if wire is not None else 0
--- a/rattanridge/platform/orders.py
+++ b/rattanridge/platform/orders.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes
+from rattanridge.kernel import codes, reading
 
 KIND = "rollouts"
 RUNNING = "running"
@@ -92,9 +92,8 @@
 
 def decode_status(data: bytes) -> Status | None:
     """Decode a status; None if there is none or it is unreadable."""
-    try:
-        wire = msgspec.json.decode(data, type=WireStatus)
-    except (msgspec.MsgspecError, RecursionError):
+    wire = reading.read_json(data, WireStatus)
+    if wire is None:
         return None
     return Status(*msgspec.structs.astuple(wire))
 
--- a/rattanridge/platform/store.py
+++ b/rattanridge/platform/store.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 
-from rattanridge.kernel import codes
+from rattanridge.kernel import codes, reading
 
 NULL = b"null"
 CALL_TIMEOUT = 2.0  # seconds for an answer to a call that is not a watch
@@ -102,9 +102,8 @@
 
 def decode_object(data: bytes, deleted: bool = False) -> Stored | None:
     """Decode one object; None if even its name cannot be read."""
-    try:
-        wire = msgspec.json.decode(data, type=WireObject)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+    wire = reading.read_json(data, WireObject)
+    if wire is None:
         return None
     return Stored(
         wire.metadata.name,
--- a/rattanridge/policies/keys.py
+++ b/rattanridge/policies/keys.py
@@ -50,6 +50,11 @@
         return bounded(str(value))
 
 
+def read(source: routes.KeySource, headers: multidict.CIMultiDict, body: bytes) -> str:
+    """Return the key that a source finds; an empty string if there is none."""
+    return routes.KEY_SOURCES.get(source.source)(source.name).read(headers, body)
+
+
 def bounded(text: str) -> str:
     """Return a key; empty if it is too long."""
     return text if len(text) <= KEY_LENGTH_MOST else ""
--- a/rattanridge/policies/quarantine.py
+++ b/rattanridge/policies/quarantine.py
@@ -6,10 +6,11 @@
 just before its end are suspected, two ends are needed, and an answer clears.
 """
 
-import hashlib
-
 import msgspec
 
+from rattanridge.kernel import hashing
+
+FINGERPRINT_BYTES = 12
 CRASHES = 2  # ends of upstreams after which a request is held back
 BEGUN_WITHIN = 0.25  # seconds before an upstream's end that make a request suspect
 CONFIRM_WITHIN = 3.0  # seconds in which the end of an upstream must show
@@ -32,10 +33,8 @@
 
 def fingerprint(method: str, path: str, body: bytes) -> str:
     """Return the hash by which a request is known again."""
-    state = hashlib.blake2b(digest_size=12)
-    for part in (method.encode(), path.encode(errors="surrogateescape"), body):
-        state.update(len(part).to_bytes(4, "big") + part)
-    return state.hexdigest()
+    name = path.encode(errors="surrogateescape")
+    return hashing.hash_parts(method.encode(), name, body, size=FINGERPRINT_BYTES)
 
 
 class Evidence:
--- a/rattanridge/soak/faults.py
+++ b/rattanridge/soak/faults.py
@@ -31,12 +31,24 @@
     await asyncio.sleep(rng.uniform(SHORTEST, LONGEST))
 
 
+async def kill_part(part: parts.Part, rng: random.Random) -> None:
+    """Kill a process and start it again after a while."""
+    await part.kill()
+    await last(rng)
+    await part.start()
+
+
+async def pause_part(part: parts.Part, rng: random.Random) -> None:
+    """Let a process stand still for a while."""
+    part.signal(signal.SIGSTOP)
+    await last(rng)
+    part.signal(signal.SIGCONT)
+
+
 @FAULTS.register("node-kill")
 async def kill_node(world: parts.World, host: parts.Host, rng: random.Random) -> None:
     """Kill a node; it comes back."""
-    await host.node.kill()
-    await last(rng)
-    await host.node.start()
+    await kill_part(host.node, rng)
 
 
 @FAULTS.register("node-stop")
@@ -49,9 +61,7 @@
 @FAULTS.register("node-pause")
 async def pause_node(world: parts.World, host: parts.Host, rng: random.Random) -> None:
     """Let a node stand still."""
-    host.node.signal(signal.SIGSTOP)
-    await last(rng)
-    host.node.signal(signal.SIGCONT)
+    await pause_part(host.node, rng)
 
 
 @FAULTS.register("node-reload")
@@ -65,9 +75,7 @@
     world: parts.World, host: parts.Host, rng: random.Random
 ) -> None:
     """Kill an upstream; another incarnation comes."""
-    await host.upstream.kill()
-    await last(rng)
-    await host.upstream.start()
+    await kill_part(host.upstream, rng)
 
 
 @FAULTS.register("upstream-drain")
@@ -85,9 +93,7 @@
     world: parts.World, host: parts.Host, rng: random.Random
 ) -> None:
     """Let an upstream stand still."""
-    host.upstream.signal(signal.SIGSTOP)
-    await last(rng)
-    host.upstream.signal(signal.SIGCONT)
+    await pause_part(host.upstream, rng)
 
 
 @FAULTS.register("link-faults")
--- a/rattanridge/soak/soak.py
+++ b/rattanridge/soak/soak.py
@@ -6,8 +6,10 @@
 import random
 import time
 
+import aiohttp
+
 from rattanridge.admin import presets as preset_store
-from rattanridge.kernel import codes, presets
+from rattanridge.kernel import codes, log, presets
 from rattanridge.platform import store as stores
 from rattanridge.soak import callers, faults, parts, promises
 from rattanridge.standin import fleet
@@ -50,6 +52,7 @@
         self.watcher = promises.Watcher(self.world)
         self.outcome = Outcome(seed)
         self.generation = 0
+        self.log = log.Log("soak")
 
     async def run(self) -> Outcome:
         """Run everything; the outcome tells what did not hold."""
@@ -97,8 +100,8 @@
             await asyncio.sleep(CHANGE_INTERVAL)
             try:
                 await self.choose()
-            except codes.Failure:
-                continue
+            except codes.Failure as failure:
+                self.log.info("choice-refused", code=failure.code.number)
 
     async def settle(self, seconds: float = parts.START_LIMIT) -> None:
         """Wait until all nodes apply the newest choice."""
@@ -126,7 +129,7 @@
     async def check_service(self) -> None:
         """See that nearly all requests are served again."""
         before = len(self.callers.sent)
-        async with callers.aiohttp.ClientSession() as session:
+        async with aiohttp.ClientSession() as session:
             for _ in range(FINAL_CALLS):
                 await self.callers.send_one(session)
         found = self.callers.sent[before:]
--- a/rattanridge/standin/fleet.py
+++ b/rattanridge/standin/fleet.py
@@ -104,10 +104,7 @@
         node = nodes.Node(config)
         await node.start()
         host = self.hosts[name] = Host(node, upstream)
-        upstream.node = config.listen.heartbeats
-        await upstream.beat()
-        if renew:
-            upstream.renewing = asyncio.create_task(upstream.renew())
+        await upstream.report_to(config.listen.heartbeats, renew)
         return host
 
     async def put_preset(self, preset: presets.Preset, operator: str = "olga") -> int:
--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -135,7 +135,16 @@
         """Listen at ``host:port`` and begin to send heartbeats."""
         await self.listen(address)
         if self.node:
-            await self.beat()
+            await self.report_to(self.node)
+
+    async def report_to(self, node: str, renew: bool = True) -> None:
+        """Begin to send heartbeats to a node.
+
+        :param renew: whether they go on after the first one.
+        """
+        self.node = node
+        await self.beat()
+        if renew:
             self.renewing = asyncio.create_task(self.renew())
 
     async def listen(self, address: str) -> None:
