A reload asked for while a node starts does not end it

Cause: until the handlers are set, SIGHUP ends a process, and the modules of a node take 0.25 s to load. The daemon ignores the signal from its first lines on; it reads its settings later anyway.

--- a/rattanridge/daemon.py
+++ b/rattanridge/daemon.py
@@ -6,6 +6,11 @@
 import signal
 import sys
 
+if __name__ == "__main__":
+    # A reload may be asked for while the modules below load, and would end the
+    # process. The settings are read after that anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from rattanridge.kernel import codes, sink as sinks
 from rattanridge.mesh import node as nodes, settings
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -140,6 +140,34 @@
         made.kill_all()
 
 
+class TestEarlyReload:
+    def test_a_reload_during_the_start_does_not_end_a_node(self):
+        """Sent before any module of the node is loaded, once Python itself runs."""
+        source = """
+import os, runpy, signal, sys
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "rattanridge.kernel":
+            os.kill(os.getpid(), signal.SIGHUP)
+            print("reloaded", flush=True)
+
+sys.meta_path.insert(0, Finder())
+runpy.run_module("rattanridge.daemon", run_name="__main__")
+"""
+        found = subprocess.run(
+            [sys.executable, "-c", source],
+            env=os.environ | {"PYTHONPATH": str(ROOT), "RATTANRIDGE_BOOT": "/nowhere"},
+            capture_output=True,
+            text=True,
+            timeout=LIMIT,
+            check=False,
+        )
+        assert "reloaded" in found.stdout
+        assert found.returncode > 0, "ended by the signal"
+        assert "/nowhere" in found.stderr
+
+
 class TestReadme:
     def test_steps(self, system):
         system.start_all()
