--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -63,57 +63,47 @@
         await waiting
 
 
-class TestOrder:
-    async def test_nested_calls_come_before_new_requests(self):
-        queue = queueing.Queue(1)
-        await fill(queue)
-        urgent = await enter(queue, ticket(rank=0))
-        nested = await enter(queue, ticket(rank=2, nested=True))
-        queue.leave()
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
-        assert nested.done()
-        assert not urgent.done()
-        urgent.cancel()
+# What waits, and what comes after it but is to run first.
+OVERTAKINGS = {
+    "nested calls overtake new requests": ({"rank": 0}, {"rank": 2, "nested": True}),
+    # An overloaded service: its own requests would starve their parents.
+    "nested calls overtake even if they will be late": (
+        {"rank": 0},
+        {"rank": 2, "nested": True, "timely": -0.1},
+    ),
+    "urgent requests overtake others": ({"rank": 2}, {"rank": 0}),
+    "timely requests overtake late ones": ({"rank": 0, "timely": -1.0}, {"rank": 1}),
+}
 
-    async def test_nested_calls_come_first_even_if_they_will_be_late(self):
-        """An overloaded service: its own requests would starve their parents."""
-        queue = queueing.Queue(1)
-        queue.times.note("r", 0.02)
-        await fill(queue)
-        timely = await enter(queue, ticket(rank=0))
-        nested = await enter(queue, ticket(rank=2, nested=True, timely=-0.1))
-        queue.leave()
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
-        assert nested.done()
-        assert not timely.done()
-        timely.cancel()
 
-    async def test_urgent_requests_come_first(self):
+class TestOrder:
+    @pytest.mark.parametrize(
+        ("earlier", "later"), OVERTAKINGS.values(), ids=OVERTAKINGS
+    )
+    async def test_overtaking(self, earlier, later):
         queue = queueing.Queue(1)
+        queue.times.note("r", 0.02)
         await fill(queue)
-        first = await enter(queue, ticket(rank=2))
-        urgent = await enter(queue, ticket(rank=0))
+        overtaken = await enter(queue, ticket(**earlier))
+        first = await enter(queue, ticket(**later))
         queue.leave()
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        assert urgent.done()
-        assert not first.done()
-        first.cancel()
+        assert first.done()
+        assert not overtaken.done()
+        overtaken.cancel()
 
-    async def test_timely_requests_come_before_late_ones(self):
+    async def test_equal_requests_run_as_they_came(self):
         queue = queueing.Queue(1)
-        queue.times.note("r", 0.02)
         await fill(queue)
-        late = await enter(queue, ticket(rank=0, timely=-1.0))
-        timely = await enter(queue, ticket(rank=1))
+        first = await enter(queue, ticket())
+        second = await enter(queue, ticket())
         queue.leave()
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        assert timely.done()
-        assert not late.done()
-        late.cancel()
+        assert first.done()
+        assert not second.done()
+        second.cancel()
 
 
 class TestRefusal:
