--- a/rattanridge/soak/soak.py
+++ b/rattanridge/soak/soak.py
@@ -57,9 +57,8 @@
     async def run(self) -> Outcome:
         """Run everything; the outcome tells what did not hold."""
         try:
-            await self.world.start()
-            await self.choose()
-            await self.settle()
+            if not await self.begin():
+                return self.outcome
             watching = asyncio.create_task(self.watcher.run())
             calling = asyncio.create_task(self.callers.run())
             changing = asyncio.create_task(self.change())
@@ -76,6 +75,17 @@
         self.sum_up()
         return self.outcome
 
+    async def begin(self) -> bool:
+        """Start all processes with a preset in force; return whether that went well."""
+        try:
+            await self.world.start()
+            await self.choose()
+            await self.settle()
+        except TimeoutError:
+            self.outcome.broken.append(f"not started after {parts.START_LIMIT} s")
+            return False
+        return True
+
     async def choose(self) -> None:
         """Put another preset in force, as an operator at the store does."""
         preset = fleet.make_preset(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -130,6 +130,17 @@
 
 
 class TestSoak:
+    def test_a_world_that_does_not_start_is_told(self, tmp_path, monkeypatch):
+        """One seed that can't begin must not end the seeds after it."""
+
+        async def hang(world):
+            raise TimeoutError
+
+        monkeypatch.setattr(parts.World, "start", hang)
+        monkeypatch.setattr(parts.World, "stop", lambda world: asyncio.sleep(0))
+        outcome = asyncio.run(soak.Soak(1, 1.0, tmp_path).run())
+        assert outcome.broken == ["not started after 20.0 s"]
+
     @pytest.mark.parametrize(("seed", "minutes"), [(1, 0.07)])
     def test_a_short_run(self, seed, minutes, tmp_path):
         outcome = asyncio.run(soak.Soak(seed, minutes * 60, tmp_path).run())
