--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -356,6 +356,17 @@
         for status, found, _ in answers:
             assert status == 200 or found["Rattanridge-Ran"] == "not-run"
 
+    async def test_a_stopping_node_ends_the_connections_of_other_nodes(self, world):
+        """Nothing may be sent on a kept connection that is about to close."""
+        await world.start("workshop", "registry")
+        kept = world.nodes[0].attempts.peers.pool.idle
+        hop = world.nodes[1].config.listen.hops
+        await asyncio.gather(*(world.call("/lookup/1") for _ in range(3)))
+        assert len(kept[hop]) > 1
+        world.nodes[1].hops.closing = True
+        assert (await world.call("/lookup/1"))[0] == 200
+        assert not kept.get(hop)
+
     async def test_stop_finishes_what_runs(self, world):
         await world.start("registry", "workshop")
         world.upstreams[0].shape.work = 0.3
