Calls of a repeated request keep to the retry budget

Cause: all endpoints of a service shed half. Lookups at another service fail for it and are sent again (1219 in 10 s, within their budget); the calls that they make again (2141 lines) were counted as repeats but never refused. Ruled out: the node's own repeats at the shedding service (900, within its budget).

Such a call is refused at once, not run, where the budget is used up.

--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -109,10 +109,11 @@
     async def run(self, call: calls.Call, route: routes.Route) -> calls.Answer:
         """Return the answer to a call; the last refusal if nobody took it."""
         self.check_end(route)
-        loop = asyncio.get_running_loop()
-        self.budget(call.service).note_request(loop.time())
-        if call.repeated:
-            self.budget(call.service).owe(loop.time())
+        if not call.repeated:
+            now = asyncio.get_running_loop().time()
+            self.budget(call.service).note_request(now)
+        elif not self.may_spend(call):
+            return calls.refuse(codes.Failure(codes.RETRY_BUDGET, "call of a repeat"))
         progress = Progress()
         while True:
             chosen = self.choose(call, route, progress.tried)
@@ -225,6 +226,15 @@
             return False
         if not progress.arrivals:
             return True
+        return self.may_spend(call)
+
+    def may_spend(self, call: calls.Call) -> bool:
+        """Spend a repeat of the service's budget, if there is one left.
+
+        The calls that a repeated request makes are repeats too: at the services that
+        they go to.
+        """
+        now = asyncio.get_running_loop().time()
         nodes = max(len(self.directory.records), 1)
         if self.budget(call.service).take(nodes, now):
             return True
--- a/rattanridge/policies/repeats.py
+++ b/rattanridge/policies/repeats.py
@@ -60,11 +60,6 @@
         """Count a request for the service."""
         self.add(self.requests, now)
 
-    def owe(self, now: float) -> None:
-        """Count a repeat that nobody can refuse any more: a request that was sent
-        again makes its own calls again."""
-        self.add(self.repeats, now)
-
     def take(self, nodes: int, now: float) -> bool:
         """Spend one repeat, if there is one left.
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -263,6 +263,25 @@
         assert (await world.call("/lookup/1"))[0] == 500
         assert seen == [False, True]
 
+    async def test_calls_of_repeats_keep_to_the_budget(self, world):
+        """All endpoints of a service shed: requests to another service fail for it and
+        are sent again; their calls alone would exceed the budget."""
+        await world.start("registry")
+        node = world.nodes[0]
+        node.exit.running["77"] = True
+        budget = node.attempts.budget("registry")
+        while budget.take(1, asyncio.get_running_loop().time()):
+            pass
+        url = f"http://{node.config.listen.callers}/lookup/1"
+        for attempt, expected in (("77.1", 503), ("78.1", 200)):
+            sent = {"Host": mesh_world.HOST, headers.ATTEMPT: attempt}
+            async with world.session.get(url, headers=sent) as answer:
+                assert answer.status == expected
+                if expected == 503:
+                    assert answer.headers["Rattanridge-Ran"] == "not-run"
+                    assert answer.headers["Rattanridge-Code"] == "5014"
+        assert len(world.upstreams[0].runs) == 1
+
     async def test_a_nested_call_of_a_repeat_is_owed(self, world):
         await world.start("registry")
         node = world.nodes[0]
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -27,7 +27,7 @@
         for _ in range(100):
             budget.note_request(5.0)
         for _ in range(15):
-            budget.owe(5.0)
+            assert budget.take(16, 5.0)
         taken = sum(budget.take(16, 5.0) for _ in range(100))
         assert taken == int(repeats.SAFETY * (20 + 58 / 16)) - 15
 
