--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -112,6 +112,8 @@
         if not call.repeated:
             now = asyncio.get_running_loop().time()
             self.budget(call.service).note_request(now)
+            sender = "upstream" if call.nested else "caller"
+            self.meters.budget_requests.labels(call.service, sender).inc()
         elif not self.may_spend(call):
             return calls.refuse(codes.Failure(codes.RETRY_BUDGET, "call of a repeat"))
         progress = Progress()
@@ -236,9 +238,20 @@
         """
         now = asyncio.get_running_loop().time()
         nodes = max(len(self.directory.records), 1)
+        self.meters.sharers.set(nodes)
+        repeats_of = self.meters.budget_repeats
         if self.budget(call.service).take(nodes, now):
+            repeats_of.labels(call.service, "allowed").inc()
             return True
+        repeats_of.labels(call.service, "refused").inc()
         self.meters.refusals.labels(codes.RETRY_BUDGET.name).inc()
+        self.log.note(
+            "repeat-refused",
+            id=call.attempt,
+            service=call.service,
+            repeated=call.repeated,
+            nodes=nodes,
+        )
         return False
 
     def note(
--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -18,6 +18,12 @@
         self.requests = self.counter("requests", "Answers to callers", "outcome")
         self.refusals = self.counter("refusals", "Refusals by reason", "reason")
         self.retries = self.counter("retries", "Repeats by reason", "reason")
+        self.budget_requests = self.counter(
+            "budget_requests", "Requests for a service, by sender", "service", "sender"
+        )
+        self.budget_repeats = self.counter(
+            "budget_repeats", "Repeats asked for at a service", "service", "outcome"
+        )
         self.store_calls = self.counter(
             "store_calls", "Calls to the store", "call", "outcome"
         )
@@ -36,6 +42,9 @@
         self.share = self.gauge(
             "rollout_share", "Part of requests for the new version", "service"
         )
+        self.sharers = self.gauge(
+            "budget_nodes", "Nodes that share the fixed part of the retry budget"
+        )
         self.age = self.gauge("belief_age_seconds", "Age of what is believed", "kind")
 
     def counter(self, name: str, text: str, *labels: str) -> prometheus_client.Counter:
