--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -1,9 +1,12 @@
 """Nodes with a stand-in store and stand-in upstreams, in one process."""
 
+import asyncio
+
 import aiohttp
 import msgspec
 import yarl
 
+from rattanridge.mesh import calls
 from rattanridge.platform import configs, headers, orders
 from rattanridge.standin import fleet, upstream as upstreams
 
@@ -39,6 +42,33 @@
         setattr(upstream.faults, fault, True)
 
 
+def made_call(world, attempt="1", repeated=False, seconds=2.0):
+    """Return a call as an entry makes it."""
+    now = asyncio.get_running_loop().time()
+    return calls.Call(
+        attempt=attempt,
+        method="GET",
+        path="/lookup/1",
+        headers=[("Host", HOST), (headers.ATTEMPT, attempt)],
+        body=b"",
+        service="registry",
+        route="lookup",
+        idempotent=True,
+        rank=0,
+        nested=False,
+        timely_until=now + seconds,
+        deadline=now + seconds,
+        caller="workshop",
+        repeated=repeated,
+    )
+
+
+def use_up(world, node=0):
+    """Spend all repeats that a node has left."""
+    while world.nodes[node].attempts.may_spend(made_call(world)):
+        pass
+
+
 def finished(upstream):
     """Return the requests that an upstream ran to their end."""
     return [run for run in upstream.runs if run.finished]
@@ -111,6 +141,14 @@
         ) as answer:
             return answer.status, answer.headers, await answer.read()
 
+    async def code_of(self, attempt, path="/lookup/1", node=0):
+        """Send a request with an id; return the code of its refusal, None if none."""
+        address = self.nodes[node].config.listen.callers
+        sent = {"Host": HOST, headers.ATTEMPT: attempt}
+        async with self.session.get(f"http://{address}{path}", headers=sent) as answer:
+            await answer.read()
+            return answer.headers.get("Rattanridge-Code")
+
     async def stop(self):
         await self.fleet.stop()
         if self.session is not None:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -294,6 +294,47 @@
         assert budget.count(budget.repeats, asyncio.get_running_loop().time()) == 1
 
 
+class TestRetryBudget:
+    """What a node counts against the budget that all nodes share."""
+
+    # Guards against: each process that starts takes a part of the fixed rest anew.
+    async def test_a_node_that_has_just_started_has_no_part_of_the_fixed_rest(
+        self, world
+    ):
+        await world.start("registry")
+        assert not world.nodes[0].attempts.may_spend(mesh_world.made_call(world))
+
+    # Guards against: calls of a repeat that was given up are taken for new requests.
+    async def test_a_call_of_a_repeat_that_was_given_up_is_a_repeat(self, world):
+        await world.start("registry")
+        node = world.nodes[0]
+        mesh_world.spoil(world.upstreams[0], "silent")
+        late = mesh_world.made_call(world, attempt="77", repeated=True, seconds=0.2)
+        assert (await node.exit.run(late)).code is codes.DEADLINE
+        world.upstreams[0].faults.silent = False
+        mesh_world.use_up(world)
+        assert await world.code_of("77.1") == "5014"
+
+    # Guards against: after a restart the calls of repeats are taken for new requests.
+    async def test_a_call_of_an_unknown_request_is_a_repeat_after_a_start(self, world):
+        await world.start("registry")
+        mesh_world.use_up(world)
+        assert await world.code_of("77.1") == "5014"
+
+    # Guards against: what repeats of one service call earns repeats at another one.
+    async def test_only_requests_of_callers_earn(self, world):
+        await world.start("registry")
+        node = world.nodes[0]
+        node.exit.running["77"] = False
+        mesh_world.use_up(world)
+        for number in range(40):
+            assert await world.code_of(f"77.{number}") is None
+        assert not node.attempts.may_spend(mesh_world.made_call(world))
+        for number in range(40):
+            assert await world.code_of(f"{number:04x}") is None
+        assert node.attempts.may_spend(mesh_world.made_call(world))
+
+
 class TestLeaving:
     @pytest.mark.parametrize("farewell", ["drain", "leave"])
     async def test_nothing_new_after_the_acknowledgement(self, world, farewell):
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -53,3 +53,26 @@
         for end in range(10, 40):
             allowed = 0.2 * sum(end - 10 <= at < end for at in requests) + 58
             assert sum(end - 10 <= at < end for at in taken) <= allowed
+
+
+class TestSum:
+    """All nodes together, at loads that mean them harm."""
+
+    # Guards against: what requests earn counts once in the window of each node.
+    def test_load_that_moves_between_nodes(self):
+        """Callers leave one half of the nodes for the other; all requests fail."""
+        nodes = [repeats.Budget(SETTINGS) for _ in range(16)]
+        requests, taken = [], []
+        for step in range(1999):
+            now = step * 0.01
+            moved = now >= 10
+            node = nodes[step % 8 + 8 * moved]
+            node.note_request(now)
+            requests.append(now)
+            if step in (999, 1998):
+                for failing in nodes[8 * moved :][:8]:
+                    while failing.take(16, now):
+                        taken.append(now)
+        windows = [sum(at <= r < at + 10 for r in requests) for at in (9.99, 4.99, 0)]
+        arrived = sum(9.99 <= at < 19.99 for at in taken)
+        assert arrived <= 0.2 * max(windows) + 58
