The parts of all nodes in the retry budget add up, whatever nodes know and do

Cause: each node kept a part of the rule that is true only as long as all nodes are alike. It divided the fixed rest by the records it knew (1 if none), so a process that knew nobody took all of it, and one that started anew took its part again; and it let its requests earn over its own last window, while those of other nodes earn over other ones.

Why it holds: a repeat is paid, once, by requests that the same node took at most 0.7 of a window ago; each pays half of the ratio. What pays for a window was sent in it or in the one before, so the sum over any nodes is at most the ratio of the larger one.

TestFailures and two tests of TestRepeats let their nodes have known each other for long, which is now what a part of the fixed rest takes; they check what they did.

--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -4,7 +4,7 @@
 import collections.abc
 import dataclasses
 
-from rattanridge.kernel import codes, routes
+from rattanridge.kernel import clock, codes, routes
 from rattanridge.mesh import (
     access as accesses,
     calls,
@@ -36,6 +36,7 @@
 Keep = collections.abc.Callable[
     [str, list[placement.Candidate], bool], list[placement.Candidate]
 ]
+Sharers = collections.abc.Callable[[], int]
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,6 +69,8 @@
     """Runs calls at the endpoints of their service.
 
     :param keep: leaves the candidates whose version a call may go to.
+    :param sharers: returns among how many nodes the fixed part of the retry budget is
+        divided; 0 if this one has no part of it.
     :param hint: told the configuration's version at each exit that answers.
     :param access: marks what is sent to other nodes.
     """
@@ -78,6 +81,7 @@
         directory: directories.Directory,
         exit: exits.Exit,
         keep: Keep,
+        sharers: Sharers,
         hint: collections.abc.Callable[[int, str], None],
         access: accesses.Access,
         log: events.Events,
@@ -87,6 +91,7 @@
         self.directory = directory
         self.exit = exit
         self.keep = keep
+        self.sharers = sharers
         self.hint = hint
         self.log = log
         self.meters = meters
@@ -100,21 +105,15 @@
         """Return the budget of a service."""
         found = self.budgets.get(service)
         if found is None:
-            limits = self.config.repeats
-            made = repeats.Settings(limits.ratio, limits.least, limits.window)
             kind = repeats.BUDGETS.get(self.config.policies.repeats)
-            found = self.budgets[service] = kind(made)
+            found = self.budgets[service] = kind(self.config.repeats.limits())
         return found
 
     async def run(self, call: calls.Call, route: routes.Route) -> calls.Answer:
         """Return the answer to a call; the last refusal if nobody took it."""
         self.check_end(route)
-        if not call.repeated:
-            now = asyncio.get_running_loop().time()
-            self.budget(call.service).note_request(now)
-            sender = "upstream" if call.nested else "caller"
-            self.meters.budget_requests.labels(call.service, sender).inc()
-        elif not self.may_spend(call):
+        self.count(call)
+        if call.repeated and not self.may_spend(call):
             return calls.refuse(codes.Failure(codes.RETRY_BUDGET, "call of a repeat"))
         progress = Progress()
         while True:
@@ -129,6 +128,13 @@
             self.note(call, chosen, answer)
             call.repeated = call.repeated or progress.arrivals > 0
 
+    def count(self, call: calls.Call) -> None:
+        """Count a request."""
+        sender = "upstream" if call.nested else "caller"
+        self.meters.budget_requests.labels(call.service, sender).inc()
+        if not call.repeated:
+            self.budget(call.service).note_request(clock.elapsed())
+
     def check_end(self, route: routes.Route) -> None:
         """Refuse a call that may still run when this process has to end."""
         left = self.ends_at - asyncio.get_running_loop().time()
@@ -236,11 +242,12 @@
         The calls that a repeated request makes are repeats too: at the services that
         they go to.
         """
-        now = asyncio.get_running_loop().time()
-        nodes = max(len(self.directory.records), 1)
+        now = clock.elapsed()
+        nodes = self.sharers()
         self.meters.sharers.set(nodes)
         repeats_of = self.meters.budget_repeats
-        if self.budget(call.service).take(nodes, now):
+        budget = self.budget(call.service)
+        if budget.take(nodes, now):
             repeats_of.labels(call.service, "allowed").inc()
             return True
         repeats_of.labels(call.service, "refused").inc()
@@ -250,6 +257,7 @@
             id=call.attempt,
             service=call.service,
             repeated=call.repeated,
+            earned=budget.left(now),
             nodes=nodes,
         )
         return False
--- a/rattanridge/mesh/membership.py
+++ b/rattanridge/mesh/membership.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections.abc
 
-from rattanridge.kernel import codes
+from rattanridge.kernel import clock, codes
 from rattanridge.mesh import (
     directory as directories,
     events,
@@ -15,6 +15,7 @@
     watching,
 )
 from rattanridge.platform import store as stores
+from rattanridge.policies import sharing
 
 SETTLED_WAIT = 0.3  # seconds that an acknowledgement waits for the store
 STOPPING = "stopping"  # state of a node whose upstream goes on without it
@@ -46,6 +47,8 @@
         self.log = log
         self.directory = directories.Directory(suspects, log)
         self.publisher = publishers.Publisher(config.name, store, health, log)
+        span = config.repeats.limits().span()
+        self.sharers = sharing.Sharers(config.name, span)
         self.removals: set[asyncio.Task] = set()
         self.known = False
         self.stopping = False
@@ -72,6 +75,7 @@
     def take_all(self, items: list[stores.Stored]) -> None:
         """Take over the records of all nodes."""
         self.directory.take_all(items)
+        self.sharers.see(self.directory.records, clock.elapsed())
         self.known = True
         for item in items:
             self.remove_predecessor(item)
@@ -87,8 +91,18 @@
     def take(self, item: stores.Stored) -> None:
         """Take over one node's record."""
         self.directory.take(item)
+        self.sharers.see(self.directory.records, clock.elapsed())
         self.publisher.see(item)
 
+    def hear(self) -> None:
+        """The store answered the watch of the records."""
+        self.sharers.hear(clock.elapsed())
+
+    def count_sharers(self) -> int:
+        """Return among how many nodes to divide what all share; 0 if this one takes
+        no part."""
+        return self.sharers.count(clock.elapsed())
+
     def remove_predecessor(self, item: stores.Stored) -> None:
         """Remove the record of a node that had this node's address before."""
         record = self.directory.records.get(item.name)
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -4,6 +4,7 @@
 import collections.abc
 import gc
 import time
+import typing
 
 import aiohttp.web
 
@@ -96,6 +97,7 @@
             self.directory,
             self.exit,
             self.versions.keep,
+            self.membership.count_sharers,
             self.configs.hint,
             self.access,
             self.log,
@@ -133,6 +135,7 @@
                 self.membership.take,
                 RECORDS_SETTLE,
                 stale=True,
+                heard=self.membership.hear,
             ),
             self.watch(
                 orders.KIND,
@@ -165,7 +168,7 @@
         take_all: watching.TakeAll,
         take: watching.TakeOne,
         settle: float,
-        **more: bool,
+        **more: typing.Any,
     ) -> watching.Watch:
         """Return a watch of one kind; ``more`` as it takes it."""
         return watching.Watch(
--- a/rattanridge/mesh/settings.py
+++ b/rattanridge/mesh/settings.py
@@ -46,6 +46,10 @@
     least: float = 10.0
     window: settings.Seconds = 10.0
 
+    def limits(self) -> repeats.Settings:
+        """Return them as the budgets take them."""
+        return repeats.Settings(self.ratio, self.least, self.window)
+
 
 class Limits(settings.Struct):
     """Bounds of what a node takes and keeps.
--- a/rattanridge/mesh/watching.py
+++ b/rattanridge/mesh/watching.py
@@ -79,6 +79,7 @@
     :param large: whether the objects are large. A watch returns all versions since
         the last one; in a storm of changes a list returns the newest ones only,
         which keeps slow links free.
+    :param heard: called at each answer of the store, also if nothing changed.
     """
 
     def __init__(
@@ -92,8 +93,10 @@
         settle: float,
         stale: bool = False,
         large: bool = False,
+        heard: collections.abc.Callable[[], None] | None = None,
     ):
         self.large = large
+        self.heard = heard
         self.changed_at = float("-inf")
         self.settle = settle
         self.stale = stale
@@ -191,4 +194,6 @@
 
     def hear(self) -> None:
         self.heard_at = asyncio.get_running_loop().time()
+        if self.heard is not None:
+            self.heard()
         self.health.succeeded()
--- a/rattanridge/policies/repeats.py
+++ b/rattanridge/policies/repeats.py
@@ -1,9 +1,18 @@
 """The budget for sending a request to a second endpoint. Needs no network.
 
-All nodes share one budget for each service. They do not talk about it: each
-node spends what its own requests earn and an equal part of the fixed rest.
-Answers this load: a grey or overloaded service whose failures would be
-multiplied by retries.
+All nodes share one budget for each service and do not talk about it. In any window the
+repeats of all nodes must stay within a ratio of the requests of that window, or of the
+one before it, and a fixed rest.
+
+Each repeat is paid for, once, by requests that the same node took a short time ago.
+Those that pay for the repeats of one window were then sent in it or in the window
+before it. As each pays half of the ratio, all nodes together keep to the ratio of the
+larger one of these two windows, however many nodes there are, wherever load moves, and
+whichever of them start again: a node that starts has nothing to pay with. The fixed
+rest is divided by the number of nodes among which this one shares it (``sharing``).
+
+Answers this load: a grey or overloaded service whose failures would be multiplied by
+retries, while load moves between nodes and nodes come and go.
 """
 
 import collections
@@ -11,8 +20,11 @@
 
 from rattanridge.kernel import registry
 
-BUCKETS = 10  # that a window is counted in
-SAFETY = 0.8  # of the budget: nodes don't count a window from the same moment
+BUCKETS = 20  # that a window is counted in
+PART = 0.5  # of the ratio that each request pays: its window is one of two
+VALID = 0.7  # of a window for which a request can pay
+DELAY = 0.3  # of a window that a request may be read late and a repeat arrive late
+ROUNDING = 1e-9  # repeats
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,50 +40,74 @@
     least: float
     window: float
 
+    def span(self) -> float:
+        """Return the seconds within which two repeats may arrive in one window."""
+        return self.window * (1 + DELAY)
+
 
 BUDGETS: registry.Registry[type["Budget"]] = registry.Registry("repeats policy")
 
 
 @BUDGETS.register("shared-budget")
 class Budget:
-    """One node's part of one service's budget."""
+    """One node's part of one service's budget.
+
+    All times are seconds of one clock that does not stand still while the host is
+    suspended.
+    """
 
     def __init__(self, settings: Settings):
         self.settings = settings
-        self.step = settings.window / BUCKETS
-        self.requests: collections.deque[list[float]] = collections.deque()
-        self.repeats: collections.deque[list[float]] = collections.deque()
-
-    def add(self, counts: collections.deque[list[float]], now: float) -> None:
-        """Count one event in the bucket of this moment."""
-        start = now - now % self.step
-        if counts and counts[-1][0] == start:
-            counts[-1][1] += 1
-        else:
-            counts.append([start, 1])
-
-    def count(self, counts: collections.deque[list[float]], now: float) -> float:
-        """Return the events of the window that ends now."""
-        while counts and counts[0][0] <= now - self.settings.window - self.step:
-            counts.popleft()
-        return sum(item[1] for item in counts)
+        # Repeats that requests pay for: start of the bucket, and how many are left.
+        self.earned: collections.deque[list[float]] = collections.deque()
+        # Repeats taken of the fixed rest: when, and how much.
+        self.lent: collections.deque[tuple[float, float]] = collections.deque()
 
     def note_request(self, now: float) -> None:
-        """Count a request for the service."""
-        self.add(self.requests, now)
+        """Count a request of a caller for the service."""
+        start = now - now % (self.settings.window / BUCKETS)
+        if not self.earned or self.earned[-1][0] != start:
+            self.earned.append([start, 0.0])
+        self.earned[-1][1] += self.settings.ratio * PART
+
+    def left(self, now: float) -> float:
+        """Return the repeats that requests still pay for."""
+        oldest = now - self.settings.window * VALID
+        while self.earned and self.earned[0][0] < oldest:
+            self.earned.popleft()
+        return sum(amount for _, amount in self.earned)
+
+    def rest(self, nodes: int, now: float) -> float:
+        """Return what is left of the node's part of the fixed rest."""
+        while self.lent and self.lent[0][0] <= now - self.settings.span():
+            self.lent.popleft()
+        if not nodes:
+            return 0.0
+        lent = sum(amount for _, amount in self.lent)
+        return max(self.settings.least / nodes - lent, 0.0)
 
     def take(self, nodes: int, now: float) -> bool:
         """Spend one repeat, if there is one left.
 
-        :param nodes: nodes that share the budget.
+        :param nodes: nodes that share the fixed rest; 0 if this one has no part of it.
         """
-        earned = self.settings.ratio * self.count(self.requests, now)
-        allowed = SAFETY * (earned + self.settings.least / max(nodes, 1))
-        if self.count(self.repeats, now) + 1 > allowed:
+        left = self.left(now)
+        if left + self.rest(nodes, now) < 1 - ROUNDING:
             return False
-        self.add(self.repeats, now)
+        self.pay(min(left, 1.0))
+        if left < 1:
+            self.lent.append((now, 1.0 - left))
         return True
 
+    def pay(self, amount: float) -> None:
+        """Use up the oldest requests first."""
+        while amount > ROUNDING and self.earned:
+            used = min(amount, self.earned[0][1])
+            self.earned[0][1] -= used
+            amount -= used
+            if self.earned[0][1] <= ROUNDING:
+                self.earned.popleft()
+
 
 @BUDGETS.register("none")
 class NoRepeats(Budget):
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -115,6 +115,11 @@
         """Wait until all nodes know each other."""
         await self.fleet.wait_endpoints()
 
+    def age(self):
+        """Let all nodes have known each other for long."""
+        for node in self.nodes:
+            node.membership.sharers.known_since = float("-inf")
+
     async def configure(self, version, *paths):
         data = configuration(version, *paths)
         await self.store.put(configs.KIND, configs.NAME, data)
