Calls of a repeat that was given up, or that an earlier process sent, are repeats

What callers saw: more repeats at a service than the budget allows (BUDGET).

Cause: a node forgot a request as soon as its exchange ended, also where the upstream went on with it: its time was over, its caller had left, the connection broke, the node was started again. The calls that the upstream then made for a repeat were taken for new requests. They were never refused, and earned repeats.

Why it holds: repeats are remembered until a second after their deadline, past which no call of theirs can run. A process that has just started can't know what the one before it sent, so for 30 s it takes the call of a request that it does not know for a repeat; nobody waits for the answer of such a request, as its connection ended with that process.

--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -130,7 +130,7 @@
 
     def count(self, call: calls.Call) -> None:
         """Count a request."""
-        sender = "upstream" if call.nested else "caller"
+        sender = "upstream" if call.inner else "caller"
         self.meters.budget_requests.labels(call.service, sender).inc()
         if not call.repeated:
             self.budget(call.service).note_request(clock.elapsed())
--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -22,7 +22,8 @@
     :param service: service that it goes to.
     :param route: name of its route.
     :param rank: its route's priority; 0 comes first.
-    :param nested: whether a request in progress waits for it.
+    :param inner: whether an upstream makes it for a request that it runs.
+    :param nested: whether that request is in progress, and waits for it.
     :param repeated: whether it was sent to an upstream before, or is made by a
         request that was.
     :param timely_until: monotonic seconds until which its answer is timely.
@@ -48,6 +49,7 @@
     caller: str
     version: int = 0
     entry: str = ""
+    inner: bool = False
     repeated: bool = False
     sent: bool = False
 
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -105,9 +105,10 @@
         left = DEFAULT_DEADLINE if left is None else left
         limit = min(current.limits.body_bytes, self.config.limits.body_bytes)
         body = await bodies.read_body(request, limit, self.held)
-        parent = self.parent(request)
+        attempt = request.headers.get(headers.ATTEMPT, "")
+        parent = self.attempts.exit.parents.of(attempt)
         call = calls.Call(
-            attempt=request.headers.get(headers.ATTEMPT, ""),
+            attempt=attempt,
             method=request.method,
             path=path,
             headers=calls.forwardable(request.headers),
@@ -116,8 +117,9 @@
             route=route.name,
             idempotent=route.idempotent,
             rank=route.priority,
-            nested=bool(parent),
-            repeated=self.attempts.exit.running.get(parent, False),
+            inner=parent is not None,
+            nested=parent is not None and parent.waits,
+            repeated=parent is not None and parent.repeated,
             timely_until=began + route.target_latency,
             deadline=began + min(left - RETURN_MARGIN, route.timeout),
             caller=self.config.service,
@@ -126,12 +128,6 @@
         )
         return call, route
 
-    def parent(self, request: aiohttp.web.BaseRequest) -> str:
-        """Return the id of the request beside the node that waits for this one;
-        empty if none does."""
-        parent = headers.parent_of(request.headers.get(headers.ATTEMPT, ""))
-        return parent if parent and parent in self.attempts.exit.running else ""
-
     def respond(self, answer: calls.Answer) -> aiohttp.web.Response:
         """Return the response that a caller gets."""
         found = multidict.CIMultiDict(answer.headers)
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -8,6 +8,7 @@
     connections,
     events,
     judging,
+    parents,
     settings,
     suspects as suspecting,
     upstream as upstreams,
@@ -51,8 +52,7 @@
         self.identity = upstream.identity
         self.tasks: set[asyncio.Task] = set()
         self.looking: asyncio.Task | None = None
-        # Whether each attempt at the upstream is a repeat, by its id.
-        self.running: dict[str, bool] = {}
+        self.parents = parents.Parents()
         self.stopping = False
         self.ends_at = float("inf")
         self.judge = judging.Judge(upstream, log)
@@ -151,7 +151,7 @@
         failure = self.upstream.refusal(call.service) or self.judge.refusal()
         if failure is not None:
             raise failure
-        if self.upstream.doubted(len(self.running)):
+        if self.upstream.doubted(len(self.parents.running)):
             raise codes.Failure(codes.NO_ENDPOINT, "silent")
 
     def may_outlast(self, call: calls.Call) -> bool:
@@ -178,8 +178,8 @@
         began = loop.time()
         data = self.write(call, identity, call.deadline - began)
         call.sent = True
-        self.upstream.asked(len(self.running))
-        self.running[call.attempt] = call.repeated
+        self.upstream.asked(len(self.parents.running))
+        self.parents.begin(call)
         try:
             async with asyncio.timeout_at(call.deadline + ANSWER_MARGIN):
                 response = await connection.exchange(
@@ -192,7 +192,7 @@
             self.note_broken(call, connection, loop.time() - began)
             raise
         finally:
-            self.running.pop(call.attempt, None)
+            self.parents.end(call, call.deadline - loop.time())
         spent = loop.time() - began
         self.pool.release(address, connection, response)
         return self.read(call, response, identity, spent)
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -240,6 +240,7 @@
             await asyncio.sleep(SWEEP_INTERVAL)
             self.exit.pool.sweep()
             self.suspects.expire()
+            self.exit.parents.expire()
             self.attempts.peers.pool.sweep()
             if self.file is not None and self.file.changed():
                 self.reload()
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -116,9 +116,10 @@
         await self.fleet.wait_endpoints()
 
     def age(self):
-        """Let all nodes have known each other for long."""
+        """Let all nodes have run, and known each other, for long."""
         for node in self.nodes:
             node.membership.sharers.known_since = float("-inf")
+            node.exit.parents.started_at = float("-inf")
 
     async def configure(self, version, *paths):
         data = configuration(version, *paths)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -230,7 +230,7 @@
         await world.start("registry")
         world.age()
         node = world.nodes[0]
-        node.exit.running["77"] = False
+        node.exit.parents.running["77"] = False
         seen = []
         run = node.attempts.run
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -39,7 +39,7 @@
         await world.start("registry")
         world.age()
         node = world.nodes[0]
-        node.exit.running["77"] = True
+        node.exit.parents.running["77"] = True
         mesh_world.use_up(world)
         url = f"http://{node.config.listen.callers}/lookup/1"
         for attempt, expected in (("77.1", 503), ("78.1", 200)):
@@ -55,7 +55,7 @@
         await world.start("registry")
         world.age()
         node = world.nodes[0]
-        node.exit.running["77"] = True
+        node.exit.parents.running["77"] = True
         sent = {"Host": mesh_world.HOST, headers.ATTEMPT: "77.1"}
         url = f"http://{node.config.listen.callers}/lookup/1"
         async with world.session.get(url, headers=sent) as answer:
@@ -96,7 +96,7 @@
     async def test_only_requests_of_callers_earn(self, world):
         await world.start("registry")
         node = world.nodes[0]
-        node.exit.running["77"] = False
+        node.exit.parents.running["77"] = False
         mesh_world.use_up(world)
         for number in range(40):
             assert await world.code_of(f"77.{number}") is None
