Only requests of callers earn repeats

What callers saw: more repeats at a service than the budget allows (BUDGET), where a service is mostly called by upstreams.

Cause: calls of upstreams earned repeats like requests that clients sent.

--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -129,10 +129,11 @@
             call.repeated = call.repeated or progress.arrivals > 0
 
     def count(self, call: calls.Call) -> None:
-        """Count a request."""
+        """Count a request. What an upstream calls earns no repeats: it may be the
+        repeats of another service that multiply these calls."""
         sender = "upstream" if call.inner else "caller"
         self.meters.budget_requests.labels(call.service, sender).inc()
-        if not call.repeated:
+        if not call.inner:
             self.budget(call.service).note_request(clock.elapsed())
 
     def check_end(self, route: routes.Route) -> None:
