A seed of the soak always means the same faults; a node that nobody hits has to answer

Cause: faults drew from the generator that the callers drew from too, and chose among the hosts that were free at that moment, so times, targets and kinds changed from run to run and a kept seed reproduced nothing.

The schedule is planned before the soak starts, from seed, length and names of the faults; what can't begin at its time is noted and skipped. Kept seeds are pinned to their faults.

--- a/rattanridge/cli/soak.py
+++ b/rattanridge/cli/soak.py
@@ -34,6 +34,8 @@
             f"seed {number}: {outcome.answered} of {outcome.calls} calls answered, "
             f"{len(outcome.faults)} faults: {', '.join(outcome.faults)}"
         )
+        if outcome.skipped:
+            click.echo(f"  skipped: {', '.join(outcome.skipped)}")
         if not outcome.broken:
             shutil.rmtree(directory)
             continue
--- a/rattanridge/soak/faults.py
+++ b/rattanridge/soak/faults.py
@@ -3,14 +3,11 @@
 import asyncio
 import collections.abc
 import dataclasses
-import random
 import signal
 
 from rattanridge.kernel import registry
-from rattanridge.soak import parts, proxy
+from rattanridge.soak import parts, proxy, schedule
 
-LONGEST = 3.0  # seconds that a fault lasts at most
-SHORTEST = 0.3  # seconds
 STORE_FAULTS = (
     ("down", True),
     ("silent", True),
@@ -21,51 +18,54 @@
 )
 
 Fault = collections.abc.Callable[
-    [parts.World, parts.Host, random.Random], collections.abc.Awaitable[None]
+    [parts.World, parts.Host, schedule.Planned], collections.abc.Awaitable[None]
 ]
 FAULTS: registry.Registry[Fault] = registry.Registry("fault")
 
 
-async def last(rng: random.Random) -> None:
-    """Let a fault last for a while."""
-    await asyncio.sleep(rng.uniform(SHORTEST, LONGEST))
-
-
-async def kill_part(part: parts.Part, rng: random.Random) -> None:
+async def kill_part(part: parts.Part, planned: schedule.Planned) -> None:
     """Kill a process and start it again after a while."""
     await part.kill()
-    await last(rng)
+    await asyncio.sleep(planned.lasts)
     await part.start()
 
 
-async def pause_part(part: parts.Part, rng: random.Random) -> None:
+async def pause_part(part: parts.Part, planned: schedule.Planned) -> None:
     """Let a process stand still for a while."""
     part.signal(signal.SIGSTOP)
-    await last(rng)
+    await asyncio.sleep(planned.lasts)
     part.signal(signal.SIGCONT)
 
 
 @FAULTS.register("node-kill")
-async def kill_node(world: parts.World, host: parts.Host, rng: random.Random) -> None:
+async def kill_node(
+    world: parts.World, host: parts.Host, planned: schedule.Planned
+) -> None:
     """Kill a node; it comes back."""
-    await kill_part(host.node, rng)
+    await kill_part(host.node, planned)
 
 
 @FAULTS.register("node-stop")
-async def stop_node(world: parts.World, host: parts.Host, rng: random.Random) -> None:
+async def stop_node(
+    world: parts.World, host: parts.Host, planned: schedule.Planned
+) -> None:
     """Stop a node as planned; it comes back."""
     await host.node.terminate()
     await host.node.start()
 
 
 @FAULTS.register("node-pause")
-async def pause_node(world: parts.World, host: parts.Host, rng: random.Random) -> None:
+async def pause_node(
+    world: parts.World, host: parts.Host, planned: schedule.Planned
+) -> None:
     """Let a node stand still."""
-    await pause_part(host.node, rng)
+    await pause_part(host.node, planned)
 
 
 @FAULTS.register("node-reload")
-async def reload_node(world: parts.World, host: parts.Host, rng: random.Random) -> None:
+async def reload_node(
+    world: parts.World, host: parts.Host, planned: schedule.Planned
+) -> None:
     """Let a node read its settings again, once it has started."""
     # Before its handlers are set, the signal would end the process.
     await world.wait(lambda: world.state(host))
@@ -74,57 +74,61 @@
 
 @FAULTS.register("upstream-kill")
 async def kill_upstream(
-    world: parts.World, host: parts.Host, rng: random.Random
+    world: parts.World, host: parts.Host, planned: schedule.Planned
 ) -> None:
     """Kill an upstream; another incarnation comes."""
-    await kill_part(host.upstream, rng)
+    await kill_part(host.upstream, planned)
 
 
 @FAULTS.register("upstream-drain")
 async def drain_upstream(
-    world: parts.World, host: parts.Host, rng: random.Random
+    world: parts.World, host: parts.Host, planned: schedule.Planned
 ) -> None:
     """Let an upstream leave as planned; another one comes in its place."""
     await host.upstream.terminate()
-    await last(rng)
+    await asyncio.sleep(planned.lasts)
     await host.upstream.start()
 
 
 @FAULTS.register("upstream-pause")
 async def pause_upstream(
-    world: parts.World, host: parts.Host, rng: random.Random
+    world: parts.World, host: parts.Host, planned: schedule.Planned
 ) -> None:
     """Let an upstream stand still."""
-    await pause_part(host.upstream, rng)
+    await pause_part(host.upstream, planned)
 
 
 @FAULTS.register("link-faults")
-async def spoil_link(world: parts.World, host: parts.Host, rng: random.Random) -> None:
+async def spoil_link(
+    world: parts.World, host: parts.Host, planned: schedule.Planned
+) -> None:
     """Delay, reset, cut one way or silence the way to the store or the upstream."""
-    link = rng.choice([host.store_link, host.upstream_link])
-    link.mode = rng.choice(
-        [
-            proxy.Mode(delay=rng.uniform(0.01, 0.3)),
-            proxy.Mode(mute_up=True),
-            proxy.Mode(mute_down=True),
-            proxy.Mode(mute_up=True, mute_down=True),
-            proxy.Mode(refuse=True),
-        ]
-    )
-    if link.mode.refuse:
+    modes = [
+        proxy.Mode(delay=planned.lasts / 10),
+        proxy.Mode(mute_up=True),
+        proxy.Mode(mute_down=True),
+        proxy.Mode(mute_up=True, mute_down=True),
+        proxy.Mode(refuse=True),
+    ]
+    links = [host.store_link, host.upstream_link]
+    link, mode = planned.choose([(link, mode) for link in links for mode in modes])
+    link.mode = mode
+    if mode.refuse:
         link.reset()
-    await last(rng)
+    await asyncio.sleep(planned.lasts)
     link.mode = proxy.Mode()
     # Bytes were lost on the connections that were muted.
     link.reset()
 
 
-@FAULTS.register("store-faults")
-async def spoil_store(world: parts.World, host: parts.Host, rng: random.Random) -> None:
+@FAULTS.register(schedule.STORE)
+async def spoil_store(
+    world: parts.World, host: parts.Host, planned: schedule.Planned
+) -> None:
     """Let the store misbehave for all nodes."""
-    name, value = rng.choice(STORE_FAULTS)
+    name, value = planned.choose(STORE_FAULTS)
     await world.set_store_faults(**{name: value})
-    await last(rng)
+    await asyncio.sleep(planned.lasts)
     await world.set_store_faults()
 
 
@@ -142,42 +146,34 @@
 
 
 class Trouble:
-    """Starts faults at random, in series and overlapping.
+    """Plays a schedule; what can't be done at its time is noted and skipped."""
 
-    :param most: faults at once.
-    """
-
-    def __init__(self, world: parts.World, rng: random.Random, most: int = 3):
+    def __init__(self, world: parts.World, faults: list[schedule.Planned]):
         self.world = world
-        self.random = rng
-        self.most = most
+        self.faults = faults
         self.running: dict[str, asyncio.Task] = {}
         self.windows: list[Window] = []
+        self.skipped: list[schedule.Planned] = []
 
-    async def run(self, seconds: float) -> None:
-        """Make trouble for some seconds, then wait until all faults have ended."""
+    async def run(self) -> None:
+        """Begin each fault at its time, then wait until all have ended."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + seconds
-        while loop.time() < end:
-            await asyncio.sleep(self.random.uniform(0.1, 1.2))
-            self.begin()
+        began = loop.time()
+        for planned in self.faults:
+            await asyncio.sleep(began + planned.at - loop.time())
+            if planned.key() in self.running:
+                self.skipped.append(planned)
+            else:
+                self.begin(planned)
         await asyncio.gather(*self.running.values())
 
-    def begin(self) -> None:
-        """Begin one fault at a host that has none, if there may be one more."""
-        free = [host for host in self.world.hosts if host.name not in self.running]
-        if len(self.running) >= self.most or not free:
-            return
-        host = self.random.choice(free)
-        name = self.random.choice(FAULTS.names())
-        key = "store" if name == "store-faults" else host.name
-        if key in self.running:
-            return
-        loop = asyncio.get_running_loop()
-        window = Window(name, key, loop.time())
+    def begin(self, planned: schedule.Planned) -> None:
+        """Begin one fault."""
+        window = Window(planned.name, planned.key(), asyncio.get_running_loop().time())
         self.windows.append(window)
-        work = FAULTS.get(name)(self.world, host, self.random)
-        task = self.running[key] = asyncio.create_task(work)
+        host = self.world.hosts[planned.host]
+        work = FAULTS.get(planned.name)(self.world, host, planned)
+        task = self.running[window.key] = asyncio.create_task(work)
         task.add_done_callback(lambda done: self.end(window))
 
     def end(self, window: Window) -> None:
--- a/rattanridge/soak/promises.py
+++ b/rattanridge/soak/promises.py
@@ -13,7 +13,9 @@
 DRAIN_BOUND = 2.0  # seconds after an acknowledged farewell without new requests
 ROUNDING = 0.1  # seconds
 PLANNED_STOP = "node-stop"
+HITS_NODES = ("node-kill", "node-stop", "node-pause", "node-reload")
 NO_CONNECTION = aiohttp.ClientConnectorError.__name__
+SETTLING = 1.0  # seconds after a fault of a node
 TAKEN_BEFORE = 1.4  # seconds before a planned stop: requests of then may still run
 TAKEN_AFTER = 0.5  # seconds after it in which requests are still taken
 
@@ -85,6 +87,7 @@
         *check_answers(sent),
         *check_leaving(runs, farewells),
         *check_planned_stops(sent, windows),
+        *check_timely(sent, windows),
     ]
 
 
@@ -148,3 +151,19 @@
         and item.host == stop.key
         and stop.began - TAKEN_BEFORE < item.at < stop.began + TAKEN_AFTER
     ]
+
+
+def check_timely(sent: list[callers.Sent], windows: list[faults.Window]) -> list[str]:
+    """A node that no fault hits answers long after the deadline at the latest."""
+    return [
+        f"sending {item.attempt} {item.path} got no answer of {item.host}"
+        for item in sent
+        if item.cut == TimeoutError.__name__
+        and not any(
+            hit.name in HITS_NODES
+            and hit.key == item.host
+            and hit.began < item.at + callers.LIMIT
+            and item.at < hit.ended + SETTLING
+            for hit in windows
+        )
+    ]
--- a/rattanridge/soak/soak.py
+++ b/rattanridge/soak/soak.py
@@ -11,7 +11,7 @@
 from rattanridge.admin import presets as preset_store
 from rattanridge.kernel import codes, log, presets
 from rattanridge.platform import store as stores
-from rattanridge.soak import callers, faults, parts, promises
+from rattanridge.soak import callers, faults, parts, promises, schedule
 from rattanridge.standin import fleet
 
 HOSTS = 6
@@ -27,6 +27,7 @@
     """What a soak found.
 
     :param faults: names and targets, in order.
+    :param skipped: planned faults whose target was still hit by another one.
     :param broken: promises that did not hold.
     """
 
@@ -34,6 +35,7 @@
     calls: int = 0
     answered: int = 0
     faults: list[str] = dataclasses.field(default_factory=list)
+    skipped: list[str] = dataclasses.field(default_factory=list)
     broken: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -44,11 +46,10 @@
     """
 
     def __init__(self, seed: int, seconds: float, directory: pathlib.Path):
-        self.random = random.Random(seed)
-        self.seconds = seconds
         self.world = parts.World(directory, HOSTS)
-        self.callers = callers.Callers(self.world, self.random)
-        self.trouble = faults.Trouble(self.world, self.random)
+        self.callers = callers.Callers(self.world, random.Random(seed))
+        planned = schedule.plan(seed, seconds, HOSTS, faults.FAULTS.names())
+        self.trouble = faults.Trouble(self.world, planned)
         self.watcher = promises.Watcher(self.world)
         self.outcome = Outcome(seed)
         self.generation = 0
@@ -62,7 +63,7 @@
             watching = asyncio.create_task(self.watcher.run())
             calling = asyncio.create_task(self.callers.run())
             changing = asyncio.create_task(self.change())
-            await self.trouble.run(self.seconds)
+            await self.trouble.run()
             changing.cancel()
             await asyncio.gather(changing, return_exceptions=True)
             await self.heal()
@@ -155,5 +156,8 @@
         self.outcome.answered = sum(item.status == 200 for item in sent)
         windows = self.trouble.windows
         self.outcome.faults = [f"{item.name} {item.key}" for item in windows]
+        self.outcome.skipped = [
+            f"{item.name} {item.key()}" for item in self.trouble.skipped
+        ]
         self.outcome.broken += self.watcher.broken
         self.outcome.broken += promises.check(self.world, sent, windows)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,20 +1,35 @@
 """The fault soak: its proxy, its checks, and a short run of it."""
 
 import asyncio
-import random
 
 import pytest
 
-from rattanridge.soak import callers, faults, parts, promises, proxy, soak
+from rattanridge.soak import callers, faults, parts, promises, proxy, schedule, soak
 
 AT = 100.0
 # Seeds that failed once, each with the cause.
 FAILED_SEEDS = {
     # A check's fault: a node that was stopped just after its start had taken
     # nothing from callers that got no connection. Later, most likely: a reload
-    # ended a node that had no handlers yet, and nothing started it again.
+    # ended a node that had no handlers yet, and nothing started it again. Last, most
+    # likely: a request with a key waited for a silent store past its deadline.
     5: 0.2,
 }
+# Their faults, which follow from seed, length and the names of all faults.
+KEPT = {
+    5: [
+        "0.8 store-faults store",
+        "1.9 link-faults host-3",
+        "2.1 node-pause host-0",
+        "5.8 node-reload host-3",
+        "6.1 node-pause host-2",
+        "6.9 link-faults host-4",
+        "9.1 store-faults store",
+        "9.6 link-faults host-3",
+        "10.7 node-reload host-0",
+        "11.8 store-faults store",
+    ],
+}
 
 
 class TestProxy:
@@ -112,6 +127,62 @@
         found = promises.check_planned_stops([sending("1", cut=cut)], windows)
         assert bool(found) is broken
 
+    @pytest.mark.parametrize(
+        ("name", "key", "broken"),
+        [
+            ("node-pause", "host-0", False),
+            ("node-pause", "host-1", True),
+            (schedule.STORE, "store", True),
+        ],
+    )
+    def test_no_answer(self, name, key, broken):
+        windows = [faults.Window(name, key, AT + 0.2, AT + 3)]
+        found = promises.check_timely([sending("1", cut="TimeoutError")], windows)
+        assert bool(found) is broken
+
+
+class TestSchedule:
+    # Guards against: a seed whose faults change from run to run reproduces nothing.
+    def test_follows_from_the_seed_alone(self):
+        names = faults.FAULTS.names()
+        first = schedule.plan(5, 12.0, 6, names)
+        assert first == schedule.plan(5, 12.0, 6, names)
+        assert first != schedule.plan(6, 12.0, 6, names)
+
+    # A kept seed whose faults have changed guards against nothing.
+    def test_kept_seeds_still_mean_what_they_meant(self):
+        names = faults.FAULTS.names()
+        for seed, meant in KEPT.items():
+            planned = schedule.plan(seed, FAILED_SEEDS[seed] * 60, soak.HOSTS, names)
+            assert [f"{x.at:.1f} {x.name} {x.key()}" for x in planned] == meant
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_faults_come_in_series_and_overlap(self, seed):
+        found = schedule.plan(seed, 60.0, 6, faults.FAULTS.names())
+        assert len(found) > 25
+        for item in found:
+            others = [x for x in found if x.at < item.at < x.until()]
+            assert len(others) < schedule.MOST
+            assert item.key() not in {x.key() for x in others}
+
+    async def test_what_can_not_begin_is_noted_and_skipped(self, monkeypatch):
+        begun = []
+
+        async def hang(world, host, planned):
+            begun.append(planned)
+            await asyncio.sleep(planned.lasts)
+
+        monkeypatch.setitem(faults.FAULTS.items, "node-kill", hang)
+        planned = [
+            schedule.Planned(at, "node-kill", 0, 0.3, 0.0) for at in (0.0, 0.1, 0.5)
+        ]
+        world = parts.World(None, 1)
+        world.hosts = [None]
+        trouble = faults.Trouble(world, planned)
+        await trouble.run()
+        assert begun == [planned[0], planned[2]]
+        assert trouble.skipped == [planned[1]]
+
 
 class TestFault:
     async def test_a_reload_spares_a_node_that_just_starts(self, tmp_path):
@@ -122,7 +193,8 @@
             host = world.hosts[0]
             await host.node.kill()
             await host.node.start()
-            await faults.reload_node(world, host, random.Random(1))
+            planned = schedule.Planned(0.0, "node-reload", 0, 0.3, 0.0)
+            await faults.reload_node(world, host, planned)
             await world.wait(lambda: world.state(host))
             assert host.node.running()
         finally:
