Two processes of stand-ins never take the same ports

Found by two soaks beside each other: one found the store of the other and its preset in force ("error 7008 preset-in-force"), the other did not start.

Cause: blocks of ports were given out by the number of a pytest worker; all other processes, and the first worker, took the first block. A soak, a demo or a measurement beside the tests met them.

A process now keeps a socket on the first port of its block, and takes the first block that is free.

--- a/rattanridge/standin/fleet.py
+++ b/rattanridge/standin/fleet.py
@@ -4,14 +4,13 @@
 import collections.abc
 import dataclasses
 import itertools
-import os
 import socket
 import time
 
 import msgspec
 
 from rattanridge.admin import presets as preset_store
-from rattanridge.kernel import presets, routes, settings as fields
+from rattanridge.kernel import codes, presets, routes, settings as fields
 from rattanridge.mesh import node as nodes, settings
 from rattanridge.standin import metadata, upstream as upstreams
 
@@ -28,17 +27,32 @@
 PROCESSES_MOST = 20
 
 
+def claim_ports() -> tuple[socket.socket, range]:
+    """Return ports that no other process here takes, and the socket that guards them
+    for as long as it is open."""
+    for place in range(PROCESSES_MOST):
+        first = FIRST_PORT + place * PORTS_PER_PROCESS
+        guard = socket.socket()
+        try:
+            guard.bind((LOOPBACK, first))
+        except OSError:
+            guard.close()
+            continue
+        return guard, range(first + 1, first + PORTS_PER_PROCESS)
+    raise codes.Failure(codes.CANNOT_LISTEN, "all ports for stand-ins are taken")
+
+
 def free_addresses() -> collections.abc.Iterator[str]:
     """Yield addresses at which nothing listens just now."""
-    place = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) % PROCESSES_MOST
-    first = FIRST_PORT + place * PORTS_PER_PROCESS
-    for port in itertools.cycle(range(first, first + PORTS_PER_PROCESS)):
-        with socket.socket() as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-        yield f"{LOOPBACK}:{port}"
+    guard, ports = claim_ports()
+    with guard:
+        for port in itertools.cycle(ports):
+            with socket.socket() as probe:
+                try:
+                    probe.bind((LOOPBACK, port))
+                except OSError:
+                    continue
+            yield f"{LOOPBACK}:{port}"
 
 
 ADDRESSES = free_addresses()
