Log lines stay whole if their reader is slow, and lost ones are told

Cause: what was left of a line that the reader took in part was kept together with all lines behind it as one entry, which went as a whole when more lines came; the next line then went on in the middle of the torn one. Lost lines were counted, and told nowhere.

Lines are kept apart, and one that was begun is never dropped; lines-dropped tells the count.

--- a/rattanridge/kernel/sink.py
+++ b/rattanridge/kernel/sink.py
@@ -47,6 +47,8 @@
         self.descriptor = descriptor
         self.lines: collections.deque[bytes] = collections.deque()
         self.size = 0
+        # Whether the oldest line was written in part.
+        self.begun = False
         self.dropped = 0
         os.set_blocking(descriptor, False)
 
@@ -55,28 +57,35 @@
         line = self.format(record).encode("utf-8", "replace") + b"\n"
         self.lines.append(line)
         self.size += len(line)
-        while self.size > KEPT_BYTES:
-            self.size -= len(self.lines.popleft())
+        oldest = int(self.begun)
+        while self.size > KEPT_BYTES and len(self.lines) > oldest:
+            self.size -= len(self.lines[oldest])
+            del self.lines[oldest]
             self.dropped += 1
 
     def flush(self) -> None:
         """Write what waits, as far as the reader takes it."""
         if not self.lines:
             return
-        data = b"".join(self.lines)
         try:
-            written = os.write(self.descriptor, data)
+            written = os.write(self.descriptor, b"".join(self.lines))
         except BlockingIOError:
             return
         except OSError:
             # The reader is gone for good; the lines have nowhere to go.
-            written = len(data)
+            written = self.size
             self.dropped += len(self.lines)
-        rest = data[written:]
-        self.lines.clear()
-        self.size = len(rest)
-        if rest:
-            self.lines.append(rest)
+        self.forget(written)
+
+    def forget(self, written: int) -> None:
+        """Remove what was written; the last line of it perhaps only in part."""
+        self.size -= written
+        while self.lines and written >= len(self.lines[0]):
+            written -= len(self.lines.popleft())
+            self.begun = False
+        if written:
+            self.lines[0] = self.lines[0][written:]
+            self.begun = True
 
 
 def configure(level: str = "info") -> Sink:
--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -125,10 +125,14 @@
                 self.sink.flush()
 
     def report(self) -> None:
-        """Tell how many lines of each kind were held back."""
+        """Tell how many lines of each kind were held back, and how many were lost
+        because nobody read them."""
         for event, count in self.gate.held_back.items():
             self.info("lines-held-back", kind=event, count=count)
         self.gate.held_back.clear()
+        if self.sink is not None and self.sink.dropped:
+            self.info("lines-dropped", count=self.sink.dropped)
+            self.sink.dropped = 0
 
     def stop(self) -> None:
         """Write out what is left."""
--- a/tests/test_sink.py
+++ b/tests/test_sink.py
@@ -60,6 +60,27 @@
         assert sink.dropped
         assert sink.size <= sinks.KEPT_BYTES
 
+    # Guards against: the rest of a line that was written in part is dropped, and the
+    # next line goes on in its place.
+    def test_lines_stay_whole_if_the_reader_is_slow(self, pipe):
+        reader, writer = pipe
+        sink = sinks.Sink(writer)
+        read = b""
+        for number in range(20_000):
+            sink.emit(record(f"event=e number={number} {'x' * 100} end"))
+            if not number % 100:
+                sink.flush()
+            if not number % 500:
+                read += os.read(reader, 30_000)
+        while sink.lines:
+            sink.flush()
+            read += os.read(reader, 65_536)
+        lines = read.decode().splitlines()
+        assert sink.dropped == 20_000 - len(lines)
+        for line in lines:
+            assert line.count("event=e") == 1
+            assert line.endswith(" end")
+
     def test_a_reader_that_is_gone_is_no_failure(self):
         reader, writer = os.pipe()
         os.close(reader)
