--- a/rattanridge/policies/splitting.py
+++ b/rattanridge/policies/splitting.py
@@ -4,6 +4,8 @@
 
 from rattanridge.kernel import routes
 
+KEPT = 1_000  # divisions whose credits are kept; those of older configurations stay
+
 
 class Splitter:
     """Keeps each service's part close to its weight at any time.
@@ -22,6 +24,8 @@
             return route.shares[0].service
         known = self.credits.get(route.shares)
         if known is None:
+            if len(self.credits) >= KEPT:
+                self.credits.clear()
             known = [self.random.random() for _ in route.shares]
             self.credits[route.shares] = known
         total = sum(share.weight for share in route.shares)
@@ -33,7 +37,3 @@
         )
         known[best] -= 1.0
         return route.shares[best].service
-
-    def forget(self) -> None:
-        """Drop the credits of routes of an older configuration."""
-        self.credits.clear()
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -28,3 +28,10 @@
         splitter = splitting.Splitter(random.Random(3))
         route = make(("a", 0), ("b", 1))
         assert {splitter.choose(route) for _ in range(100)} == {"b"}
+
+    # Guards against: credits of all configurations that ever were stay in memory.
+    def test_credits_of_older_configurations_are_bounded(self):
+        splitter = splitting.Splitter(random.Random(3))
+        for weight in range(1, 2 * splitting.KEPT):
+            splitter.choose(make(("a", weight), ("b", 7)))
+        assert len(splitter.credits) <= splitting.KEPT
