--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,7 +1,6 @@
 """Connections to upstreams and nodes: whose answer it is, and whether it is whole."""
 
 import asyncio
-import contextlib
 import socket
 import struct
 import tracemalloc
@@ -12,6 +11,7 @@
 from rattanridge.mesh import connections, receiving
 from rattanridge.platform import store
 from rattanridge.web import memory
+from tests import floods
 
 HELD = 80_000_000  # bytes
 HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\nContent-Length: 2000\r\n\r\n"
@@ -149,61 +149,11 @@
         pool.close()
 
 
-ANSWER = b"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\n"
-CHUNKED = ANSWER + b"Transfer-Encoding: chunked\r\n\r\n"
-OTHER = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: "
-# What comes first, and what follows without end.
-ENDLESS = {
-    "status-line": (b"HTTP/1.1 200 ", b"O" * 65536),
-    "no-http": (b"", b"z" * 65536),
-    "empty-lines": (b"", b"\r\n" * 32768),
-    "header-name": (ANSWER, b"n" * 65536),
-    "header-value": (ANSWER + b"X: ", b"v" * 65536),
-    "headers": (ANSWER, b"A: b\r\n" * 10000),
-    "folded-header": (ANSWER + b"A: b\r\n", b" c\r\n" * 16000),
-    "interim-answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
-    "other-answers": (b"", (OTHER + b"2\r\n\r\nno") * 1000),
-    "large-other-answers": (b"", OTHER + b"60000\r\n\r\n" + b"x" * 60000),
-    "body": (ANSWER + b"\r\n", b"b" * 65536),
-    "body-of-a-length": (ANSWER + b"Content-Length: 9999999999\r\n\r\n", b"b" * 65536),
-    "chunks": (CHUNKED, b"1\r\nx\r\n" * 10000),
-    "chunk-size": (CHUNKED, b"0" * 65536),
-    "chunk-extension": (CHUNKED + b"5;", b"e" * 65536),
-    "chunk-extensions": (CHUNKED, b"1;" + b"e" * 40 + b"\r\nx\r\n"),
-    "trailers": (CHUNKED + b"0\r\n", b"T: u\r\n" * 10000),
-    "trailer-value": (CHUNKED + b"0\r\nT: ", b"u" * 65536),
-}
 BUFFERS = 16_000_000  # bytes that the system may hold between the two ends
 KEPT = {"body": 70_000_000, "body-of-a-length": 70_000_000}  # bytes; twice the largest
 KEPT_MOST = 8_000_000  # bytes of memory for what is no body
 
 
-class Flood:
-    """Sends without end, until the other side closes."""
-
-    def __init__(self, first, rest):
-        self.first = first
-        self.rest = rest * max(65536 // len(rest), 1)
-        self.sent = 0
-        self.server = None
-        self.ended = 0
-
-    async def serve(self, reader, writer):
-        await reader.read(65536)
-        writer.write(self.first)
-        with contextlib.suppress(ConnectionError):
-            while True:
-                writer.write(self.rest)
-                await writer.drain()
-                self.sent += len(self.rest)
-        self.ended += 1
-        writer.close()
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
-
-
 async def meet(flood, address, held):
     """Send a request; return the failure that ends it."""
     connection = await connections.Pool(held).acquire(address, 1.0)
@@ -219,9 +169,9 @@
 
     # Guards against: bytes that are no answer are read until the request's deadline,
     # and in small chunks take many times their size.
-    @pytest.mark.parametrize("name", ENDLESS)
+    @pytest.mark.parametrize("name", floods.ENDLESS)
     async def test_bytes_without_end(self, name):
-        flood = Flood(*ENDLESS[name])
+        flood = floods.Flood(*floods.ENDLESS[name])
         address = await flood.start()
         held = memory.Held(HELD)
         tracemalloc.start()
@@ -241,7 +191,7 @@
 
     # Guards against: bodies without end at all slots together fill the node's memory.
     async def test_bodies_without_end_at_many_connections(self):
-        flood = Flood(*ENDLESS["body"])
+        flood = floods.Flood(*floods.ENDLESS["body"])
         address = await flood.start()
         held = memory.Held(20_000_000)
         tracemalloc.start()
@@ -261,7 +211,7 @@
     async def test_a_large_answer_in_small_chunks_is_taken(self):
         body = bytes(range(256)) * 4
         chunk = b"400\r\n" + body + b"\r\n"
-        peer = Peer([CHUNKED, *([chunk * 100] * 20), b"0\r\n\r\n"])
+        peer = Peer([floods.CHUNKED, *([chunk * 100] * 20), b"0\r\n\r\n"])
         pool = connections.Pool(memory.Held(HELD))
         response = await exchange(pool, await peer.start(), mine)
         assert response.body == body * 2000
@@ -269,7 +219,7 @@
 
     # Guards against: an answer of the store without end fills the node's memory.
     async def test_an_answer_of_the_store_without_end(self):
-        flood = Flood(ANSWER + b"\r\n", b"b" * 65536)
+        flood = floods.Flood(floods.ANSWER + b"\r\n", b"b" * 65536)
         client = store.Store(await flood.start())
         async with asyncio.timeout(10):
             with pytest.raises(codes.Failure) as caught:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -9,7 +9,7 @@
 
 from rattanridge.kernel import codes
 from rattanridge.platform import headers
-from tests import mesh_world
+from tests import floods, mesh_world
 
 
 @pytest_asyncio.fixture
@@ -90,6 +90,24 @@
         assert found["Rattanridge-Ran"] == "unknown"
         assert sum(len(item.runs) for item in world.upstreams) == 1
 
+    # Guards against: an upstream that sends without end holds callers or the node.
+    @pytest.mark.parametrize("name", ["empty-lines", "chunks", "body"])
+    async def test_an_upstream_that_sends_without_end(self, world, name):
+        await world.start("workshop", "workshop")
+        flood = floods.Flood(*floods.ENDLESS[name])
+        for upstream in world.upstreams:
+            upstream.told_address = await flood.start()
+            await upstream.beat()
+        began = asyncio.get_running_loop().time()
+        status, found, _ = await world.call("/order/1", "POST", deadline=10_000)
+        assert (status, found["Rattanridge-Ran"]) == (502, "unknown")
+        assert asyncio.get_running_loop().time() - began < 5
+        for upstream in world.upstreams:
+            upstream.told_address = ""
+            await upstream.beat()
+        assert (await world.call("/order/1", "POST"))[0] == 200
+        assert all(node.held.used == 0 for node in world.nodes)
+
     async def test_unsafe_request_moves_after_a_proof(self, world):
         await world.start("workshop", "workshop")
         mesh_world.spoil(world.upstreams[0], "shed")
