A reload changes the retry budgets that are already in use

Each service's budget kept to the settings of the moment in which it was made; SIGHUP changed the settings and no budget. TestRetryBudget.test_a_reload_changes_budgets failed before: there was nothing to take changed settings over.

--- a/rattanridge/mesh/attempts.py
+++ b/rattanridge/mesh/attempts.py
@@ -108,6 +108,11 @@
             found = self.budgets[service] = kind(self.config.repeats.limits())
         return found
 
+    def reload(self) -> None:
+        """Take over changed settings."""
+        for budget in self.budgets.values():
+            budget.settings = self.config.repeats.limits()
+
     async def run(self, call: calls.Call, route: routes.Route) -> calls.Answer:
         """Return the answer to a call; the last refusal if nobody took it."""
         self.check_end(route)
--- a/rattanridge/mesh/membership.py
+++ b/rattanridge/mesh/membership.py
@@ -94,6 +94,10 @@
         self.sharers.see(self.directory.records, clock.elapsed())
         self.publisher.see(item)
 
+    def reload(self) -> None:
+        """Take over changed settings."""
+        self.sharers.set_span(self.config.repeats.limits().span())
+
     def hear(self) -> None:
         """The store answered the watch of the records."""
         self.sharers.hear(clock.elapsed())
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -257,6 +257,8 @@
             return
         for name in fresh.__struct_fields__:
             setattr(self.config, name, getattr(fresh, name))
+        self.attempts.reload()
+        self.membership.reload()
         self.log.info("settings-reloaded", service=fresh.service, store=fresh.store)
 
     def busy(self) -> int:
--- a/rattanridge/policies/sharing.py
+++ b/rattanridge/policies/sharing.py
@@ -27,12 +27,16 @@
 
     def __init__(self, name: str, span: float):
         self.name = name
-        self.memory = span + FRESH + STALE
+        self.set_span(span)
         self.present: set[str] = set()
         self.left: dict[str, float] = {}
         self.heard_at = float("-inf")
         self.known_since = float("inf")
 
+    def set_span(self, span: float) -> None:
+        """Take over another span."""
+        self.memory = span + FRESH + STALE
+
     def hear(self, now: float) -> None:
         """The store answered; what is known was true a short time ago."""
         self.heard_at = now
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,8 +1,10 @@
 """Repeats of requests on their way through nodes, and what nodes count of them."""
 
+import msgspec
 import pytest_asyncio
 
 from rattanridge.kernel import codes
+from rattanridge.mesh import settings
 from rattanridge.platform import headers
 from tests import mesh_world
 
@@ -104,3 +106,18 @@
         for number in range(40):
             assert await world.code_of(f"{number:04x}") is None
         assert node.attempts.may_spend(mesh_world.made_call(world))
+
+    # Guards against: a budget keeps to the settings that were in force at its start.
+    async def test_a_reload_changes_budgets(self, world, tmp_path):
+        await world.start("registry")
+        node = world.nodes[0]
+        budget = node.attempts.budget("registry")
+        before = node.membership.sharers.memory
+        changed = settings.Repeats(ratio=0.1, least=3.0, window=20.0)
+        fresh = msgspec.structs.replace(node.config, repeats=changed)
+        path = tmp_path / "node.yaml"
+        path.write_bytes(msgspec.yaml.encode(fresh))
+        node.file = settings.File(str(path))
+        node.reload()
+        assert budget.settings == changed.limits()
+        assert node.membership.sharers.memory == before + 13.0
