A watch begun while the store was silent: traced, known red

Its watch had begun in the silence and waited on; records written just before were not known for up to 10.8 s.

--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -83,6 +83,24 @@
             lambda: all(node.configs.version == 4 for node in world.nodes), 4.0
         )
 
+    # Guards against: a watch that was begun while the store was silent goes on waiting
+    # for up to 10.8 s after its return, and an endpoint that came before is not known.
+    async def test_endpoints_are_known_soon_after_a_silent_store(self, world):
+        await world.start("workshop")
+        await world.store.put(records.KIND, "other", b"{}")
+        await asyncio.sleep(0.3)
+        world.store.faults.silent = True
+        await asyncio.sleep(1.5)
+        world.store.faults.silent = False
+        await world.add("registry")
+
+        async def served():
+            return (await world.call("/lookup/1"))[0] == 200
+
+        async with asyncio.timeout(3.0):
+            while not await served():
+                await asyncio.sleep(0.05)
+
     async def test_an_outage_costs_few_calls(self, world):
         await world.start("registry", "workshop")
         world.store.faults.down = True
