A late heartbeat after a farewell to a new process: shown, known red

A farewell without an incarnation is taken for incarnation 0, so an older heartbeat of the same endpoint is newer.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -279,6 +279,20 @@
         assert {status for status, _, _ in results} == {200}
         assert len(first.runs) == before
 
+    # Guards against: a process that has just started hears a farewell that names no
+    # incarnation, then an older heartbeat, and takes the upstream for a ready one.
+    async def test_a_late_heartbeat_after_a_farewell_to_a_new_process(self, world):
+        await world.start("registry")
+        first = world.upstreams[0]
+        late = first.report()
+        upstream = world.nodes[0].upstream
+        upstream.identity = None
+        upstream.leave(first.endpoint, 0)
+        url = f"http://{world.nodes[0].config.listen.heartbeats}/api/instances/"
+        async with world.session.put(url + first.endpoint, data=late) as answer:
+            assert answer.status == 200
+        assert upstream.state == "gone"
+
     async def test_a_late_heartbeat_does_not_bring_it_back(self, world):
         await world.start("registry", "registry")
         first = world.upstreams[0]
