--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,13 @@
-"""Settings of all tests: hypothesis gives the same verdict every time."""
+"""Settings and fixtures of all tests; hypothesis gives the same verdict every time."""
 
 import pathlib
 import re
 
 import hypothesis
 import pytest
+import pytest_asyncio
+
+from tests import mesh_world
 
 hypothesis.settings.register_profile(
     "ci",
@@ -26,3 +29,11 @@
     for item in items:
         if item.nodeid in LISTED:
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
+
+
+@pytest_asyncio.fixture
+async def world():
+    """Nodes with a stand-in store and stand-in upstreams; the test starts them."""
+    made = mesh_world.World()
+    yield made
+    await made.stop()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -5,20 +5,12 @@
 import re
 
 import pytest
-import pytest_asyncio
 
 from rattanridge.kernel import codes
 from rattanridge.platform import headers
 from tests import floods, mesh_world
 
 
-@pytest_asyncio.fixture
-async def world():
-    made = mesh_world.World()
-    yield made
-    await made.stop()
-
-
 class TestAnswers:
     async def test_come_from_the_upstream_unchanged(self, world):
         await world.start("registry")
--- a/tests/test_mesh_rollouts.py
+++ b/tests/test_mesh_rollouts.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import pytest
-import pytest_asyncio
 
 from rattanridge.mesh import coordinator
 from rattanridge.platform import orders
@@ -12,13 +11,6 @@
 DURATION = 6.0
 
 
-@pytest_asyncio.fixture
-async def world():
-    made = mesh_world.World()
-    yield made
-    await made.stop()
-
-
 async def start(world):
     await world.start("workshop", "registry", "registry", slots=12)
     await world.add("registry", "b", 24, "v2")
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -4,7 +4,6 @@
 
 import msgspec
 import pytest
-import pytest_asyncio
 
 from rattanridge.kernel import packing
 from rattanridge.mesh import node as nodes, records, watching
@@ -12,13 +11,6 @@
 from tests import mesh_world
 
 
-@pytest_asyncio.fixture
-async def world():
-    made = mesh_world.World()
-    yield made
-    await made.stop()
-
-
 class TestConfiguration:
     async def test_a_newer_version_is_in_force_soon(self, world):
         await world.start("registry", "workshop")
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,7 +1,6 @@
 """Repeats of requests on their way through nodes, and what nodes count of them."""
 
 import msgspec
-import pytest_asyncio
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import settings
@@ -9,13 +8,6 @@
 from tests import mesh_world
 
 
-@pytest_asyncio.fixture
-async def world():
-    made = mesh_world.World()
-    yield made
-    await made.stop()
-
-
 class TestRepeats:
     async def test_calls_of_a_repeat_count_as_repeats(self, world):
         """The exit that runs a repeat tells its node's entry."""
