Stream servers and connections of tests and soak end before their event loop does

make test was red with Python 3.11.6: 7 failed, 1 error, each with "Event loop is closed" from StreamWriter.__del__, in whichever test the garbage collector ran. Test servers never closed the connections on which their handlers waited, the soak's proxy cancelled its forwarding without waiting for it, and test callers left their connections open. Python closes such a writer when it is collected, which before 3.11.7 raises if its loop is closed.

web/streams.py is the one server and the one connection for all of these: a server resets its connections and waits for their handlers, a connection is closed when its block ends. The fixture listen ends the servers of a test. Filters and checks are as they were.

--- a/rattanridge/measure/latency.py
+++ b/rattanridge/measure/latency.py
@@ -1,6 +1,7 @@
 """Experiment ``added-latency``: the latency that the mesh adds to a direct call."""
 
 import asyncio
+import contextlib
 import random
 import time
 
@@ -8,6 +9,7 @@
 
 from rattanridge.measure import base, processes
 from rattanridge.standin import upstream as upstreams
+from rattanridge.web import streams
 
 TARGET_MS = 1.8  # added at the 99th percentile
 DEFAULT_SECONDS = 18.0
@@ -128,17 +130,15 @@
     """
     index = 1 + NODES.index("beside")
     before = group.memory_kib()[index]
-    host, _, port = addresses["local"].rpartition(":")
     request = f"GET /{SERVICE}/crest/17 HTTP/1.1\r\nHost: x\r\n\r\n".encode()
-    writers = []
-    for _ in range(CONNECTIONS):
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(request)
-        await reader.readuntil(b"\r\n\r\n")
-        writers.append(writer)
-    after = group.memory_kib()[index]
-    for writer in writers:
-        writer.close()
+    async with contextlib.AsyncExitStack() as connections:
+        for _ in range(CONNECTIONS):
+            reader, writer = await connections.enter_async_context(
+                streams.connect(addresses["local"])
+            )
+            writer.write(request)
+            await reader.readuntil(b"\r\n\r\n")
+        after = group.memory_kib()[index]
     return {
         "node_memory_mb": round(before / 1000, 1),
         "idle_connection_kb": round((after - before) / CONNECTIONS, 1),
--- a/rattanridge/soak/proxy.py
+++ b/rattanridge/soak/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+from rattanridge.web import streams
+
 CHUNK_BYTES = 65_536  # read at once
 
 
@@ -31,56 +33,62 @@
     def __init__(self, target: str):
         self.target = target
         self.mode = Mode()
-        self.address = ""
-        self.server: asyncio.Server | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
-        self.tasks: set[asyncio.Task] = set()
+        self.server = streams.StreamServer(self.serve)
+        self.target_writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def address(self) -> str:
+        """The address at which it listens, as ``host:port``; empty before."""
+        return self.server.address
 
     async def start(self) -> None:
         """Listen on a free loopback port; ``address`` tells which."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        await self.server.start()
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
-        self.server.close()
         self.reset()
-        for task in self.tasks:
-            task.cancel()
+        await self.server.stop()
 
     def reset(self) -> None:
-        """Reset all open connections."""
-        for writer in list(self.writers):
+        """Reset all open connections, on both sides."""
+        self.server.reset()
+        for writer in self.target_writers:
             writer.transport.abort()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Forward one connection until either side closes it."""
-        host, _, port = self.target.rpartition(":")
         if self.mode.refuse:
             writer.transport.abort()
             return
         try:
-            target_reader, target_writer = await asyncio.open_connection(
-                host, int(port)
-            )
+            async with streams.connect(self.target) as (target_reader, target_writer):
+                await self.forward_both(reader, writer, target_reader, target_writer)
         except OSError:
+            # The target accepts no connection, and neither does the proxy.
             writer.transport.abort()
-            return
-        self.writers |= {writer, target_writer}
+
+    async def forward_both(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        target_reader: asyncio.StreamReader,
+        target_writer: asyncio.StreamWriter,
+    ) -> None:
+        """Forward both directions until one of them ends."""
         tasks = [
             asyncio.create_task(self.forward(reader, target_writer, to_target=True)),
             asyncio.create_task(self.forward(target_reader, writer, to_target=False)),
         ]
-        self.tasks.update(tasks)
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        for task in tasks:
-            task.cancel()
-            self.tasks.discard(task)
-        for closing in (writer, target_writer):
-            closing.close()
-            self.writers.discard(closing)
+        self.target_writers.add(target_writer)
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self.target_writers.discard(target_writer)
+            for task in tasks:
+                task.cancel()
 
     async def forward(
         self,
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -5,6 +5,7 @@
 
 from rattanridge.admin import server
 from rattanridge.standin import fleet, upstream as upstreams
+from rattanridge.web import streams
 
 RESPONSE_TIMEOUT = 20.0  # seconds after which a port counts as hanging
 
@@ -55,18 +56,15 @@
     :param half_close: whether to close the sending side after the data, as a caller
         that breaks off does.
     """
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        async with asyncio.timeout(RESPONSE_TIMEOUT):
-            writer.write(data)
-            if half_close:
-                writer.write_eof()
-            return await reader.read()
-    except ConnectionError:
-        return b""
-    finally:
-        writer.close()
+    async with streams.connect(address) as (reader, writer):
+        try:
+            async with asyncio.timeout(RESPONSE_TIMEOUT):
+                writer.write(data)
+                if half_close:
+                    writer.write_eof()
+                return await reader.read()
+        except ConnectionError:
+            return b""
 
 
 def status_of(response: bytes) -> int:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Settings and fixtures of all tests; hypothesis runs the same examples every time."""
 
+import contextlib
 import pathlib
 import re
 
@@ -7,6 +8,7 @@
 import pytest
 import pytest_asyncio
 
+from rattanridge.web import streams
 from tests import mesh_world
 
 hypothesis.settings.register_profile(
@@ -39,3 +41,18 @@
     made = mesh_world.World()
     yield made
     await made.stop()
+
+
+@pytest_asyncio.fixture
+async def listen():
+    """Yield a function that serves connections until the test ends.
+
+    It takes the handler of a connection and returns the address of its server.
+    """
+    async with contextlib.AsyncExitStack() as servers:
+
+        async def start(serve):
+            server = streams.StreamServer(serve)
+            return (await servers.enter_async_context(server)).address
+
+        yield start
--- a/tests/floods.py
+++ b/tests/floods.py
@@ -1,6 +1,5 @@
 """Faulty servers that send endless responses."""
 
-import asyncio
 import contextlib
 
 ANSWER = b"HTTP/1.1 200 OK\r\nAttempt-Id: mine\r\n"
@@ -40,7 +39,6 @@
         self.first = first
         self.rest = rest * max(65536 // len(rest), 1)
         self.sent = 0
-        self.server = None
         self.ended = 0
 
     async def serve(self, reader, writer):
@@ -52,8 +50,3 @@
                 await writer.drain()
                 self.sent += len(self.rest)
         self.ended += 1
-        writer.close()
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -1,6 +1,7 @@
 """A mesh for tests: nodes, a stand-in store and stand-in upstreams in one process."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 import msgspec
@@ -9,6 +10,7 @@
 from rattanridge.mesh import calls
 from rattanridge.platform import configs, headers, orders
 from rattanridge.standin import fleet, upstream as upstreams
+from rattanridge.web import streams
 
 HOST = "shop.example"
 
@@ -85,6 +87,7 @@
         self.store = self.fleet.store
         self.wait = self.fleet.wait
         self.session = None
+        self.connections = contextlib.AsyncExitStack()
         self.requests_sent = 0
 
     @property
@@ -174,7 +177,13 @@
             await answer.read()
             return answer.headers.get("Rattanridge-Code")
 
+    async def connect(self, node=0):
+        """Open a caller's connection to a node; return its reader and writer."""
+        address = self.nodes[node].config.listen.callers
+        return await self.connections.enter_async_context(streams.connect(address))
+
     async def stop(self):
+        await self.connections.aclose()
         await self.fleet.stop()
         if self.session is not None:
             await self.session.close()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -29,7 +29,6 @@
         self.parts = parts
         self.then = then
         self.connections = 0
-        self.server = None
 
     async def serve(self, reader, writer):
         self.connections += 1
@@ -45,11 +44,6 @@
                 return
             if self.then == "close":
                 break
-        writer.close()
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
 
 async def exchange(pool, address, matches=None):
@@ -61,78 +55,72 @@
     return response
 
 
+async def exchange_once(address):
+    return await exchange(connections.Pool(memory.MemoryBudget(MEMORY_LIMIT)), address)
+
+
 def mine(response):
     return response.headers.get("Attempt-Id") == "mine"
 
 
 class TestParts:
     @pytest.mark.parametrize("cut", [1, 9, 30, 58, len(HEAD), len(HEAD) + 1, 1500])
-    async def test_an_answer_in_two_parts(self, cut):
+    async def test_an_answer_in_two_parts(self, listen, cut):
         data = HEAD + BODY
         peer = Peer([data[:cut], data[cut:]])
-        address = await peer.start()
+        address = await listen(peer.serve)
         pool = connections.Pool(memory.MemoryBudget(MEMORY_LIMIT))
         for _ in range(3):
             assert (await exchange(pool, address)).body == BODY
         assert peer.connections == 1
         pool.close()
 
-    async def test_an_answer_byte_by_byte(self):
+    async def test_an_answer_byte_by_byte(self, listen):
         data = HEAD.replace(b"2000", b"20") + BODY[:20]
         peer = Peer([data[index : index + 1] for index in range(len(data))])
         pool = connections.Pool(memory.MemoryBudget(MEMORY_LIMIT))
-        assert (await exchange(pool, await peer.start())).body == BODY[:20]
+        assert (await exchange(pool, await listen(peer.serve))).body == BODY[:20]
         pool.close()
 
 
 class TestCompleteness:
     @pytest.mark.parametrize("then", ["close", "reset"])
-    async def test_a_cut_answer_is_a_failure_with_unknown_outcome(self, then):
+    async def test_a_cut_answer_is_a_failure_with_unknown_outcome(self, listen, then):
         peer = Peer([HEAD, BODY[:700]], then)
         with pytest.raises(codes.Failure) as caught:
-            await exchange(
-                connections.Pool(memory.MemoryBudget(MEMORY_LIMIT)), await peer.start()
-            )
+            await exchange_once(await listen(peer.serve))
         assert caught.value.ran is codes.Execution.UNKNOWN
 
-    async def test_an_answer_may_end_with_its_connection(self):
+    async def test_an_answer_may_end_with_its_connection(self, listen):
         peer = Peer([b"HTTP/1.1 200 OK\r\n\r\n", BODY], "close")
-        assert (
-            await exchange(
-                connections.Pool(memory.MemoryBudget(MEMORY_LIMIT)), await peer.start()
-            )
-        ).body == BODY
+        assert (await exchange_once(await listen(peer.serve))).body == BODY
 
-    async def test_an_answer_cut_by_a_reset_is_refused(self):
+    async def test_an_answer_cut_by_a_reset_is_refused(self, listen):
         peer = Peer([b"HTTP/1.1 200 OK\r\n\r\n", BODY], "reset")
         with pytest.raises(codes.Failure):
-            await exchange(
-                connections.Pool(memory.MemoryBudget(MEMORY_LIMIT)), await peer.start()
-            )
+            await exchange_once(await listen(peer.serve))
 
     @pytest.mark.parametrize(
         "junk", [b"\x00\x01nonsense\r\n\r\n", b"HTTP/1.1 abc\r\n\r\n"]
     )
-    async def test_bytes_that_are_no_answer(self, junk):
+    async def test_bytes_that_are_no_answer(self, listen, junk):
         peer = Peer([junk])
         with pytest.raises(codes.Failure) as caught:
-            await exchange(
-                connections.Pool(memory.MemoryBudget(MEMORY_LIMIT)), await peer.start()
-            )
+            await exchange_once(await listen(peer.serve))
         assert caught.value.ran is codes.Execution.UNKNOWN
 
 
 class TestMatching:
-    async def test_an_answer_to_an_earlier_request_is_skipped(self):
+    async def test_an_answer_to_an_earlier_request_is_skipped(self, listen):
         other = HEAD.replace(b"mine", b"else") + BODY
         peer = Peer([other, HEAD + BODY])
         pool = connections.Pool(memory.MemoryBudget(MEMORY_LIMIT))
-        response = await exchange(pool, await peer.start(), mine)
+        response = await exchange(pool, await listen(peer.serve), mine)
         assert mine(response)
 
-    async def test_bytes_between_requests_end_the_connection(self):
+    async def test_bytes_between_requests_end_the_connection(self, listen):
         peer = Peer([HEAD + BODY, HEAD + BODY])
-        address = await peer.start()
+        address = await listen(peer.serve)
         pool = connections.Pool(memory.MemoryBudget(MEMORY_LIMIT))
         await exchange(pool, address)
         await asyncio.sleep(0.05)
@@ -150,10 +138,10 @@
         assert caught.value.code is codes.CONNECT_FAILED
         assert caught.value.ran is codes.Execution.NOT_RUN
 
-    async def test_the_idle_limit_of_the_peer_is_respected(self):
+    async def test_the_idle_limit_of_the_peer_is_respected(self, listen):
         head = HEAD.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=1\r\n\r\n")
         peer = Peer([head + BODY])
-        address = await peer.start()
+        address = await listen(peer.serve)
         pool = connections.Pool(memory.MemoryBudget(MEMORY_LIMIT))
         await exchange(pool, address)
         await asyncio.sleep(0.85)
@@ -184,9 +172,9 @@
     # Guards against: bytes that belong to no response are read until the request's
     # deadline, and take many times their size in memory if they come in small chunks.
     @pytest.mark.parametrize("name", floods.ENDLESS)
-    async def test_bytes_without_end(self, name):
+    async def test_bytes_without_end(self, listen, name):
         flood = floods.Flood(*floods.ENDLESS[name])
-        address = await flood.start()
+        address = await listen(flood.serve)
         held = memory.MemoryBudget(MEMORY_LIMIT)
         tracemalloc.start()
         try:
@@ -204,9 +192,9 @@
         assert held.used == 0
 
     # Guards against: endless bodies on all slots together exhaust the node's memory.
-    async def test_bodies_without_end_at_many_connections(self):
+    async def test_bodies_without_end_at_many_connections(self, listen):
         flood = floods.Flood(*floods.ENDLESS["body"])
-        address = await flood.start()
+        address = await listen(flood.serve)
         held = memory.MemoryBudget(20_000_000)
         tracemalloc.start()
         try:
@@ -222,19 +210,19 @@
         assert peak <= 2 * 20_000_000
         assert held.used == 0
 
-    async def test_a_large_answer_in_small_chunks_is_accepted(self):
+    async def test_a_large_answer_in_small_chunks_is_accepted(self, listen):
         body = bytes(range(256)) * 4
         chunk = b"400\r\n" + body + b"\r\n"
         peer = Peer([floods.CHUNKED, *([chunk * 100] * 20), b"0\r\n\r\n"])
         pool = connections.Pool(memory.MemoryBudget(MEMORY_LIMIT))
-        response = await exchange(pool, await peer.start(), mine)
+        response = await exchange(pool, await listen(peer.serve), mine)
         assert response.body == body * 2000
         assert pool.memory_budget.used == 0
 
     # Guards against: an endless answer of the store exhausts the node's memory.
-    async def test_an_answer_of_the_store_without_end(self):
+    async def test_an_answer_of_the_store_without_end(self, listen):
         flood = floods.Flood(floods.ANSWER + b"\r\n", b"b" * 65536)
-        client = store.Store(await flood.start())
+        client = store.Store(await listen(flood.serve))
         async with asyncio.timeout(10):
             with pytest.raises(codes.Failure) as caught:
                 await client.list("records")
--- a/tests/test_idle_timeout.py
+++ b/tests/test_idle_timeout.py
@@ -59,12 +59,11 @@
 
 
 class TestPool:
-    async def test_connection_idle_for_too_long_is_not_reused(self):
+    async def test_connection_idle_for_too_long_is_not_reused(self, listen):
         async def serve(reader, writer):
             await reader.read()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        address = await listen(serve)
         pool = connections.Pool(memory.MemoryBudget(80_000_000))
         first = await pool.acquire(address, 1.0)
         pool.add_idle(address, first)
@@ -79,4 +78,3 @@
         pool.close()
         for item in (first, fresh):
             item.abort("test")
-        server.close()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -87,11 +87,11 @@
     # Guards against: an upstream whose response never ends keeps callers waiting and
     # the node's memory reserved.
     @pytest.mark.parametrize("name", ["empty-lines", "chunks", "body"])
-    async def test_an_upstream_that_sends_without_end(self, world, name):
+    async def test_an_upstream_that_sends_without_end(self, world, listen, name):
         await world.start("workshop", "workshop")
         flood = floods.Flood(*floods.ENDLESS[name])
         for upstream in world.upstreams:
-            upstream.reported_address = await flood.start()
+            upstream.reported_address = await listen(flood.serve)
             await upstream.send_heartbeat()
         started_at = asyncio.get_running_loop().time()
         status, received_headers, _ = await world.call(
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 
 from rattanridge.platform import headers
-from rattanridge.web import pipelining
+from rattanridge.web import pipelining, streams
 from tests import bench as benches, mesh_world
 
 SLOW = "/slow/1"  # answered by a service of its own
@@ -61,8 +61,7 @@
     """Start a mesh with a slow service; return a caller of its first node."""
     await world.start("workshop", "registry", paths=PATHS, slots=slots)
     world.upstreams[0].shape.work = 0.3
-    host, _, port = world.nodes[0].config.listen.callers.rpartition(":")
-    return Caller(*await asyncio.open_connection(host, int(port)))
+    return Caller(*await world.connect())
 
 
 def paths_run(upstream):
@@ -214,17 +213,16 @@
                 assert attempt == f"a{number}"
 
     async def exchange(self, address, pieces, kinds):
-        host, _, port = address.rpartition(":")
-        caller = Caller(*await asyncio.open_connection(host, int(port)))
-        for piece in pieces:
-            if not caller.writer.is_closing():
-                caller.send(piece)
-            await asyncio.sleep(0)
-        found = []
-        try:
-            while len(found) < len(kinds) and 400 not in dict(found):
-                found.append((await caller.read())[:2])
-        except (ConnectionError, asyncio.IncompleteReadError):
-            assert "bad" in kinds
-        caller.writer.close()
-        return found
+        async with streams.connect(address) as connection:
+            caller = Caller(*connection)
+            for piece in pieces:
+                if not caller.writer.is_closing():
+                    caller.send(piece)
+                await asyncio.sleep(0)
+            found = []
+            try:
+                while len(found) < len(kinds) and 400 not in dict(found):
+                    found.append((await caller.read())[:2])
+            except (ConnectionError, asyncio.IncompleteReadError):
+                assert "bad" in kinds
+            return found
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,12 @@
 """The fault soak: its proxy, its checks, its schedule, and short runs of it."""
 
 import asyncio
+import contextlib
 
 import pytest
 
 from rattanridge.soak import callers, faults, processes, promises, proxy, schedule, soak
+from rattanridge.web import streams
 
 AT = 100.0
 SILENT_STORE = [
@@ -42,14 +44,18 @@
     async def echo(self, reader, writer):
         while data := await reader.read(100):
             writer.write(data)
-        writer.close()
 
-    async def start(self):
-        server = await asyncio.start_server(self.echo, "127.0.0.1", 0)
-        forwarder = proxy.Proxy(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
-        await forwarder.start()
-        host, _, port = forwarder.address.rpartition(":")
-        return server, forwarder, host, int(port)
+    @contextlib.asynccontextmanager
+    async def connect(self):
+        """Yield a proxy before an echo server, and a connection through it."""
+        async with contextlib.AsyncExitStack() as opened:
+            server = streams.StreamServer(self.echo)
+            await opened.enter_async_context(server)
+            forwarder = proxy.Proxy(server.address)
+            await forwarder.start()
+            opened.push_async_callback(forwarder.stop)
+            through = streams.connect(forwarder.address)
+            yield forwarder, *await opened.enter_async_context(through)
 
     @pytest.mark.parametrize(
         ("mode", "answered"),
@@ -61,32 +67,24 @@
         ],
     )
     async def test_modes(self, mode, answered):
-        server, forwarder, host, port = await self.start()
-        forwarder.mode = mode
-        reader, writer = await asyncio.open_connection(host, port)
-        writer.write(b"hello")
-        try:
-            async with asyncio.timeout(0.3):
-                assert await reader.read(100) == b"hello"
-            assert answered
-        except TimeoutError:
-            assert not answered
-        writer.close()
-        await forwarder.stop()
-        server.close()
+        async with self.connect() as (forwarder, reader, writer):
+            forwarder.mode = mode
+            writer.write(b"hello")
+            try:
+                async with asyncio.timeout(0.3):
+                    assert await reader.read(100) == b"hello"
+                assert answered
+            except TimeoutError:
+                assert not answered
 
     async def test_reset(self):
-        server, forwarder, host, port = await self.start()
-        reader, writer = await asyncio.open_connection(host, port)
-        writer.write(b"hello")
-        await reader.read(100)
-        forwarder.reset()
-        with pytest.raises(ConnectionError):
-            if not await reader.read(100):
-                raise ConnectionResetError
-        writer.close()
-        await forwarder.stop()
-        server.close()
+        async with self.connect() as (forwarder, reader, writer):
+            writer.write(b"hello")
+            await reader.read(100)
+            forwarder.reset()
+            with pytest.raises(ConnectionError):
+                if not await reader.read(100):
+                    raise ConnectionResetError
 
 
 def make_attempt(attempt, **more):
