--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -36,6 +36,13 @@
         self.upstream_seconds = self.histogram(
             "upstream_seconds", "Seconds until the local endpoint answered"
         )
+        self.upstream_requests = self.counter(
+            "upstream_requests", "Requests sent to the local endpoint"
+        )
+        self.upstream_limit = self.gauge(
+            "upstream_limit",
+            "Requests per second that the local endpoint takes; +Inf if it names none",
+        )
         self.version = self.gauge(
             "configuration_version", "Version of the configuration in force"
         )
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -4,6 +4,7 @@
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import (
+    announcements,
     calls,
     connections,
     events,
@@ -54,6 +55,7 @@
         )
         self.refused_shares = load_shedding.RefusedShares()
         self.dependencies = load_shedding.Dependencies()
+        self.announcements = announcements.Announcements(upstream, log, meters)
         self.identity = upstream.identity
         self.tasks: set[asyncio.Task] = set()
         self.probe_task: asyncio.Task | None = None
@@ -222,6 +224,7 @@
         sent_at = loop.time()
         data = self.encode_request(call, identity, call.deadline - sent_at)
         call.sent = True
+        self.meters.upstream_requests.inc()
         self.upstream.record_request(len(self.parents.running))
         self.parents.record_start(call)
         try:
@@ -319,6 +322,7 @@
             return calls.refusal(
                 codes.Failure(codes.WRONG_ENDPOINT), reached_upstream=True
             )
+        self.announcements.record_answer(response.headers, identity)
         if headers.NOT_RUN in response.headers:
             return calls.refusal(codes.Failure(codes.SHEDDING), reached_upstream=True)
         self.queue.times.record(call.route, upstream_time)
--- a/rattanridge/platform/headers.py
+++ b/rattanridge/platform/headers.py
@@ -1,14 +1,19 @@
 """Platform headers in requests and answers of callers and upstreams."""
 
+import math
+
 ATTEMPT = "Attempt-Id"  # id of one attempt; a client's retry gets a new one
 DEADLINE = "Deadline-Ms"  # milliseconds for which the sender still waits
 SIGNATURE = "Response-Signature"  # the upstream's signature over its answer
 ENDPOINT = "Target-Instance"  # endpoint id; any other endpoint answers 421
 INSTANCE = "Instance-Id"  # endpoint id in the answer to a health check
 NOT_RUN = "Not-Executed"  # the upstream did not start work on the request
+LIMIT = "Server-Limit"  # requests per second that the upstream takes from all nodes
+LEAVING = "Server-Leaving"  # "1" in all answers of an upstream that is about to leave
 CALLER = "Caller-Service"  # service of the host that sent the first request
 
 DEADLINE_DIGITS = 9
+LEAVING_VALUE = "1"
 
 PARENT_SEPARATOR = "."
 
@@ -29,6 +34,24 @@
     return int(text) / 1000
 
 
+def parse_limit(values: list[str]) -> float | None:
+    """Return the requests per second in limit headers; None if none is readable.
+
+    The lowest one counts if there are several.
+    """
+    found = [parse_rate(part) for value in values for part in value.split(",")]
+    return min((rate for rate in found if rate is not None), default=None)
+
+
+def parse_rate(text: str) -> float | None:
+    """Return a rate that is finite and not negative; None if the text is none."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def format_deadline(seconds: float) -> str:
     """Format seconds for a deadline header: whole milliseconds, at least 1."""
     return str(max(int(seconds * 1000), 1))
