--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -216,12 +216,29 @@
         return asyncio.get_running_loop().time() - self.started
 
     async def handle(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
-        """Answer one request, subject to the faults in force."""
+        """Answer one request of a test or of the mesh."""
         if request.path == "/-/faults":
             self.faults, answer = await faults.handle_faults(request, self.faults)
             return answer
         if request.path == "/-/counts":
             return aiohttp.web.json_response(dict(self.counts) | {"peak": self.peak})
+        answer = await self.handle_request(request)
+        answer.headers.update(self.announcements())
+        return answer
+
+    def announcements(self) -> dict[str, str]:
+        """Return the headers in which each answer tells the state of the upstream."""
+        fields = {}
+        if self.faults.limit:
+            fields[headers.LIMIT] = self.faults.limit
+        if self.draining or self.faults.leaving:
+            fields[headers.LEAVING] = headers.LEAVING_VALUE
+        return fields
+
+    async def handle_request(
+        self, request: aiohttp.web.BaseRequest
+    ) -> aiohttp.web.Response:
+        """Answer one request of the mesh, subject to the faults in force."""
         if request.path == HEALTH_PATH:
             return self.answer_health_check()
         if request.headers.get(headers.ENDPOINT, self.endpoint) != self.endpoint:
--- a/rattanridge/standin/upstream_faults.py
+++ b/rattanridge/standin/upstream_faults.py
@@ -19,6 +19,10 @@
     :param unproved: leave the signature out of the answer.
     :param stray: send the answer to another request before the right one.
     :param silent: start the request and never finish it.
+    :param limit: value of the header that limits the rate of requests, in all answers;
+        empty for none.
+    :param leaving: say in all answers that the upstream is leaving; one that drains
+        says so in any case.
     :param deaf: work on after the caller has disconnected or the deadline passed.
     """
 
@@ -34,6 +38,8 @@
     unproved: bool = False
     stray: bool = False
     silent: bool = False
+    limit: str = ""
+    leaving: bool = False
     deaf: bool = False
 
 
