Nodes keep to the limits that upstreams name in their answers

The exit now spaces requests by the limit, most urgent first, as all requests to its upstream pass it, and refuses what has no room in time with 5038. It passes the limit on; entries reckon with it when they choose an endpoint, and tell it to an exit that was restarted until its upstream answers.

--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -230,6 +230,12 @@
     503,
     "No route matches, but other nodes have a newer configuration in force",
 )
+RATE_LIMITED = define(
+    5038,
+    "rate-limited",
+    503,
+    "The endpoint gets as many requests a second as it takes",
+)
 INTERNAL = define(5034, "internal", 500, "The node itself failed; see its log")
 
 # 6xxx: rollouts.
--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -5,6 +5,7 @@
 import multidict
 
 from rattanridge.kernel import codes
+from rattanridge.mesh import announcements
 from rattanridge.platform import headers
 from rattanridge.policies import load_shedding, placement
 from rattanridge.web import headers as own_headers
@@ -34,6 +35,7 @@
     :param caller: service of the host at which the request began.
     :param version: version of the configuration at its entry.
     :param entry: address at which its entry accepts calls of other nodes.
+    :param announcement: what its entry knows that the endpoint announced.
     :param sent: whether any byte of it was sent to an upstream.
     """
 
@@ -54,6 +56,7 @@
     entry: str = ""
     from_upstream: bool = False
     is_retry: bool = False
+    announcement: announcements.Announcement | None = None
     sent: bool = False
 
 
@@ -71,6 +74,7 @@
     :param load: load of the endpoint after the call.
     :param version: version of the configuration at the exit.
     :param refused_shares: how often the exit refuses new requests, by rank.
+    :param announcement: what the endpoint announced in its answers.
     """
 
     status: int
@@ -87,6 +91,7 @@
     load: placement.Load | None = None
     version: int = 0
     refused_shares: load_shedding.Shares = dataclasses.field(default_factory=dict)
+    announcement: announcements.Announcement | None = None
 
 
 def refusal(failure: codes.Failure, reached_upstream: bool = False) -> Answer:
--- a/rattanridge/mesh/directory.py
+++ b/rattanridge/mesh/directory.py
@@ -3,7 +3,13 @@
 import msgspec
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import events, records, suspects as suspecting
+from rattanridge.mesh import (
+    announcements,
+    events,
+    records,
+    suspects as suspecting,
+    upstream as upstreams,
+)
 from rattanridge.platform import store as stores
 from rattanridge.policies import placement
 
@@ -34,6 +40,8 @@
         self.names_by_hop: dict[str, set[str]] = {}
         self.candidates: dict[str, placement.Candidate] = {}
         self.by_service: dict[str, list[placement.Candidate]] = {}
+        # By node: what its endpoint announced last.
+        self.announcements: dict[str, announcements.Announcement] = {}
 
     def apply_all(self, items: list[stores.StoredObject]) -> None:
         """Apply a complete list; a node that is not in it is removed."""
@@ -108,6 +116,7 @@
         if self.is_superseded(name, record):
             self.remove_candidate(name)
             return
+        identity = upstreams.Identity(record.endpoint, record.incarnation)
         if record.state != records.READY or not record.endpoint:
             self.remove_candidate(name)
             return
@@ -129,6 +138,7 @@
             record.version,
             record.slots,
         )
+        candidate.limit = self.known_limit(name, identity)
         self.candidates[name] = candidate
         # A new list, as callers may still iterate over the old one.
         self.by_service[record.service] = [
@@ -136,6 +146,26 @@
             candidate,
         ]
 
+    def known_limit(self, name: str, identity: upstreams.Identity) -> float | None:
+        """Return the limit that the endpoint of a node announced; None if unlimited."""
+        known = self.announcements.get(name)
+        return known.limit if known is not None and known.identity == identity else None
+
+    def record_announcement(
+        self, name: str, announcement: announcements.Announcement | None
+    ) -> None:
+        """Record what the endpoint of a node announced, as its exit says.
+
+        :param announcement: None if there is none in force.
+        """
+        if announcement is None:
+            self.announcements.pop(name, None)
+        else:
+            self.announcements[name] = announcement
+        candidate = self.candidates.get(name)
+        if candidate is not None:
+            candidate.limit = announcement.limit if announcement is not None else None
+
     def is_superseded(self, name: str, record: records.Record) -> bool:
         """Return whether a newer record has the same address.
 
@@ -166,6 +196,7 @@
         """Remove a node's record, evidence and candidate."""
         if self.forget_record(name):
             self.suspects.apply(name, ())
+            self.announcements.pop(name, None)
             self.log.note("record-removed", name=name)
         self.remove_candidate(name)
 
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -55,7 +55,9 @@
         )
         self.refused_shares = load_shedding.RefusedShares()
         self.dependencies = load_shedding.Dependencies()
-        self.announcements = announcements.Announcements(upstream, log, meters)
+        self.announcements = announcements.Announcements(
+            upstream, self.queue.set_limit, log, meters
+        )
         self.identity = upstream.identity
         self.tasks: set[asyncio.Task] = set()
         self.probe_task: asyncio.Task | None = None
@@ -119,6 +121,7 @@
         except codes.Failure as failure:
             answer = calls.refusal(failure, reached_upstream=call.sent)
         answer.load = self.load()
+        answer.announcement = self.announcements.current()
         now = asyncio.get_running_loop().time()
         answer.refused_shares = self.refused_shares.shares(now)
         if answer.code is not None:
@@ -140,6 +143,7 @@
 
     async def run_in_slot(self, call: calls.Call) -> calls.Answer:
         """Wait for a slot and send a call; raise if the upstream cannot accept it."""
+        self.announcements.apply_known(call.announcement)
         self.check_call(call)
         self.check_dependencies(call)
         loop = asyncio.get_running_loop()
@@ -156,14 +160,14 @@
             self.queue.release()
 
     async def acquire_slot(self, call: calls.Call) -> None:
-        """Wait for a slot; raise ``queue-full`` if there is none in time."""
+        """Wait for a slot; raise if there is none in time."""
         ticket = queueing.Ticket(
             call.route, call.rank, call.nested, call.timely_until, call.deadline
         )
         try:
             await self.queue.acquire(ticket)
         except codes.Failure as failure:
-            self.record_decision(call, failure.code is codes.QUEUE_FULL)
+            self.record_decision(call, failure.code in queueing.FULL_CODES)
             raise
         self.record_decision(call, False)
 
--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -68,6 +68,9 @@
         if answer.refused_shares:
             text = hop_headers.encode_shares(answer.refused_shares)
             response_headers.append((own_headers.REFUSED, text))
+        if answer.announcement is not None:
+            text = hop_headers.encode_announcement(answer.announcement)
+            response_headers.append((own_headers.ANNOUNCED, text))
         response = aiohttp.web.Response(
             status=answer.status, headers=response_headers, body=answer.body
         )
--- a/rattanridge/mesh/hop_headers.py
+++ b/rattanridge/mesh/hop_headers.py
@@ -3,13 +3,14 @@
 import asyncio
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import calls
+from rattanridge.mesh import announcements, calls, upstream as upstreams
 from rattanridge.platform import headers
 from rattanridge.policies import load_shedding, placement
 from rattanridge.web import headers as own_headers
 
 CALL_FIELDS = 9
 ANSWER_FIELDS = 10
+ANNOUNCEMENT_FIELDS = 4
 MAX_DEADLINE_SECONDS = 3600.0
 
 
@@ -70,6 +71,7 @@
         version=version,
         entry=parts[8],
         is_retry=bool(is_retry),
+        announcement=decode_announcement(received.get(own_headers.ANNOUNCED, "")),
     )
 
 
@@ -126,3 +128,34 @@
         except ValueError:
             return {}
     return found
+
+
+def encode_announcement(announcement: announcements.Announcement) -> str:
+    """Return an announcement as a header, such as ``i-7f,1700000000000,12.5,0``.
+
+    The third field is empty if there is no limit.
+    """
+    limit = "" if announcement.limit is None else repr(announcement.limit)
+    identity = announcement.identity
+    fields = (
+        identity.endpoint,
+        identity.incarnation,
+        limit,
+        int(announcement.leaving),
+    )
+    return ",".join(map(str, fields))
+
+
+def decode_announcement(text: str) -> announcements.Announcement | None:
+    """Return the announcement in a header; None if it is absent or unreadable."""
+    parts = text.rsplit(",", ANNOUNCEMENT_FIELDS - 1)
+    if len(parts) != ANNOUNCEMENT_FIELDS:
+        return None
+    endpoint, incarnation, limit, leaving = parts
+    if not incarnation.isdecimal():
+        return None
+    return announcements.Announcement(
+        upstreams.Identity(endpoint, int(incarnation)),
+        headers.parse_limit([limit]) if limit else None,
+        leaving == "1",
+    )
--- a/rattanridge/mesh/peers.py
+++ b/rattanridge/mesh/peers.py
@@ -73,6 +73,9 @@
             (own_headers.CALL, hop_headers.encode_call(call)),
             *self.hop_auth.signature_headers,
         ]
+        if call.announcement is not None:
+            text = hop_headers.encode_announcement(call.announcement)
+            request_headers.append((own_headers.ANNOUNCED, text))
         data = connections.write_request(
             call.method, call.path, request_headers, call.body
         )
@@ -117,5 +120,8 @@
         answer.refused_shares = hop_headers.decode_shares(
             response.headers.get(own_headers.REFUSED, "")
         )
+        answer.announcement = hop_headers.decode_announcement(
+            response.headers.get(own_headers.ANNOUNCED, "")
+        )
         answer.headers = calls.forwardable(response.headers)
         return answer
--- a/rattanridge/policies/placement.py
+++ b/rattanridge/policies/placement.py
@@ -1,8 +1,9 @@
 """Chooses the endpoint of a service that a request goes to. Needs no network.
 
-Handles a zone with more load than its own endpoints can serve, an endpoint that has
-become slow, an endpoint that sheds part of its requests while its health check
-passes, and a host that is gone while its record is still in the store.
+Handles a zone with more load than its own endpoints can serve, an endpoint that limits
+the rate of its requests, one that has become slow, one that sheds part of its requests
+while its health check passes, and a host that is gone while its record is still in the
+store.
 """
 
 import collections.abc
@@ -11,6 +12,7 @@
 import typing
 
 from rattanridge.kernel import registry
+from rattanridge.policies import rate_limit
 
 LOAD_REPORT_TTL = 2.0  # seconds after which a reported load is ignored
 LATENCY_RATIO_WEIGHT = 0.2  # of one answer in an endpoint's moving average
@@ -63,6 +65,8 @@
     :param failures: consecutive failures to reach it.
     :param paused_until: monotonic seconds until which it is chosen only if there is no
         other.
+    :param limit: requests per second that it takes from all entries; None if it is
+        not known to limit them.
     :param lost: whether its node can't be reached; it gets no request until the node
         answers again.
     """
@@ -85,6 +89,7 @@
     shed_at: float = 0.0
     failures: int = 0
     paused_until: float = 0.0
+    limit: float | None = None
     lost: bool = False
 
     def begin(self, now: float) -> None:
@@ -166,18 +171,21 @@
 
         :param processing_time: expected seconds of one request.
         """
-        reported = 0.0
+        reported = limited = 0.0
         added = self.in_flight
         if self.load is not None and now - self.load_at < LOAD_REPORT_TTL:
             added -= self.load_in_flight
             busy = self.load.running + self.load.waiting + added
             reported = self.load.wait
+            if self.limit is not None:
+                rate = max(self.limit, rate_limit.MIN_RATE)
+                limited = reported + max(added, 0) / rate
         else:
             busy = added
         excess = busy + 1 - self.slots
         if excess <= 0:
-            return 0.0
-        return max(excess / self.slots * processing_time, reported)
+            return limited
+        return max(excess / self.slots * processing_time, reported, limited)
 
 
 @dataclasses.dataclass(slots=True)
--- a/rattanridge/policies/queueing.py
+++ b/rattanridge/policies/queueing.py
@@ -1,8 +1,9 @@
 """Admits requests to an exit's queue and orders them. Needs no network.
 
-Handles bursts beyond the endpoint's slots, callers that retry immediately, and calls
-made by requests in progress. Refusing one of those calls wastes the work of its
-parent, which holds a slot elsewhere while it waits.
+Handles bursts beyond the endpoint's slots, an endpoint that limits the rate of its
+requests, callers that retry immediately, and calls made by requests in progress.
+Refusing one of those calls wastes the work of its parent, which holds a slot elsewhere
+while it waits.
 """
 
 import asyncio
@@ -10,6 +11,7 @@
 import dataclasses
 
 from rattanridge.kernel import codes, registry
+from rattanridge.policies import rate_limit
 
 MEAN_WEIGHT = 0.1  # of one request in a route's mean processing time
 DEFAULT_PROCESSING_TIME = 0.05  # seconds, until a route's own mean is known
@@ -22,6 +24,9 @@
 # Multiple of a route's mean processing time; nearly all its requests take less.
 SHUTDOWN_FACTOR = 8.0
 SHUTDOWN_RESERVE = 1.0  # seconds
+TIMER_MARGIN = 0.0001  # seconds, so that a timer does not fire just before its time
+# Refusals for want of room; which one tells what the endpoint is short of.
+FULL_CODES = (codes.QUEUE_FULL, codes.RATE_LIMITED)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -131,7 +136,7 @@
 
 
 class Queue:
-    """Assigns an endpoint's slots to requests.
+    """Assigns an endpoint's slots to requests, within the limit on their rate.
 
     :param slots: requests that the endpoint runs at once.
     :param order: returns the sort key of a request.
@@ -150,13 +155,20 @@
         self.running = 0
         self.waiting: list[Ticket] = []
         self.times = ProcessingTimes()
+        self.rate_limit = rate_limit.RateLimit()
+        self.timer: asyncio.TimerHandle | None = None
         self.last_number = 0
 
     async def acquire(self, ticket: Ticket) -> None:
-        """Wait for a slot; raise ``queue-full`` if none is free in time."""
+        """Wait for a slot.
+
+        Raise ``queue-full`` if none is free in time, ``rate-limited`` if the limit on
+        the rate leaves no room in time.
+        """
         now = asyncio.get_running_loop().time()
-        if self.running < self.slots and not self.waiting:
-            self.running += 1
+        free = self.running < self.slots and not self.rate_limit.delay(now)
+        if free and not self.waiting:
+            self.start_request(now)
             return
         self.admit(ticket, now)
         try:
@@ -165,32 +177,52 @@
             self.abandon(ticket)
             raise
 
+    def start_request(self, now: float) -> None:
+        """Assign a slot."""
+        self.running += 1
+        self.rate_limit.record_start(now)
+
     def admit(self, ticket: Ticket, now: float) -> None:
-        """Queue a request, or raise ``queue-full`` if it is not admitted."""
+        """Queue a request, or raise one of ``FULL_CODES`` if it is not admitted."""
         self.last_number += 1
         ticket.number = self.last_number
         if not self.admission(self, ticket, now):
-            raise codes.Failure(codes.QUEUE_FULL, retry_after=self.retry_after())
+            raise codes.Failure(self.full_code(now), retry_after=self.retry_after())
         ticket.ready = asyncio.get_running_loop().create_future()
         self.waiting.append(ticket)
         self.schedule_expiry(ticket, now)
+        self.schedule_grant(now)
+
+    def full_code(self, now: float) -> codes.Code:
+        """Return the code of a refusal, by what a request would wait for longest."""
+        limited = self.rate_limit.delay(now, len(self.waiting)) > self.wait_for_slot()
+        return codes.RATE_LIMITED if limited else codes.QUEUE_FULL
 
     def expected_wait_of(self, ticket: Ticket) -> float:
         """Return the seconds until a request would get a slot in its order."""
         place = self.order(ticket, False)
-        ahead = sum(
-            self.times.mean_of(item.route)
-            for item in self.waiting
-            if self.order(item, False) < place
-        )
-        return (ahead + self.running * self.mean_time() / 2) / self.slots
+        ahead = [item for item in self.waiting if self.order(item, False) < place]
+        work = sum(self.times.mean_of(item.route) for item in ahead)
+        for_slot = (work + self.running * self.mean_time() / 2) / self.slots
+        now = asyncio.get_running_loop().time()
+        return max(for_slot, self.rate_limit.delay(now, len(ahead)))
 
     def mean_time(self) -> float:
         """Return the mean seconds of requests of all routes."""
         return self.times.overall or DEFAULT_PROCESSING_TIME
 
+    def usable_slots(self) -> float:
+        """Return how many slots the limit on the rate allows to use on average."""
+        return min(self.slots, self.rate_limit.rate() * self.mean_time())
+
     def expected_wait(self) -> float:
         """Return the seconds that a request at the end of the queue would wait."""
+        now = asyncio.get_running_loop().time()
+        limited = self.rate_limit.delay(now, len(self.waiting))
+        return max(self.wait_for_slot(), limited)
+
+    def wait_for_slot(self) -> float:
+        """Return the seconds until a slot is free at the end of the queue."""
         if self.running < self.slots:
             return 0.0
         ahead = sum(self.times.mean_of(item.route) for item in self.waiting)
@@ -211,8 +243,9 @@
         """Refuse a request that got no slot in time."""
         if ticket in self.waiting:
             self.waiting.remove(ticket)
+            now = asyncio.get_running_loop().time()
             self.refuse(
-                ticket, codes.QUEUE_FULL, "got no slot in time for its deadline"
+                ticket, self.full_code(now), "got no slot in time for its deadline"
             )
 
     def refuse(self, ticket: Ticket, code: codes.Code, detail: str) -> None:
@@ -244,16 +277,38 @@
         self.slots = slots
         self.grant()
 
+    def set_limit(self, limit: float | None) -> None:
+        """Change the limit on the rate.
+
+        :param limit: requests per second that may start; None if there is no limit.
+        """
+        self.rate_limit.apply(limit, asyncio.get_running_loop().time())
+        self.grant()
+
     def grant(self) -> None:
-        """Assign free slots to the next requests."""
+        """Assign free slots to the next requests, as far as the rate allows."""
+        now = asyncio.get_running_loop().time()
         while self.waiting and self.running < self.slots:
-            ticket = self.select_next(asyncio.get_running_loop().time())
+            if self.rate_limit.delay(now):
+                self.schedule_grant(now)
+                return
+            ticket = self.select_next(now)
             self.waiting.remove(ticket)
             if ticket.ready.done():
                 continue
-            self.running += 1
+            self.start_request(now)
             ticket.ready.set_result(None)
 
+    def schedule_grant(self, now: float) -> None:
+        """Assign slots again as soon as the rate allows it."""
+        delay = self.rate_limit.delay(now)
+        if not delay:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_at(now + delay + TIMER_MARGIN, self.grant)
+
     def is_late(self, ticket: Ticket, now: float) -> bool:
         """Return whether a request that starts now would miss its target latency.
 
--- a/rattanridge/web/headers.py
+++ b/rattanridge/web/headers.py
@@ -9,6 +9,8 @@
 CALL = "Rattanridge-Call"  # between nodes: data of a call for the exit node
 ANSWER = "Rattanridge-Answer"  # between nodes: data of an answer for the entry node
 REFUSED = "Rattanridge-Refused"  # between nodes: percentage refused, by rank
+# Between nodes: what the endpoint announced in its answers, as the sender knows it.
+ANNOUNCED = "Rattanridge-Announced"
 NODE = "Rattanridge-Node"  # between nodes: name of the sending node
 TOKEN = "Rattanridge-Token"  # between nodes: proof of the shared key
 
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -3,9 +3,17 @@
 import asyncio
 import collections
 
-from rattanridge.mesh import records
+import pytest
+
+from rattanridge.mesh import (
+    announcements,
+    hop_headers,
+    records,
+    upstream as upstreams,
+)
 from rattanridge.platform import store
 
+IDENTITY = upstreams.Identity("i-1", 7)
 LIMIT = 10.0  # requests per second
 LOAD = 60.0  # requests per second of the callers
 SECONDS = 2.0  # of the load
@@ -41,6 +49,78 @@
         await world.call("/lookup/1", node=node)
 
 
+def known_limit(world, node=0):
+    """Return the limit to which the exit of a node keeps."""
+    return world.nodes[node].exit.queue.rate_limit.limit
+
+
+class TestHeader:
+    @pytest.mark.parametrize(
+        ("limit", "leaving", "text"),
+        [
+            (12.5, False, "i-1,7,12.5,0"),
+            (0.0, False, "i-1,7,0.0,0"),
+            (None, True, "i-1,7,,1"),
+        ],
+    )
+    def test_round_trip(self, limit, leaving, text):
+        announcement = announcements.Announcement(IDENTITY, limit, leaving)
+        assert hop_headers.encode_announcement(announcement) == text
+        assert hop_headers.decode_announcement(text) == announcement
+
+    @pytest.mark.parametrize("text", ["", "i-1", "i-1,x,3,0", "i-1,7,3"])
+    def test_unreadable(self, text):
+        assert hop_headers.decode_announcement(text) is None
+
+
+class TestLimitInForce:
+    async def start(self, world):
+        """Start a mesh in which one upstream is known to limit its rate."""
+        await world.start("registry", "workshop")
+        set_limit(world.upstreams[0], LIMIT)
+        await learn_limits(world)
+        assert known_limit(world) == LIMIT
+
+    @pytest.mark.parametrize(
+        ("named", "limit"),
+        [("20", 20.0), ("", None), ("nan", LIMIT), ("-3", LIMIT), ("7, 30", 7.0)],
+    )
+    async def test_follows_the_answers(self, world, named, limit):
+        await self.start(world)
+        world.upstreams[0].faults.limit = named
+        await world.call("/lookup/1")
+        assert known_limit(world) == limit
+        assert world.nodes[0].directory.candidates["node-0"].limit == limit
+
+    async def test_an_answer_without_a_signature_ends_no_limit(self, world):
+        await self.start(world)
+        world.upstreams[0].faults.limit = ""
+        world.upstreams[0].faults.unproved = True
+        await world.call("/lookup/1")
+        assert known_limit(world) == LIMIT
+
+    async def test_belongs_to_one_incarnation(self, world):
+        await self.start(world)
+        upstream = world.upstreams[0]
+        upstream.incarnation += 1
+        upstream.sequence = 0
+        await upstream.send_heartbeat()
+        assert known_limit(world) is None
+
+    # Guards against: an exit that was restarted sends requests beyond the limit until
+    # the first answer, though entries know it.
+    async def test_a_restarted_exit_learns_it_from_an_entry(self, world):
+        await self.start(world)
+        exit_announcements = world.nodes[0].exit.announcements
+        exit_announcements.answered = False
+        exit_announcements.set_limit(None, "test")
+        world.upstreams[0].faults.silent = True
+        call = asyncio.create_task(world.call("/lookup/1", node=1, deadline=300))
+        await world.wait(lambda: world.upstreams[0].running)
+        assert known_limit(world) == LIMIT
+        await call
+
+
 class TestLimitedUpstream:
     # Guards against: an upstream gets what callers send, whatever limit it names.
     async def test_gets_no_more_than_it_takes_from_all_nodes_together(self, world):
