An upstream that says in an answer that it leaves gets no more requests

The exit takes such an answer like a draining heartbeat, final for the incarnation; it publishes it and passes it on, and each entry that was told remembers the incarnation, whatever records say later. A stopping node publishes that its upstream leaves in place of that it stops itself, so that the next process knows it; the health check after a restart is read for it, too.

The model of all messages of an upstream has the answer as one more; without its rule, or with the answer of another incarnation, it fails.

--- a/rattanridge/mesh/announcements.py
+++ b/rattanridge/mesh/announcements.py
@@ -79,6 +79,9 @@
         if identity != self.identity:
             return
         self.record_limit(fields)
+        leaving = fields.getall(headers.LEAVING, [])
+        if headers.LEAVING_VALUE in leaving:
+            self.upstream.record_leaving(identity)
 
     def record_limit(self, fields: multidict.CIMultiDictProxy) -> None:
         """Apply the limit in an answer, or its absence.
--- a/rattanridge/mesh/confirmation.py
+++ b/rattanridge/mesh/confirmation.py
@@ -3,7 +3,13 @@
 import asyncio
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import configs, connections, events, upstream as upstreams
+from rattanridge.mesh import (
+    announcements,
+    configs,
+    connections,
+    events,
+    upstream as upstreams,
+)
 from rattanridge.platform import headers
 
 CHECK_TIMEOUT = 0.5  # seconds for one health check
@@ -19,6 +25,7 @@
     otherwise have to wait for the next heartbeat.
 
     :param pool: connections to the upstream.
+    :param announcements: reads what the upstream announces in its answers.
     :param configs: has the path of the health check.
     """
 
@@ -27,8 +34,10 @@
         upstream: upstreams.Upstream,
         pool: connections.Pool,
         configs: configs.Configs,
+        announcements: announcements.Announcements,
         log: events.Events,
     ):
+        self.announcements = announcements
         self.upstream = upstream
         self.pool = pool
         self.configs = configs
@@ -85,5 +94,8 @@
         self.log.info(
             "upstream-checked", status=response.status, endpoint=endpoint or "-"
         )
+        known = self.upstream.identity
+        if known is not None and known.endpoint == endpoint:
+            self.announcements.record_answer(response.headers, known)
         if response.status == 200:
             self.upstream.confirm(endpoint)
--- a/rattanridge/mesh/directory.py
+++ b/rattanridge/mesh/directory.py
@@ -14,6 +14,7 @@
 from rattanridge.policies import placement
 
 PATH = "/records"
+MAX_LEAVING = 4096  # incarnations that are remembered as leaving
 
 
 class Page(msgspec.Struct):
@@ -42,6 +43,9 @@
         self.by_service: dict[str, list[placement.Candidate]] = {}
         # By node: what its endpoint announced last.
         self.announcements: dict[str, announcements.Announcement] = {}
+        # Incarnations that have announced that they leave, in the order in which that
+        # became known. Records may be older than that, also later ones.
+        self.leaving: dict[upstreams.Identity, None] = {}
 
     def apply_all(self, items: list[stores.StoredObject]) -> None:
         """Apply a complete list; a node that is not in it is removed."""
@@ -117,6 +121,9 @@
             self.remove_candidate(name)
             return
         identity = upstreams.Identity(record.endpoint, record.incarnation)
+        if identity in self.leaving:
+            self.remove_candidate(name)
+            return
         if record.state != records.READY or not record.endpoint:
             self.remove_candidate(name)
             return
@@ -165,6 +172,20 @@
         candidate = self.candidates.get(name)
         if candidate is not None:
             candidate.limit = announcement.limit if announcement is not None else None
+        if announcement is not None and announcement.leaving:
+            self.record_leaving(name, announcement.identity)
+
+    def record_leaving(self, name: str, identity: upstreams.Identity) -> None:
+        """Record that an incarnation leaves, and remove its candidate."""
+        if identity in self.leaving:
+            return
+        self.leaving[identity] = None
+        while len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+        self.log.note("endpoint-leaving", name=name, endpoint=identity.endpoint)
+        record = self.records.get(name)
+        if record is not None:
+            self.update_candidate(name, record)
 
     def is_superseded(self, name: str, record: records.Record) -> bool:
         """Return whether a newer record has the same address.
--- a/rattanridge/mesh/membership.py
+++ b/rattanridge/mesh/membership.py
@@ -180,11 +180,22 @@
             upstream.identity.incarnation,
             upstream.version,
             upstream.slots,
-            STOPPING if self.stopping else upstream.state.value,
+            self.published_state(),
             self.suspects.own_evidence(),
         )
         self.publisher.publish(record)
 
+    def published_state(self) -> str:
+        """Return the state for the record.
+
+        That the upstream leaves is told even if the node stops, as the next process of
+        the node must know it.
+        """
+        state = self.upstream.state
+        if self.stopping and state is not upstreams.State.DRAINING:
+            return STOPPING
+        return state.value
+
     async def wait_written(self) -> None:
         """Wait until the record is in the store, at most ACKNOWLEDGE_TIMEOUT seconds.
 
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -102,7 +102,11 @@
             self.meters,
         )
         self.confirmation = confirmation.Confirmation(
-            self.upstream, self.exit.pool, self.configs, self.log
+            self.upstream,
+            self.exit.pool,
+            self.configs,
+            self.exit.announcements,
+            self.log,
         )
         self.versions = versions.Versions(self.log, self.meters, time.monotonic)
         self.dispatcher = dispatcher.Dispatcher(
--- a/rattanridge/mesh/upstream.py
+++ b/rattanridge/mesh/upstream.py
@@ -185,6 +185,22 @@
         self.log.info("upstream-changed", endpoint=endpoint, state=self.state)
         self.notify()
 
+    def record_leaving(self, identity: Identity) -> None:
+        """Apply an answer in which an upstream said that it is about to leave.
+
+        That is final for its incarnation, as in a heartbeat.
+        """
+        if identity != self.identity or self.state in (State.DRAINING, State.GONE):
+            return
+        self.state = State.DRAINING
+        self.log.info(
+            "upstream-changed",
+            endpoint=identity.endpoint,
+            state=self.state,
+            by="answer",
+        )
+        self.notify()
+
     def record_departed(self, endpoint: str, incarnation: int) -> None:
         """Record the last incarnation of an endpoint that said farewell."""
         incarnation = max(incarnation, self.departed.pop(endpoint, -1))
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -219,3 +219,26 @@
             lambda: all("node-0" in node.directory.candidates for node in world.nodes)
         )
         assert await runs_after(world, leaving)
+
+    # Guards against: a node that stops hides from its next process that the upstream
+    # leaves, and a late heartbeat makes it ready there.
+    async def test_a_stopping_node_publishes_it(self, world):
+        await world.start("registry", "registry")
+        leaving = world.upstreams[0]
+        leaving.faults.leaving = True
+        await world.call("/lookup/1")
+        membership = world.nodes[0].membership
+        membership.stopping = True
+        membership.publish()
+        await membership.wait_written()
+        assert membership.publisher.stored.state == "draining"
+
+    async def test_a_health_check_tells_it(self, world):
+        await world.start("registry", "registry")
+        leaving = world.upstreams[0]
+        leaving.faults.leaving = True
+        upstream = world.nodes[0].upstream
+        upstream.confirmed = False
+        world.nodes[0].confirmation.start()
+        await world.wait(lambda: upstream.state == "draining")
+        assert not leaving.runs
--- a/tests/test_upstream_states.py
+++ b/tests/test_upstream_states.py
@@ -1,11 +1,11 @@
 """The order of an upstream's messages, whatever their delays and whoever restarts.
 
-| known of the sender | ready | draining | farewell |
-| --- | --- | --- | --- |
-| nothing, or an earlier incarnation | ready | draining | gone |
-| ready | ready | draining | gone |
-| draining | ignored | draining | gone |
-| gone, or a later incarnation | ignored | ignored | ignored |
+| known of the sender | ready | draining | farewell | answer that says that it leaves |
+| --- | --- | --- | --- | --- |
+| nothing, or an earlier incarnation | ready | draining | gone | ignored |
+| ready | ready | draining | gone | draining |
+| draining | ignored | draining | gone | draining |
+| gone, or a later incarnation | ignored | ignored | ignored | ignored |
 
 A message with a lower sequence number than an applied one is ignored.
 """
@@ -50,6 +50,16 @@
         return False
 
 
+class IgnoresAnswers(Believed):
+    def record_leaving(self, identity):
+        pass
+
+
+class BelievesAnswersOfOthers(Believed):
+    def record_leaving(self, identity):
+        super().record_leaving(self.identity)
+
+
 class RestoresNothing(Believed):
     def restore(self, identity, state, version, slots):
         pass
@@ -123,6 +133,25 @@
         if self.state == "draining":
             self.deliver(self.on_the_way.pop())
 
+    @stateful.rule()
+    def answer_that_it_leaves(self):
+        """Only an upstream that gets requests answers."""
+        identity = upstreams.Identity(self.endpoint, self.born)
+        if self.state == "gone" or self.node.identity != identity:
+            return
+        if self.node.state is upstreams.State.READY:
+            self.state = "draining"
+            self.node.record_leaving(identity)
+            self.left.setdefault(self.born, "draining")
+
+    @stateful.rule()
+    def answer_of_an_earlier_incarnation(self):
+        """It was on the way when the next incarnation was heard of."""
+        state = self.node.state
+        if self.node.identity is not None and self.node.identity.incarnation > 1:
+            self.node.record_leaving(upstreams.Identity("i-1", 1))
+            assert self.node.state is state
+
     @stateful.rule()
     def leave(self):
         self.state = "gone"
@@ -190,6 +219,8 @@
     IgnoresSequence,
     IgnoresFarewell,
     IgnoresDraining,
+    IgnoresAnswers,
+    BelievesAnswersOfOthers,
     RestoresNothing,
     RefusesEverything,
 )
