A rollout counts the slots that limits on the rate allow to use

The rule that a new version needs room for the old one's load went by slots alone. A new version whose endpoints take few requests a second would have replaced the old one, whose endpoints stop at once. The exit's report tells how many slots its limit allows to use; nodes that do not tell it are counted by their slots, as before. A report of an endpoint that had no request yet names it, too. test_counts_what_a_limit_allows_to_use failed before.

--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -56,6 +56,16 @@
         if report.version != self.order.version:
             self.baselines.setdefault(report.endpoint, report.routes)
 
+    def usable_slots(self, endpoint: str, slots: int) -> float:
+        """Return the slots of an endpoint that may be used, by its last report.
+
+        :param slots: its slots by its record, if no report tells more.
+        """
+        report = self.reports.get(endpoint)
+        if report is None or report.usable_slots is None:
+            return slots
+        return min(report.usable_slots, slots)
+
     def sum_reports(self) -> None:
         """Sum the evidence on the old and on the new version."""
         self.old = {}
@@ -204,12 +214,15 @@
     def capacity_ratio(self, evaluation: Evaluation) -> float:
         """Return the slots of the new version divided by those of the old one.
 
-        Endpoints that cannot be reached are left out. Infinite without old endpoints.
+        Of an endpoint that limits the rate of its requests, the slots count that this
+        allows to use. Endpoints that cannot be reached are left out. Infinite without
+        old endpoints.
         """
-        slots = {True: 0, False: 0}
+        slots = {True: 0.0, False: 0.0}
         for item in self.directory.candidates_of(evaluation.order.service):
             if not item.lost:
-                slots[item.version == evaluation.order.version] += item.slots
+                usable = evaluation.usable_slots(item.endpoint, item.slots)
+                slots[item.version == evaluation.order.version] += usable
         return slots[True] / slots[False] if slots[False] else float("inf")
 
     def count_new(self, evaluation: Evaluation) -> int:
--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -87,7 +87,8 @@
         """
         monitor = self.exit.monitor
         if request.path == monitoring.REPORT_PATH:
-            return aiohttp.web.Response(body=monitor.report(), content_type=JSON)
+            report = monitor.report(self.exit.queue.usable_slots())
+            return aiohttp.web.Response(body=report, content_type=JSON)
         if request.path == directories.PATH:
             return aiohttp.web.Response(
                 body=self.directory.encode_records(), content_type=JSON
--- a/rattanridge/mesh/monitoring.py
+++ b/rattanridge/mesh/monitoring.py
@@ -19,12 +19,15 @@
 
     :param endpoint: id of the upstream; empty if it is unknown.
     :param routes: counts of its requests by route.
+    :param usable_slots: its slots, or fewer if it limits the rate of its requests;
+        None in reports of nodes that do not tell it.
     """
 
     endpoint: str
     service: str
     version: str
     routes: evidence.CountsByRoute
+    usable_slots: float | None = None
 
 
 class Monitor:
@@ -51,9 +54,7 @@
         :param status: status of the response; None if none came.
         :param spent: seconds that the upstream took.
         """
-        if self.upstream.identity != self.identity:
-            self.identity = self.upstream.identity
-            self.routes = {}
+        self.follow_upstream()
         if status is None:
             return
         cold = asyncio.get_running_loop().time() < self.upstream.cold_until
@@ -61,12 +62,25 @@
         counts = self.routes.setdefault(call.route, evidence.Counts())
         counts.record_call(failed, None if cold else spent)
 
-    def report(self) -> bytes:
+    def follow_upstream(self) -> None:
+        """Start the counts again if there is another incarnation of the upstream."""
+        if self.upstream.identity != self.identity:
+            self.identity = self.upstream.identity
+            self.routes = {}
+
+    def report(self, usable_slots: float) -> bytes:
         """Return the evidence as JSON, for other nodes."""
+        self.follow_upstream()
         endpoint = self.identity.endpoint if self.identity is not None else ""
         upstream = self.upstream
         return msgspec.json.encode(
-            Report(endpoint, upstream.service, upstream.version, self.routes)
+            Report(
+                endpoint,
+                upstream.service,
+                upstream.version,
+                self.routes,
+                usable_slots,
+            )
         )
 
     def brake(self, version: str) -> None:
--- a/tests/test_mesh_rollouts.py
+++ b/tests/test_mesh_rollouts.py
@@ -118,3 +118,19 @@
         stored = world.store.objects[orders.KIND, "registry"]
         status = orders.decode_status(bytes(stored.status))
         assert status.reason == "too few endpoints"
+
+    # Guards against: a new version whose endpoints limit the rate of their requests
+    # takes over, and the endpoints that had the room stop.
+    async def test_counts_what_a_limit_allows_to_use(self, world):
+        await start(world)
+        node = world.nodes[0]
+        await world.wait(lambda: "registry" in node.versions.rollouts)
+        rollout = node.versions.rollouts["registry"]
+        evaluation = coordinator.Evaluation(rollout, node.versions.now())
+        await node.coordinator.fetch_reports(evaluation)
+        assert node.coordinator.capacity_ratio(evaluation) == pytest.approx(1.0)
+        limited = world.nodes[3].exit.queue
+        limited.times.record("lookup", 0.1)
+        limited.set_limit(20.0)
+        await node.coordinator.fetch_reports(evaluation)
+        assert node.coordinator.capacity_ratio(evaluation) == pytest.approx(2 / 24)
