Soak: upstreams name limits and say that they leave, and both are checked

Limits are drawn apart from the other faults, so that earlier seeds keep theirs; they overlap with all of them. From the answers that callers got the checks work out which nodes had been told, and what these sent later: at most 1.5 times the limit in 4 s and 5 requests, and nothing 2 s after an answer that says that the upstream leaves.

--- a/rattanridge/soak/callers.py
+++ b/rattanridge/soak/callers.py
@@ -8,6 +8,7 @@
 import dataclasses
 import itertools
 import random
+import time
 
 import aiohttp
 
@@ -33,6 +34,9 @@
     :param status: HTTP status of the answer; 0 if there was none.
     :param ran: what the answer says on whether the request ran; empty if nothing.
     :param code: code that a node gave in its answer; empty if there was none.
+    :param limit: limit that the upstream named in the answer; empty if none.
+    :param leaving: whether the upstream said in the answer that it leaves.
+    :param answered_at: when the answer had come, in seconds since the epoch.
     :param error: class name of the exception that ended it; empty if there was none.
     """
 
@@ -46,6 +50,9 @@
     ran: str = ""
     code: str = ""
     body: bytes = b""
+    limit: str = ""
+    leaving: bool = False
+    answered_at: float = 0.0
     error: str = ""
 
 
@@ -113,6 +120,9 @@
                 result.status = response.status
                 result.ran = response.headers.get(web_headers.RAN, "")
                 result.code = response.headers.get(web_headers.CODE, "")
+                result.limit = response.headers.get(headers.LIMIT, "")
+                result.leaving = headers.LEAVING in response.headers
+                result.answered_at = time.time()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             result.error = type(error).__name__
         return result
--- a/rattanridge/soak/faults.py
+++ b/rattanridge/soak/faults.py
@@ -19,6 +19,7 @@
     ("deaf", True),
     ("mute", True),
 )
+LIMITS = ("0", "0.5", "2", "5", "12.5", "7, 3", "nan")  # requests per second
 
 Fault = collections.abc.Callable[
     [processes.Cluster, processes.Host, schedule.PlannedFault],
@@ -133,6 +134,16 @@
     link.reset()
 
 
+@FAULTS.register(schedule.LIMIT)
+async def limit_upstream(
+    cluster: processes.Cluster, host: processes.Host, planned: schedule.PlannedFault
+) -> None:
+    """Make an upstream name a limit on the rate of its requests, if it runs."""
+    await cluster.set_upstream_faults(host, limit=planned.choose(LIMITS))
+    await asyncio.sleep(planned.duration)
+    await cluster.set_upstream_faults(host)
+
+
 @FAULTS.register(schedule.STORE)
 async def set_store_fault(
     cluster: processes.Cluster, host: processes.Host, planned: schedule.PlannedFault
--- a/rattanridge/soak/processes.py
+++ b/rattanridge/soak/processes.py
@@ -197,6 +197,18 @@
         except (aiohttp.ClientError, OSError):
             return None
 
+    async def set_upstream_faults(self, host: Host, **faults: object) -> bool:
+        """Replace the faults of an upstream; return whether it answered."""
+        url = f"http://{host.upstream_link.target}/-/faults"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with self.session.put(
+                url, data=json.dumps(faults), timeout=timeout
+            ) as response:
+                return response.status == 200
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return False
+
     async def fetch_state(self, host: Host) -> configs.State | None:
         """Return the configuration state of a node; None if it does not answer."""
         url = f"http://{host.listen['hops']}{configs.STATE_PATH}"
--- a/rattanridge/soak/schedule.py
+++ b/rattanridge/soak/schedule.py
@@ -8,6 +8,9 @@
 RECOVERY = 1.5  # seconds that a target needs after a fault
 MAX_CONCURRENT = 3  # faults, with their recovery
 STORE = "store-faults"  # the only fault whose target is the store, not a host
+LIMIT = "upstream-limit"  # may overlap with any other fault of its host
+LIMIT_GAP = (0.5, 3.0)  # seconds between the starts of two limits
+LIMIT_DURATION = (4.0, 9.0)  # seconds
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -29,6 +32,8 @@
 
     def target(self) -> str:
         """Return what the fault affects; no two faults affect one target at once."""
+        if self.name == LIMIT:
+            return f"limit-{self.host}"
         return "store" if self.name == STORE else f"host-{self.host}"
 
     def recovered_at(self) -> float:
@@ -48,8 +53,10 @@
 
     :param seconds: within which the faults start.
     :param hosts: number of hosts.
-    :param names: names of the faults to choose from; their order matters.
+    :param names: names of the faults to choose from; their order matters. Limits are
+        left to ``plan_limits``.
     """
+    names = [name for name in names if name != LIMIT]
     rng = random.Random(seed)
     planned: list[PlannedFault] = []
     now = 0.0
@@ -65,3 +72,18 @@
         if len(busy) < MAX_CONCURRENT and fault.target() not in busy:
             planned.append(fault)
     return planned
+
+
+def plan_limits(seed: int, seconds: float, hosts: int) -> list[PlannedFault]:
+    """Return the limits that upstreams name during a soak, in order of time.
+
+    They are drawn apart from the other faults, so that a seed keeps those.
+    """
+    rng = random.Random(f"{seed} limits")
+    planned: list[PlannedFault] = []
+    now = 0.0
+    while (now := now + rng.uniform(*LIMIT_GAP)) < seconds:
+        host = rng.randrange(hosts)
+        duration = rng.uniform(*LIMIT_DURATION)
+        planned.append(PlannedFault(now, LIMIT, host, duration, rng.random()))
+    return planned
--- a/rattanridge/soak/soak.py
+++ b/rattanridge/soak/soak.py
@@ -52,6 +52,8 @@
         self.cluster = processes.Cluster(directory, HOSTS)
         self.callers = callers.Callers(self.cluster, random.Random(seed))
         planned = schedule.plan(seed, seconds, HOSTS, faults.FAULTS.names())
+        planned += schedule.plan_limits(seed, seconds, HOSTS)
+        planned.sort(key=lambda item: item.at)
         self.injector = faults.FaultInjector(self.cluster, planned)
         self.monitor = promises.GenerationMonitor(self.cluster)
         self.outcome = Outcome(seed)
--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -73,8 +73,8 @@
     :param node: ``host:port`` to which heartbeats are sent; empty: none are sent.
     :param seed: seed of the processing times and errors.
     :param journal: file to which each run is written as it begins, so that the runs
-        of a killed process can be read, and the acknowledged drain; empty: no file
-        is written.
+        of a killed process can be read, the acknowledged drain and changes of its
+        limit; empty: no file is written.
     """
 
     def __init__(self, shape: Shape, node: str = "", seed: int = 0, journal: str = ""):
@@ -218,7 +218,10 @@
     async def handle(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
         """Answer one request of a test or of the mesh."""
         if request.path == "/-/faults":
+            limit = self.faults.limit
             self.faults, answer = await faults.handle_faults(request, self.faults)
+            if self.faults.limit != limit:
+                self.write_journal("limit", limit=self.faults.limit)
             return answer
         if request.path == "/-/counts":
             return aiohttp.web.json_response(dict(self.counts) | {"peak": self.peak})
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -122,6 +122,32 @@
         assert promises.check_drained([promises.Run("e", "1", "", late)], {"e": AT})
         assert not promises.check_drained([promises.Run("f", "1", "", late)], {"e": AT})
 
+    @pytest.mark.parametrize(
+        ("count", "windows", "broken"),
+        [
+            (17, [], False),
+            (18, [], True),
+            (18, [faults.Window("node-kill", "host-0", AT + 0.2, AT + 0.3)], False),
+            (18, [faults.Window("node-kill", "host-1", AT + 0.2, AT + 0.3)], True),
+        ],
+    )
+    def test_requests_beyond_a_limit(self, count, windows, broken):
+        first = make_attempt("first", limit="2", answered_at=AT)
+        later = [make_attempt(str(number)) for number in range(count)]
+        runs = [promises.Run("e", "first", "", AT)]
+        runs += [promises.Run("e", item.id, "", AT + 1) for item in later]
+        told = promises.ToldNodes(runs, [first, *later], windows, 0.0)
+        limits = {"e": [(AT - 1, "2"), (AT + 9, "")]}
+        assert bool(promises.check_limits(runs, limits, told)) is broken
+
+    @pytest.mark.parametrize(("after", "broken"), [(1.0, False), (2.5, True)])
+    def test_request_of_a_node_that_was_told_of_a_leaving(self, after, broken):
+        first = make_attempt("first", leaving=True, answered_at=AT)
+        runs = [promises.Run("e", "first", "", AT)]
+        runs.append(promises.Run("e", "1", "", AT + after))
+        told = promises.ToldNodes(runs, [first, make_attempt("1")], [], 0.0)
+        assert bool(promises.check_told_of_leaving(runs, told)) is broken
+
     @pytest.mark.parametrize(
         ("error", "broken"),
         [
@@ -167,6 +193,12 @@
             planned = schedule.plan(seed, FAILED_SEEDS[seed] * 60, soak.HOSTS, names)
             assert [f"{x.at:.1f} {x.name} {x.target()}" for x in planned] == expected
 
+    def test_limits_leave_the_other_faults_of_a_seed_as_they_are(self):
+        planned = schedule.plan_limits(5, 60.0, 6)
+        assert planned == schedule.plan_limits(5, 60.0, 6)
+        assert len(planned) > 20
+        assert {item.name for item in planned} == {schedule.LIMIT}
+
     @pytest.mark.parametrize("seed", range(20))
     def test_faults_overlap_within_limits(self, seed):
         found = schedule.plan(seed, 60.0, 6, faults.FAULTS.names())
