What an entry knows of a limit is told to an exit for 10 s only

The limit may have ended long ago; a restarted exit would have kept to it until its upstream answered. Found by reading the change; test_is_told_for_a_short_time_only.

--- a/rattanridge/mesh/directory.py
+++ b/rattanridge/mesh/directory.py
@@ -14,6 +14,9 @@
 from rattanridge.policies import placement
 
 PATH = "/records"
+# Seconds after an answer in which an exit is told what its endpoint announced: longer
+# than a restart of its node takes.
+ANNOUNCEMENT_TTL = 10.0
 MAX_LEAVING = 4096  # incarnations that are remembered as leaving
 
 
@@ -41,8 +44,9 @@
         self.names_by_hop: dict[str, set[str]] = {}
         self.candidates: dict[str, placement.Candidate] = {}
         self.by_service: dict[str, list[placement.Candidate]] = {}
-        # By node: what its endpoint announced last.
+        # By node: what its endpoint announced last, and the monotonic seconds then.
         self.announcements: dict[str, announcements.Announcement] = {}
+        self.announced_at: dict[str, float] = {}
         # Incarnations that have announced that they leave, in the order in which that
         # became known. Records may be older than that, also later ones.
         self.leaving: dict[upstreams.Identity, None] = {}
@@ -158,23 +162,41 @@
         known = self.announcements.get(name)
         return known.limit if known is not None and known.identity == identity else None
 
+    def announcement_of(
+        self, name: str, now: float
+    ) -> announcements.Announcement | None:
+        """Return what the endpoint of a node announced lately; None if nothing.
+
+        :param now: monotonic seconds.
+        """
+        if now - self.announced_at.get(name, float("-inf")) > ANNOUNCEMENT_TTL:
+            return None
+        return self.announcements.get(name)
+
     def record_announcement(
-        self, name: str, announcement: announcements.Announcement | None
+        self, name: str, announcement: announcements.Announcement | None, now: float
     ) -> None:
         """Record what the endpoint of a node announced, as its exit says.
 
         :param announcement: None if there is none in force.
+        :param now: monotonic seconds.
         """
         if announcement is None:
-            self.announcements.pop(name, None)
+            self.forget_announcement(name)
         else:
             self.announcements[name] = announcement
+            self.announced_at[name] = now
         candidate = self.candidates.get(name)
         if candidate is not None:
             candidate.limit = announcement.limit if announcement is not None else None
         if announcement is not None and announcement.leaving:
             self.record_leaving(name, announcement.identity)
 
+    def forget_announcement(self, name: str) -> None:
+        """Forget what the endpoint of a node announced, but not that it leaves."""
+        self.announcements.pop(name, None)
+        self.announced_at.pop(name, None)
+
     def record_leaving(self, name: str, identity: upstreams.Identity) -> None:
         """Record that an incarnation leaves, and remove its candidate."""
         if identity in self.leaving:
@@ -217,7 +239,7 @@
         """Remove a node's record, evidence and candidate."""
         if self.forget_record(name):
             self.suspects.apply(name, ())
-            self.announcements.pop(name, None)
+            self.forget_announcement(name)
             self.log.note("record-removed", name=name)
         self.remove_candidate(name)
 
--- a/rattanridge/mesh/dispatcher.py
+++ b/rattanridge/mesh/dispatcher.py
@@ -175,7 +175,7 @@
         """Send a call to one endpoint through the exit of its node."""
         loop = asyncio.get_running_loop()
         candidate.begin(loop.time())
-        call.announcement = self.directory.announcements.get(candidate.node)
+        call.announcement = self.directory.announcement_of(candidate.node, loop.time())
         answered = False
         try:
             if candidate.node == self.config.name:
@@ -195,7 +195,8 @@
         now = asyncio.get_running_loop().time()
         if answer.load is not None:
             candidate.record_load(answer.load, now)
-            self.directory.record_announcement(candidate.node, answer.announcement)
+            announcement = answer.announcement
+            self.directory.record_announcement(candidate.node, announcement, now)
             dependencies = self.exit.dependencies
             dependencies.record_shares(call.service, answer.refused_shares, now)
         self.record_peer_version(answer.version, candidate.hop)
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -7,11 +7,13 @@
 
 from rattanridge.mesh import (
     announcements,
+    directory,
     hop_headers,
     records,
     upstream as upstreams,
 )
 from rattanridge.platform import store
+from tests import silent_log
 
 IDENTITY = upstreams.Identity("i-1", 7)
 LIMIT = 10.0  # requests per second
@@ -121,6 +123,27 @@
         await call
 
 
+class TestKnownAnnouncement:
+    # Guards against: an entry tells a restarted exit a limit that may have ended long
+    # ago.
+    def test_is_told_for_a_short_time_only(self):
+        known = directory.Directory(suspects=None, log=silent_log.SilentLog())
+        announcement = announcements.Announcement(IDENTITY, LIMIT)
+        known.record_announcement("node-0", announcement, 5.0)
+        latest = 5.0 + directory.ANNOUNCEMENT_TTL
+        assert known.announcement_of("node-0", latest) == announcement
+        assert known.announcement_of("node-0", latest + 0.1) is None
+        known.record_announcement("node-0", None, latest)
+        assert known.announcement_of("node-0", latest) is None
+
+    def test_leaving_is_remembered_for_good(self):
+        known = directory.Directory(suspects=None, log=silent_log.SilentLog())
+        leaving = announcements.Announcement(IDENTITY, leaving=True)
+        known.record_announcement("node-0", leaving, 5.0)
+        known.record_announcement("node-0", None, 6.0)
+        assert IDENTITY in known.leaving
+
+
 class TestLimitedUpstream:
     # Guards against: an upstream gets what callers send, whatever limit it names.
     async def test_gets_no_more_than_it_takes_from_all_nodes_together(self, world):
@@ -160,11 +183,11 @@
     return len(upstream.runs) - before
 
 
-def apply_record(directory, name, record):
-    """Apply a record that is newer than all others."""
-    revision = max(directory.revisions.values()) + 1000
+def apply_record(known, name, record):
+    """Apply a record that is newer than all others to a directory."""
+    revision = max(known.revisions.values()) + 1000
     data = records.encode(record)
-    directory.apply(store.StoredObject(name, revision, data))
+    known.apply(store.StoredObject(name, revision, data))
 
 
 class TestLeavingUpstream:
