--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,17 @@
 
 import pytest
 
-from rattanridge.soak import callers, faults, processes, promises, proxy, schedule, soak
+from rattanridge.soak import (
+    announced,
+    callers,
+    faults,
+    journals,
+    processes,
+    promises,
+    proxy,
+    schedule,
+    soak,
+)
 from rattanridge.web import streams
 
 AT = 100.0
@@ -95,17 +105,17 @@
     """Each check reports the violation that it is there for."""
 
     def test_run_twice(self):
-        runs = [promises.Run("e", "1", "", AT), promises.Run("f", "1", "", AT)]
+        runs = [journals.Run("e", "1", "", AT), journals.Run("f", "1", "", AT)]
         assert promises.check_at_most_once(runs, [make_attempt("1")])
-        runs = [promises.Run("e", "1", "k", AT), promises.Run("f", "2", "k", AT)]
+        runs = [journals.Run("e", "1", "k", AT), journals.Run("f", "2", "k", AT)]
         assert promises.check_at_most_once(runs, [make_attempt("1"), make_attempt("2")])
-        runs = [promises.Run("e", "1", "k", AT), promises.Run("f", "2", "l", AT)]
+        runs = [journals.Run("e", "1", "k", AT), journals.Run("f", "2", "l", AT)]
         assert not promises.check_at_most_once(
             runs, [make_attempt("1"), make_attempt("2")]
         )
 
     def test_false_refusal(self):
-        runs = [promises.Run("e", "1", "", AT)]
+        runs = [journals.Run("e", "1", "", AT)]
         assert promises.check_not_run(runs, [make_attempt("1", ran="not-run")])
         assert not promises.check_not_run(runs, [make_attempt("2", ran="not-run")])
 
@@ -118,9 +128,9 @@
         )
 
     def test_request_after_a_farewell(self):
-        late = AT + promises.DRAIN_BOUND + 0.5
-        assert promises.check_drained([promises.Run("e", "1", "", late)], {"e": AT})
-        assert not promises.check_drained([promises.Run("f", "1", "", late)], {"e": AT})
+        late = AT + announced.DRAIN_BOUND + 0.5
+        assert promises.check_drained([journals.Run("e", "1", "", late)], {"e": AT})
+        assert not promises.check_drained([journals.Run("f", "1", "", late)], {"e": AT})
 
     @pytest.mark.parametrize(
         ("count", "windows", "broken"),
@@ -134,19 +144,19 @@
     def test_requests_beyond_a_limit(self, count, windows, broken):
         first = make_attempt("first", limit="2", answered_at=AT)
         later = [make_attempt(str(number)) for number in range(count)]
-        runs = [promises.Run("e", "first", "", AT)]
-        runs += [promises.Run("e", item.id, "", AT + 1) for item in later]
-        told = promises.ToldNodes(runs, [first, *later], windows, 0.0)
+        runs = [journals.Run("e", "first", "", AT)]
+        runs += [journals.Run("e", item.id, "", AT + 1) for item in later]
+        told = announced.ToldNodes(runs, [first, *later], windows, 0.0)
         limits = {"e": [(AT - 1, "2"), (AT + 9, "")]}
-        assert bool(promises.check_limits(runs, limits, told)) is broken
+        assert bool(announced.check_limits(runs, limits, told)) is broken
 
     @pytest.mark.parametrize(("after", "broken"), [(1.0, False), (2.5, True)])
     def test_request_of_a_node_that_was_told_of_a_leaving(self, after, broken):
         first = make_attempt("first", leaving=True, answered_at=AT)
-        runs = [promises.Run("e", "first", "", AT)]
-        runs.append(promises.Run("e", "1", "", AT + after))
-        told = promises.ToldNodes(runs, [first, make_attempt("1")], [], 0.0)
-        assert bool(promises.check_told_of_leaving(runs, told)) is broken
+        runs = [journals.Run("e", "first", "", AT)]
+        runs.append(journals.Run("e", "1", "", AT + after))
+        told = announced.ToldNodes(runs, [first, make_attempt("1")], [], 0.0)
+        assert bool(announced.check_leaving(runs, told)) is broken
 
     @pytest.mark.parametrize(
         ("error", "broken"),
