A refusal of a restarted exit does not make entries forget a limit

The exit that does not know its upstream's limit yet passed nothing on with its refusal, and the entry took that for the end of the limit, so that it could not tell it. Found by reading the change; test_outlasts_a_refusal failed before.

--- a/rattanridge/mesh/dispatcher.py
+++ b/rattanridge/mesh/dispatcher.py
@@ -195,8 +195,7 @@
         now = asyncio.get_running_loop().time()
         if answer.load is not None:
             candidate.record_load(answer.load, now)
-            announcement = answer.announcement
-            self.directory.record_announcement(candidate.node, announcement, now)
+            self.record_announcement(candidate, answer, now)
             dependencies = self.exit.dependencies
             dependencies.record_shares(call.service, answer.refused_shares, now)
         self.record_peer_version(answer.version, candidate.hop)
@@ -214,6 +213,17 @@
                 candidate, call.route, answer.upstream_time, now
             )
 
+    def record_announcement(
+        self, candidate: placement.Candidate, answer: calls.Answer, now: float
+    ) -> None:
+        """Record what an endpoint announced, or that it announces nothing any more.
+
+        A refusal does not tell the latter: its exit may have been restarted, and has
+        not heard from the endpoint yet.
+        """
+        if answer.announcement is not None or answer.code is None:
+            self.directory.record_announcement(candidate.node, answer.announcement, now)
+
     def start_polling(self, candidate: placement.Candidate) -> None:
         """Start to poll a node that could not be reached, without using requests."""
         self.peers.pool.close_idle(candidate.hop)
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -124,6 +124,18 @@
 
 
 class TestKnownAnnouncement:
+    # Guards against: an entry forgets a limit as a restarted exit, which does not know
+    # it yet, refuses a request.
+    async def test_outlasts_a_refusal(self, world):
+        await world.start("registry", "workshop")
+        set_limit(world.upstreams[0], LIMIT)
+        await learn_limits(world)
+        exit_node = world.nodes[0]
+        exit_node.exit.announcements.set_limit(None, "test")
+        exit_node.upstream.confirmed = False
+        assert (await world.call("/lookup/1", node=1))[0] == 503
+        assert world.nodes[1].directory.announcements["node-0"].limit == LIMIT
+
     # Guards against: an entry tells a restarted exit a limit that may have ended long
     # ago.
     def test_is_told_for_a_short_time_only(self):
