--- a/review/4/case.py
+++ b/review/4/case.py
@@ -116,8 +116,8 @@
     late_arrivals = [at for at in leaver.arrivals if at > bound]
     record.say(
         f"{len(leaver.arrivals)} requests reached the leaving endpoint, "
-        f"{len(late_arrivals)} of them later than {DRAIN:.0f} s after the ack, by nodes "
-        f"in touch ({bound - acked_at:.1f} s after the ack and later)"
+        f"{len(late_arrivals)} of them later than {DRAIN:.0f} s after the ack, by "
+        f"nodes in touch ({bound - acked_at:.1f} s after the ack and later)"
     )
     record.say("DRAIN: broken" if late_arrivals else "DRAIN: held")
     return lab.BROKEN if late_arrivals else lab.HELD
