--- a/review/lab.py
+++ b/review/lab.py
@@ -544,7 +544,7 @@
 
     try:
         status = asyncio.run(limited())
-    except (TimeoutError, OSError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.say(f"the case could not run: {type(error).__name__} {error}")
         status = NOT_RUN
     sys.exit(status)
