--- a/review/lab.py
+++ b/review/lab.py
@@ -378,6 +378,8 @@
         return self
 
     async def __aexit__(self, *error):
+        if error[0] is not None:
+            self.note_logs()
         for node in self.nodes:
             await node.end()
             if node.endpoint.task is not None:
@@ -387,6 +389,15 @@
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def note_logs(self):
+        """Write the state and the last log lines of each node to the record."""
+        for node in self.nodes:
+            status = node.process.returncode if node.process is not None else "-"
+            self.record.note("node-state", node=node.name, exit_status=status)
+            log = self.folder / f"{node.name}.log"
+            for line in log.read_text(errors="replace").splitlines()[-8:]:
+                self.record.note("node-log", node=node.name, line=line)
+
     async def add(self, name, zone, endpoint, store=""):
         """Start a node and its endpoint; return the node."""
         store = store or self.store.address
