LOST: a stopping node refuses at entry and exit from one moment on

Cause: Node.stop ended its wait at the first look that found no request. From then on the exit refused, but the entry's dispatcher went by the end of the grace period, seconds ahead, and passed on what came in the 0.1 s before the connections were closed. The HTTP library then cancelled the handlers after two waits of 0.2 s.

Change: one object, mesh/shutdown.py, tells entry, dispatcher, exit, hop handler and membership what is still accepted; its last phase is entered in the same step as the look that finds nothing. A second look before the close waits for what was accepted. A new log line, node-refusing, marks the moment.

--- a/rattanridge/daemon.py
+++ b/rattanridge/daemon.py
@@ -67,7 +67,7 @@
     from rattanridge.admin import server
 
     admin_server = server.Server(node)
-    await node.listen(admin_server.serve, node.config.listen.admin)
+    await node.ports.listen(admin_server.serve, node.config.listen.admin)
 
 
 def main() -> None:
--- a/rattanridge/measure/pipelining.py
+++ b/rattanridge/measure/pipelining.py
@@ -81,7 +81,7 @@
         await mesh.wait_applied(await mesh.put_preset(preset))
         await mesh.wait_endpoints()
         baseline = next(fleet.FREE_ADDRESSES)
-        await host.node.listen(host.node.entry.serve, baseline)
+        await host.node.ports.listen(host.node.entry.serve, baseline)
         addresses = {"": host.node.config.listen.callers, "sequential_": baseline}
         for prefix, address in addresses.items():
             for depth in DEPTHS:
--- a/rattanridge/mesh/dispatcher.py
+++ b/rattanridge/mesh/dispatcher.py
@@ -12,8 +12,9 @@
     exit as exits,
     peers as peer_clients,
     settings,
+    shutdown as shutdowns,
 )
-from rattanridge.policies import placement, queueing, retry_budget
+from rattanridge.policies import placement, retry_budget
 
 MAX_EXIT_REFUSALS = 3  # attempts of one call that did not reach an upstream
 # Connections to upstreams that may break during one call; the call may be the cause.
@@ -75,6 +76,7 @@
     :param record_peer_version: called with the version of the configuration at each
         exit that answers, and the exit's address.
     :param peers: forwards calls to other nodes.
+    :param shutdown: tells which calls can still end in time.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         count_budget_nodes: BudgetNodeCount,
         record_peer_version: collections.abc.Callable[[int, str], None],
         peers: peer_clients.PeerClient,
+        shutdown: shutdowns.Shutdown,
         log: events.Events,
         meters: events.Meters,
     ):
@@ -98,10 +101,10 @@
         self.log = log
         self.meters = meters
         self.peers = peers
+        self.shutdown = shutdown
         self.placer = placement.PLACERS.get(config.policies.placement)(config.zone)
         self.budgets: dict[str, retry_budget.Budget] = {}
         self.poll_tasks: set[asyncio.Task] = set()
-        self.stop_deadline = float("inf")
 
     def budget(self, service: str) -> retry_budget.Budget:
         """Return the retry budget of a service."""
@@ -153,12 +156,11 @@
 
     def check_can_finish(self, route: routes.Route) -> None:
         """Raise ``stopping`` if a call may still run when this process has to end."""
-        time_left = self.stop_deadline - asyncio.get_running_loop().time()
         processing_time = (
             self.placer.mean(route.name).seconds or placement.DEFAULT_PROCESSING_TIME
         )
-        if queueing.may_outlast(processing_time, time_left):
-            raise codes.Failure(codes.STOPPING, retry_after=max(time_left, 0.0))
+        if not self.shutdown.can_finish(processing_time):
+            raise self.shutdown.failure()
 
     def choose(
         self, call: calls.Call, route: routes.Route, tried: set[str]
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -15,6 +15,7 @@
     dispatcher,
     events,
     settings,
+    shutdown as shutdowns,
     suspects as suspecting,
 )
 from rattanridge.platform import headers
@@ -35,6 +36,7 @@
     :param dispatcher: sends calls to endpoints.
     :param claims: runs calls that carry an idempotency key at most once.
     :param suspects: refuses requests that crash upstreams.
+    :param shutdown: tells what is still accepted, and when answers close connections.
     :param memory_budget: limits the bytes of bodies that the node holds in memory.
     """
 
@@ -45,6 +47,7 @@
         dispatcher: dispatcher.Dispatcher,
         claims: claims.Claims,
         suspects: suspecting.Suspects,
+        shutdown: shutdowns.Shutdown,
         memory_budget: memory.MemoryBudget,
         log: events.Events,
         meters: events.Meters,
@@ -54,14 +57,19 @@
         self.dispatcher = dispatcher
         self.claims = claims
         self.suspects = suspects
+        self.shutdown = shutdown
         self.memory_budget = memory_budget
         self.log = log
         self.meters = meters
         self.splitter = splitting.Splitter()
         self.random = random.Random()
-        self.closing = False
         self.active = 0
 
+    @property
+    def closing(self) -> bool:
+        """Whether answers close their connections."""
+        return self.shutdown.closing
+
     async def serve(
         self, request: aiohttp.web.BaseRequest
     ) -> aiohttp.web.StreamResponse:
@@ -96,7 +104,12 @@
         return route is not None and route.idempotent and not route.large
 
     async def run(self, call: calls.Call, route: routes.Route) -> calls.Answer:
-        """Run a call; at most once across all nodes if its route has a key source."""
+        """Run a call; at most once across all nodes if its route has a key source.
+
+        Raise ``stopping`` if no call is accepted any more.
+        """
+        if self.shutdown.refusing:
+            raise self.shutdown.failure()
         self.suspects.check(call)
         if route.key is None or route.idempotent:
             return await self.dispatcher.run(call, route)
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -11,6 +11,7 @@
     monitoring,
     parents,
     settings,
+    shutdown as shutdowns,
     suspects as suspecting,
     trial as trials,
     upstream as upstreams,
@@ -31,6 +32,7 @@
     :param config: the node's settings.
     :param upstream: state of the upstream.
     :param suspects: records requests during which the upstream ends.
+    :param shutdown: tells which calls can still end in time.
     :param state_of: returns the state of the rollout to a version of a service.
     :param memory_budget: limits the bytes of bodies that the node holds in memory.
     """
@@ -40,6 +42,7 @@
         config: settings.Settings,
         upstream: upstreams.Upstream,
         suspects: suspecting.Suspects,
+        shutdown: shutdowns.Shutdown,
         state_of: trials.StateOf,
         memory_budget: memory.MemoryBudget,
         log: events.Events,
@@ -48,6 +51,7 @@
         self.config = config
         self.upstream = upstream
         self.suspects = suspects
+        self.shutdown = shutdown
         self.log = log
         self.meters = meters
         self.pool = connections.Pool(memory_budget)
@@ -66,8 +70,6 @@
         self.tasks: set[asyncio.Task] = set()
         self.probe_task: asyncio.Task | None = None
         self.parents = parents.Parents()
-        self.stopping = False
-        self.stop_deadline = float("inf")
         self.monitor = monitoring.Monitor(upstream)
         self.trial = trials.Trial(upstream, self.monitor, state_of, log)
         upstream.listeners.append(self.apply_upstream_change)
@@ -200,7 +202,7 @@
 
     def check_call(self, call: calls.Call) -> None:
         """Raise a coded failure if the upstream cannot accept the call now."""
-        if self.stopping or self.may_outlast(call):
+        if not self.shutdown.can_finish(self.queue.times.mean_of(call.route)):
             raise codes.Failure(codes.STOPPING)
         self.suspects.check(call)
         failure = self.upstream.refusal(call.service) or self.trial.refusal()
@@ -211,15 +213,6 @@
                 codes.NO_ENDPOINT, "the upstream sends neither heartbeats nor answers"
             )
 
-    def may_outlast(self, call: calls.Call) -> bool:
-        """Return whether a call may still run when this process has to end.
-
-        Entries that have not yet received the record of a stopping node still send
-        calls to it.
-        """
-        time_left = self.stop_deadline - asyncio.get_running_loop().time()
-        return queueing.may_outlast(self.queue.times.mean_of(call.route), time_left)
-
     async def send(self, call: calls.Call) -> calls.Answer:
         """Send a call to the upstream and return its answer; raise if none comes."""
         loop = asyncio.get_running_loop()
--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -16,6 +16,7 @@
     hop_headers,
     monitoring,
     settings,
+    shutdown as shutdowns,
     store_health,
     trial as trials,
     upstream as upstreams,
@@ -34,6 +35,7 @@
     """Handles calls that other nodes forward to the local exit, and page requests.
 
     :param hop_auth: checks that the sender is a node.
+    :param shutdown: once it has begun, each response closes its connection.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         directory: directories.Directory,
         versions: versioning.Versions,
         hop_auth: hop_auth.HopAuth,
+        shutdown: shutdowns.Shutdown,
         meters: events.Meters,
     ):
         self.directory = directory
@@ -52,9 +55,8 @@
         self.exit = exit
         self.configs = configs
         self.hop_auth = hop_auth
+        self.shutdown = shutdown
         self.meters = meters
-        # Whether the node is stopping; each response then closes its connection.
-        self.closing = False
 
     async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
         """Return the answer to a forwarded call, or a page for another node."""
@@ -79,7 +81,7 @@
         response = aiohttp.web.Response(
             status=answer.status, headers=response_headers, body=answer.body
         )
-        if self.closing:
+        if self.shutdown.begun:
             response.force_close()
         return response
 
--- a/rattanridge/mesh/membership.py
+++ b/rattanridge/mesh/membership.py
@@ -11,6 +11,7 @@
     publisher as publishers,
     records,
     settings,
+    shutdown as shutdowns,
     store_health,
     suspects as suspecting,
     upstream as upstreams,
@@ -27,6 +28,7 @@
 class Membership:
     """Follows the records of all nodes and maintains the node's own record.
 
+    :param shutdown: tells whether the node stops.
     :param fetch: fetches a page from another node.
     """
 
@@ -37,6 +39,7 @@
         health: store_health.StoreHealth,
         upstream: upstreams.Upstream,
         suspects: suspecting.Suspects,
+        shutdown: shutdowns.Shutdown,
         fetch: Fetch,
         log: events.Events,
     ):
@@ -45,6 +48,7 @@
         self.health = health
         self.upstream = upstream
         self.suspects = suspects
+        self.shutdown = shutdown
         self.fetch = fetch
         self.log = log
         self.directory = directories.Directory(suspects, log)
@@ -53,7 +57,6 @@
         self.budget_nodes = budget_nodes.BudgetNodes(config.name, span)
         self.removals: set[asyncio.Task] = set()
         self.has_records = False
-        self.stopping = False
         upstream.listeners.append(self.publish)
         suspects.listeners.append(self.publish)
 
@@ -176,7 +179,7 @@
         upstream = self.upstream
         if upstream.identity is None:
             return
-        if self.stopping and upstream.state is upstreams.State.GONE:
+        if self.shutdown.begun and upstream.state is upstreams.State.GONE:
             self.publisher.publish(None)
             return
         record = records.Record(
@@ -199,7 +202,7 @@
         the node must know it.
         """
         state = self.upstream.state
-        if self.stopping and state is not upstreams.State.DRAINING:
+        if self.shutdown.begun and state is not upstreams.State.DRAINING:
             return STOPPING
         return state.value
 
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -6,9 +6,7 @@
 import time
 import typing
 
-import aiohttp.web
-
-from rattanridge.kernel import addresses, codes, sink as sinks
+from rattanridge.kernel import codes, sink as sinks
 from rattanridge.mesh import (
     claims,
     configs,
@@ -22,8 +20,10 @@
     hop_auth,
     membership,
     peers as forwarders,
+    ports,
     records,
     settings,
+    shutdown as shutdowns,
     store_health,
     suspects as suspecting,
     upstream as upstreams,
@@ -35,19 +35,19 @@
     orders,
     store as stores,
 )
-from rattanridge.web import memory, pipelining, server as servers
+from rattanridge.web import memory
 
 DRAIN_POLL_INTERVAL = 0.05  # seconds between two checks for requests in progress
 READINESS_WAIT = 2.6  # seconds in which the platform probes the readiness twice
 CLOSE_CONNECTIONS_AFTER = 1.2  # seconds from SIGTERM until responses close connections
-SHUTDOWN_RESERVE = 0.6  # seconds of the grace period that are kept for the shutdown
+SHUTDOWN_RESERVE = 0.6  # seconds of the grace period in which nothing is accepted
+CLOSE_RESERVE = 0.3  # seconds of the grace period that are kept for the close
 LATE_CALLS_WAIT = 0.1  # seconds for calls sent before their senders saw the shutdown
 MAINTENANCE_INTERVAL = 1.0  # seconds
 # Seconds from a change to the next watch of its kind.
 ROLLOUT_BATCH_DELAY = 0.1  # short, so that a rollback is not delayed
 CONFIG_BATCH_DELAY = 0.25  # a watch returns each version that was written meanwhile
 RECORDS_BATCH_DELAY = 0.8  # long, as exits refuse calls that an outdated record allows
-BACKLOG = 512  # connections that wait to be accepted
 RECORD_RETRY_DELAY = 0.5  # seconds before a record is written again
 
 
@@ -69,6 +69,8 @@
         self.settings_file = file
         self.log = events.Events(config.name, config.limits.log_lines, sink)
         self.meters = events.Meters()
+        self.ports = ports.Ports(config, self.meters, self.log)
+        self.shutdown = shutdowns.Shutdown()
         self.store = stores.Store(config.store, self.meters.record_store_call)
         self.health = store_health.StoreHealth(config, self.check_store, self.log)
         self.hop_auth = hop_auth.HopAuth(config)
@@ -82,6 +84,7 @@
             self.health,
             self.upstream,
             self.suspects,
+            self.shutdown,
             self.fetch,
             self.log,
         )
@@ -98,6 +101,7 @@
             config,
             self.upstream,
             self.suspects,
+            self.shutdown,
             self.versions.state_of,
             self.memory_budget,
             self.log,
@@ -118,6 +122,7 @@
             self.membership.count_budget_nodes,
             self.configs.record_peer_version,
             forwarders.PeerClient(self.hop_auth, self.memory_budget),
+            self.shutdown,
             self.log,
             self.meters,
         )
@@ -130,6 +135,7 @@
             self.dispatcher,
             self.claims,
             self.suspects,
+            self.shutdown,
             self.memory_budget,
             self.log,
             self.meters,
@@ -141,6 +147,7 @@
             self.directory,
             self.versions,
             self.hop_auth,
+            self.shutdown,
             self.meters,
         )
         self.heartbeat_handler = handlers.HeartbeatHandler(
@@ -181,9 +188,7 @@
             self.log,
         )
         self.store.era_listeners.append(self.apply_new_era)
-        self.runners: list[aiohttp.web.ServerRunner] = []
         self.tasks: list[asyncio.Task] = []
-        self.stopping = False
 
     def apply_new_era(self) -> None:
         """List all kinds again: the store has returned from an older copy."""
@@ -254,15 +259,17 @@
     async def start(self) -> None:
         """Listen on all ports and start to follow the store."""
         listen = self.config.listen
-        await self.listen(self.entry.serve, listen.callers, self.entry)
-        await self.listen(self.hop_handler.serve, listen.hops)
-        await self.listen(handlers.ReadinessHandler(self.ready).serve, listen.ready)
-        await self.listen(self.heartbeat_handler.serve, listen.heartbeats)
+        await self.ports.listen(self.entry.serve, listen.callers, self.entry)
+        await self.ports.listen(self.hop_handler.serve, listen.hops)
+        await self.ports.listen(
+            handlers.ReadinessHandler(self.ready).serve, listen.ready
+        )
+        await self.ports.listen(self.heartbeat_handler.serve, listen.heartbeats)
         if listen.metrics:
             metrics = handlers.MetricsHandler(
                 self.meters, self.exit, self.upstream, self.health
             )
-            await self.listen(metrics.serve, listen.metrics)
+            await self.ports.listen(metrics.serve, listen.metrics)
         self.log.start()
         for watch in self.watches:
             self.start_task(watch.run())
@@ -290,32 +297,10 @@
         if not task.cancelled() and task.exception() is not None:
             self.log.error("task-failed", why=repr(task.exception()))
 
-    async def listen(
-        self,
-        handler: servers.Handler,
-        address: str,
-        pipeline: pipelining.Pipeline | None = None,
-    ) -> None:
-        """Serve HTTP at ``host:port``; raise ``cannot-listen`` if that fails.
-
-        :param pipeline: decides which pipelined requests start early.
-        """
-        host, _, port = address.rpartition(":")
-        served = servers.Server(handler, self.config, self.meters, self.log, pipeline)
-        runner = aiohttp.web.ServerRunner(served, shutdown_timeout=0.2)
-        await runner.setup()
-        self.runners.append(runner)
-        site = aiohttp.web.TCPSite(runner, host, int(port), backlog=BACKLOG)
-        try:
-            await site.start()
-        except OSError as error:
-            where = addresses.join_host_port(host, int(port))
-            raise codes.Failure(codes.CANNOT_LISTEN, error.strerror or "", where=where)
-
     def ready(self) -> bool:
         """Return whether the node can serve callers."""
         return (
-            not self.stopping
+            not self.shutdown.begun
             and self.configs.current is not None
             and self.membership.has_records
             and self.versions.known
@@ -353,43 +338,44 @@
         """Return the number of requests in progress."""
         return self.entry.active + self.exit.request_count()
 
+    def is_idle(self) -> bool:
+        """Return whether nothing is in progress that a close would cut."""
+        return not self.request_count()
+
     async def stop(self) -> None:
         """Shut down gracefully: publish it, complete the requests, then close.
 
         Requests are served at least until the platform has seen that the node is not
         ready, and at most until the grace period is nearly over.
         """
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        self.stopping = True
+        began = asyncio.get_running_loop().time()
+        end = began + self.config.drain.grace
+        last = end - SHUTDOWN_RESERVE
         self.log.info("node-stopping", requests=self.request_count())
-        self.membership.stopping = True
+        self.shutdown.begin(last)
         self.membership.publish()
-        last = began + self.config.drain.grace - SHUTDOWN_RESERVE
-        self.dispatcher.stop_deadline = self.exit.stop_deadline = last
-        self.hop_handler.closing = True
-        while loop.time() < last:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL)
-            passed = loop.time() - began
-            self.entry.closing = passed > CLOSE_CONNECTIONS_AFTER
-            if passed > READINESS_WAIT and not self.request_count():
-                break
-        self.exit.stopping = True
-        await self.stop_listening()
+        await sleep_until(min(began + CLOSE_CONNECTIONS_AFTER, last))
+        self.shutdown.advance(shutdowns.Phase.CLOSING)
+        await sleep_until(min(began + READINESS_WAIT, last))
+        await self.wait_idle(last)
+        # Nothing may run between the last look and this.
+        self.shutdown.advance(shutdowns.Phase.REFUSING)
+        self.log.info("node-refusing", requests=self.request_count())
+        await self.ports.stop_listening()
         await asyncio.sleep(LATE_CALLS_WAIT)
+        await self.wait_idle(end - CLOSE_RESERVE)
         await self.close()
 
-    async def stop_listening(self) -> None:
-        """Accept no new connections; requests on open ones are still answered."""
-        for runner in self.runners:
-            for site in list(runner.sites):
-                await site.stop()
+    async def wait_idle(self, deadline: float) -> None:
+        """Wait until nothing is in progress, at most until monotonic seconds."""
+        loop = asyncio.get_running_loop()
+        while not self.is_idle() and loop.time() < deadline:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL)
 
     async def close(self) -> None:
         """Close all connections and cancel all tasks."""
         self.log.info("node-stopped", requests=self.request_count())
-        for runner in self.runners:
-            await runner.cleanup()
+        await self.ports.close()
         for task in (*self.tasks, *self.dispatcher.poll_tasks):
             task.cancel()
         self.confirmation.stop()
@@ -398,3 +384,8 @@
         self.dispatcher.peers.pool.close()
         await self.store.close()
         self.log.stop()
+
+
+async def sleep_until(deadline: float) -> None:
+    """Sleep until monotonic seconds."""
+    await asyncio.sleep(deadline - asyncio.get_running_loop().time())
--- a/rattanridge/web/pipelining.py
+++ b/rattanridge/web/pipelining.py
@@ -24,11 +24,11 @@
 
     Requests behind an answer that closes the connection count as unread and are sent
     again, so only requests that may run more than once can start early.
-
-    :param closing: whether answers close their connections.
     """
 
-    closing: bool
+    @property
+    def closing(self) -> bool:
+        """Whether answers close their connections."""
 
     def may_start_early(self, message: aiohttp.http.RawRequestMessage) -> bool: ...
 
--- a/rattanridge/web/server.py
+++ b/rattanridge/web/server.py
@@ -129,6 +129,16 @@
         )
         return await self.server.run(request)
 
+    def is_busy(self) -> bool:
+        """Return whether a request, or its answer, is in progress.
+
+        From the head of the request on, until the whole answer is written.
+        """
+        if self._request_in_progress or self._messages:
+            return True
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def abort_unused(self) -> None:
         """Abort the connection unless it has sent a complete request head."""
         if not self._request_count and self.transport is not None:
@@ -229,6 +239,11 @@
         self.counters.add("http.dropped.connections")
         return False
 
+    def busy_connections(self) -> int:
+        """Return how many connections have a request or an answer in progress."""
+        protocols = typing.cast(collections.abc.Iterable[Protocol], self._connections)
+        return sum(protocol.is_busy() for protocol in protocols)
+
     def make_request(
         self,
         message: aiohttp.http.RawRequestMessage,
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -30,7 +30,7 @@
         shape = upstreams.Shape("workshop", work=0.0)
         host = await self.fleet.add("one", "zone-a", shape)
         listen = host.node.config.listen
-        await host.node.listen(server.Server(host.node).serve, listen.admin)
+        await host.node.ports.listen(server.Server(host.node).serve, listen.admin)
         preset = fleet.make_preset("day", ["workshop"])
         await self.fleet.wait_applied(await self.fleet.put_preset(preset))
         await self.fleet.wait_endpoints()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -163,7 +163,7 @@
             shape = upstreams.Shape("workshop")
             host = await running.add("one", "zone-a", shape, key="fleet-shared-key")
             listen = host.node.config.listen
-            await host.node.listen(server.Server(host.node).serve, listen.admin)
+            await host.node.ports.listen(server.Server(host.node).serve, listen.admin)
             async with aiohttp.ClientSession() as session:
                 for secret in (OLGA.secret, VICTOR.secret, "stolen-secret-token"):
                     for path in ("presets/x/use", "status", f"presets?token={secret}"):
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -10,6 +10,7 @@
     directory,
     hop_headers,
     records,
+    shutdown,
     upstream as upstreams,
 )
 from rattanridge.platform import store_objects
@@ -263,7 +264,7 @@
         leaving.faults.leaving = True
         await world.call("/lookup/1")
         membership = world.nodes[0].membership
-        membership.stopping = True
+        membership.shutdown.advance(shutdown.Phase.DRAINING)
         membership.publish()
         await membership.wait_written()
         assert membership.publisher.stored.state == "draining"
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from rattanridge.mesh import shutdown
 from tests import mesh_world
 
 
@@ -125,7 +126,7 @@
         hop = world.nodes[1].config.listen.hops
         await asyncio.gather(*(world.call("/lookup/1") for _ in range(3)))
         assert len(idle_connections[hop]) > 1
-        world.nodes[1].hop_handler.closing = True
+        world.nodes[1].shutdown.advance(shutdown.Phase.DRAINING)
         assert (await world.call("/lookup/1"))[0] == 200
         assert not idle_connections.get(hop)
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -144,7 +144,7 @@
 
     async def test_an_unreachable_node_is_skipped(self, world):
         await world.start("workshop", "registry", "registry")
-        for runner in world.nodes[1].runners:
+        for runner in world.nodes[1].ports.runners:
             await runner.cleanup()
         results = [await world.call("/lookup/1") for _ in range(5)]
         assert {status for status, _, _ in results} == {200}
@@ -155,7 +155,7 @@
         """The lost node's upstream was replaced while the node was unreachable."""
         await world.start("workshop", "registry")
         entry, lost = world.nodes
-        for runner in lost.runners[1:2]:
+        for runner in lost.ports.runners[1:2]:
             await runner.cleanup()
         assert (await world.call("/lookup/1"))[0] == 503
         first = entry.directory.candidates_of("registry")[0]
@@ -168,7 +168,7 @@
         )
         assert (await world.call("/lookup/1"))[0] == 503
         await asyncio.sleep(1.0)
-        await lost.listen(lost.hop_handler.serve, lost.config.listen.hops)
+        await lost.ports.listen(lost.hop_handler.serve, lost.config.listen.hops)
         await world.wait(lambda: not entry.directory.candidates_of("registry")[0].lost)
         assert (await world.call("/lookup/1"))[0] == 200
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import strategies
 
+from rattanridge.mesh import shutdown
 from rattanridge.platform import headers
 from rattanridge.web import pipelining, streams
 from tests import bench as benches, mesh_world
@@ -137,7 +138,7 @@
         caller = await open_mesh(world)
         caller.send(encode(SLOW), encode("/lookup/1"), encode("/lookup/2"))
         await world.wait(lambda: len(world.upstreams[1].runs) == 2)
-        world.nodes[0].entry.closing = True
+        world.nodes[0].shutdown.advance(shutdown.Phase.CLOSING)
         caller.send(encode("/lookup/3"), encode("/order/1", "POST"))
         answers = [await caller.read() for _ in range(3)]
         assert [status for status, _, _ in answers] == [200] * 3
