LOST: a planned stop waits for answers that are being written

Callers saw: an answer of some megabytes, read slowly, was cut when its node was stopped.

Cause: the count of requests in progress fell before the answer was written, so nothing held the stop up; the HTTP library cancelled the write after 0.4 s.

Change: the stop looks at the connections: one is busy from the head of a request until its whole answer is written, at all ports, so calls of other entries and acknowledgements of farewells count as well.

TestAnswers.test_a_slow_reader_gets_the_whole_answer failed on (the node had ended before the caller read) and passes now.

--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -339,8 +339,12 @@
         return self.entry.active + self.exit.request_count()
 
     def is_idle(self) -> bool:
-        """Return whether nothing is in progress that a close would cut."""
-        return not self.request_count()
+        """Return whether nothing is in progress that a close would cut.
+
+        That is a connection on which a request or its answer is on the way, or work at
+        the upstream whose caller has gone.
+        """
+        return not (self.ports.busy_connections() or self.exit.request_count())
 
     async def stop(self) -> None:
         """Shut down gracefully: publish it, complete the requests, then close.
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -6,9 +6,10 @@
 
 from rattanridge.mesh import shutdown
 from rattanridge.web import headers
-from tests import test_pipelining
+from tests import mesh_world, test_pipelining
 
 LONG_WORK = 0.6  # seconds
+LARGE_BODY = 16_000_000  # bytes, more than the sockets of a connection hold
 
 
 async def stop_while(node, moment, action):
@@ -70,6 +71,41 @@
         await stopping
 
 
+class TestAnswers:
+    # Guards against: an answer that a caller reads slowly was in no count, and was cut.
+    async def test_a_slow_reader_gets_the_whole_answer(self, world):
+        await world.start("workshop", "registry")
+        node = world.nodes[0]
+        node.entry.respond = lambda answer: respond_large()
+        reader, writer = await world.connect()
+        writer.write(test_pipelining.encode("/lookup/1"))
+        await world.wait(node.ports.busy_connections)
+        stopping = asyncio.create_task(node.stop())
+        await asyncio.sleep(3.2)
+        assert not stopping.done()
+        async with asyncio.timeout(5):
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(LARGE_BODY)
+            await stopping
+
+    async def test_a_connection_is_busy_from_the_head_to_the_end(self, world):
+        await world.start("registry")
+        ports = world.nodes[0].ports
+        reader, writer = await world.connect()
+        await asyncio.sleep(0.05)
+        assert not ports.busy_connections()
+        request = test_pipelining.encode("/order/1", "POST", b"body")
+        writer.write(request[:-4])
+        await world.wait(ports.busy_connections)
+        writer.write(request[-4:])
+        await reader.readuntil(b"\r\n\r\n")
+        await world.wait(lambda: not ports.busy_connections())
+
+
+def respond_large():
+    return mesh_world.aiohttp.web.Response(body=b"x" * LARGE_BODY)
+
+
 class TestPhases:
     @pytest.mark.parametrize(
         ("phase", "begun", "closing", "finishes"),
