LOST: a planned stop waits until the outcomes of claims are written

Callers saw: a request with an idempotency key ran and was answered just before its node ended; a later submission waited for an outcome that nobody would write, and was told already-accepted in place of the recorded answer.

Cause: outcomes are written after the answer, by tasks that are in no count and that the end of the process cancels.

Change: these tasks hold the stop up, at most until the end of the grace period.

--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -341,10 +341,14 @@
     def is_idle(self) -> bool:
         """Return whether nothing is in progress that a close would cut.
 
-        That is a connection on which a request or its answer is on the way, or work at
-        the upstream whose caller has gone.
+        That is a connection on which a request or its answer is on the way, work at
+        the upstream whose caller has gone, or a write of a claim.
         """
-        return not (self.ports.busy_connections() or self.exit.request_count())
+        return not (
+            self.ports.busy_connections()
+            or self.exit.request_count()
+            or self.claims.tasks
+        )
 
     async def stop(self) -> None:
         """Shut down gracefully: publish it, complete the requests, then close.
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -106,6 +106,22 @@
     return mesh_world.aiohttp.web.Response(body=b"x" * LARGE_BODY)
 
 
+class TestClaims:
+    # Guards against: the outcome of work that ran once was still being written when
+    # the node ended, and nobody could tell the next submission.
+    async def test_a_stop_waits_until_an_outcome_is_written(self, world):
+        await world.start("registry")
+        node = world.nodes[0]
+        written = asyncio.Event()
+        task = node.claims.start_task(written.wait())
+        stopping = asyncio.create_task(node.stop())
+        await asyncio.sleep(2.8)
+        assert not task.done()
+        assert not stopping.done()
+        written.set()
+        await stopping
+
+
 class TestPhases:
     @pytest.mark.parametrize(
         ("phase", "begun", "closing", "finishes"),
