DRAIN: a process believes no heartbeat that may be older than its start

Cause: the store was silent, so the farewell lived in the process only, which was killed. The next one knew nothing, as its lists had no answer yet, and believed the first message that it heard: a heartbeat that had been sent before the farewell.

Change: what outlives the process is the upstream itself. The first upstream that a process hears of, by record or by heartbeat, gets requests once it has answered a health check of this process. A heartbeat confirms it only 10 s after the start, so that none sent before a leaving is on the way, and an endpoint whose health check fails is served again then. Later upstreams need no check: none of them had started when the first one answered. A check that a full endpoint rejects is repeated, and each heartbeat starts a new one. Its connection is not kept.

The model in tests/test_upstream_states.py had assumed that a leaving is stored before it is acknowledged; now the store may be silent in any order with farewells, kills, starts, late messages and checks. Two new mutants, which believe every heartbeat or every record, are found by it.

--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -70,6 +70,8 @@
         # Set while a request waits for that version.
         self.wanted = asyncio.Event()
         self.catch_up_task: asyncio.Task | None = None
+        # Called after a newer version has come in force.
+        self.listeners: list[collections.abc.Callable[[], None]] = []
 
     @property
     def version(self) -> int:
@@ -142,6 +144,8 @@
                 version=found.version,
                 kinds=",".join(sorted(found.unknown_kinds)),
             )
+        for listener in self.listeners:
+            listener()
 
     def record_peer_version(self, version: int, address: str = "") -> None:
         """Record the version that another node has; catch up if it is newer.
--- a/rattanridge/mesh/confirmation.py
+++ b/rattanridge/mesh/confirmation.py
@@ -1,4 +1,4 @@
-"""Asks an upstream that is known only from a record whether it is ready."""
+"""Asks an upstream, once after each start of the node, whether it is ready."""
 
 import asyncio
 
@@ -13,16 +13,17 @@
 from rattanridge.platform import headers
 
 CHECK_TIMEOUT = 0.5  # seconds for one health check
-RETRY_DELAY = 0.1  # seconds before the check is repeated if there was no answer
-MAX_CHECKS = 10
+FIRST_RETRY_DELAY = 0.1  # seconds before a check is repeated; doubles
+MAX_RETRY_DELAY = 1.0  # seconds
+MAX_CHECKS = 10  # that get no answer; the next heartbeat starts new ones
 
 
 class Confirmation:
-    """Checks the health of the upstream after a start of the node.
+    """Checks the health of the first upstream that a process hears of.
 
-    The record that an earlier process left may be outdated: that process may have
-    acknowledged that the upstream leaves without writing it. A restarted node would
-    otherwise have to wait for the next heartbeat.
+    An earlier process of the node may have acknowledged that it leaves, and may have
+    told nobody. Neither its record nor a heartbeat on the way shows whether it has: the
+    upstream itself does, which outlives the process.
 
     :param pool: connections to the upstream.
     :param announcements: reads what the upstream announces in its answers.
@@ -44,10 +45,14 @@
         self.log = log
         self.task: asyncio.Task | None = None
         upstream.listeners.append(self.start)
+        configs.listeners.append(self.start)
 
     def start(self) -> None:
-        """Start to check the upstream if only a record says that it is ready."""
-        if self.task is None and self.upstream.awaits_confirmation():
+        """Start to check the upstream if it may have left, once its path is known."""
+        running = self.task is not None and not self.task.done()
+        if running or not self.health_path():
+            return
+        if self.upstream.awaits_confirmation():
             self.task = asyncio.create_task(self.run())
 
     def stop(self) -> None:
@@ -56,40 +61,50 @@
             self.task.cancel()
 
     async def run(self) -> None:
-        """Repeat the check until there is an answer, or a heartbeat has come."""
+        """Repeat the check until the upstream answers or needs none any more.
+
+        It may reject the check as any other request if it is full.
+        """
+        delay = FIRST_RETRY_DELAY
         for _ in range(MAX_CHECKS):
             if not self.upstream.awaits_confirmation():
                 return
-            response = await self.check()
-            if response is not None:
+            response = await self.check(self.health_path())
+            if response is not None and headers.NOT_RUN not in response.headers:
                 self.apply(response)
                 return
-            await asyncio.sleep(RETRY_DELAY)
+            await asyncio.sleep(delay)
+            delay = min(delay * 2, MAX_RETRY_DELAY)
 
-    async def check(self) -> connections.Response | None:
-        """Return the response to one health check; None if there is none."""
+    def health_path(self) -> str:
+        """Return the path of the health check; empty while no preset names it."""
         current = self.configs.current
         service = current and current.services.get(self.upstream.service)
-        if not service:
-            return None
+        return service.health_path if service else ""
+
+    async def check(self, path: str) -> connections.Response | None:
+        """Return the response to one health check; None if there is none."""
         address = self.upstream.address
         fields = [
             ("Host", address),
             (headers.DEADLINE, headers.format_deadline(CHECK_TIMEOUT)),
         ]
-        request = connections.write_request("GET", service.health_path, fields, b"")
+        request = connections.write_request("GET", path, fields, b"")
         try:
             async with asyncio.timeout(CHECK_TIMEOUT):
-                connection = await self.pool.acquire(address, CHECK_TIMEOUT)
-                response = await connection.exchange(request, True, None)
+                # Not kept: a request that crashes the upstream on a connection that
+                # was idle for long gives no evidence of it.
+                connection = await self.pool.connect(address, CHECK_TIMEOUT)
+                try:
+                    return await connection.exchange(request, True, None)
+                finally:
+                    connection.abort("checked")
         except (TimeoutError, codes.Failure) as error:
             self.log.note("upstream-not-checked", why=str(error))
             return None
-        self.pool.release(address, connection, response)
-        return response
 
     def apply(self, response: connections.Response) -> None:
-        """Apply the response to a health check; only status 200 confirms the record."""
+        """Apply the response to a health check; only status 200 confirms it."""
         endpoint = response.headers.get(headers.INSTANCE, "")
         self.log.info(
             "upstream-checked", status=response.status, endpoint=endpoint or "-"
--- a/rattanridge/mesh/upstream.py
+++ b/rattanridge/mesh/upstream.py
@@ -15,6 +15,7 @@
 SILENT_INTERVALS = 2.5  # heartbeat intervals without a heartbeat: may be unresponsive
 MAX_DEPARTED = 64  # endpoints whose farewells are remembered
 ANSWER_TIMEOUT = 1.0  # seconds without an answer to running requests that confirm it
+MAX_HEARTBEAT_DELAY = 10.0  # seconds; a heartbeat takes less from sender to node
 
 
 class State(enum.StrEnum):
@@ -61,6 +62,8 @@
         self.heartbeat_at = 0.0
         self.answered_at = 0.0
         self.busy_since = 0.0
+        self.started_at = self.now()
+        # Whether this process knows that the upstream has not left before its start.
         self.confirmed = False
         # Incarnation that said farewell, by endpoint id.
         self.departed: dict[str, int] = {}
@@ -74,25 +77,38 @@
     def restore(self, identity: Identity, state: str, version: str, slots: int) -> None:
         """Restore the state that an earlier process of this node published.
 
-        The upstream may have left since, so it gets no request until a heartbeat or
-        its health check confirms that it is ready.
+        The upstream may have left since, so it gets no request until it is confirmed.
+        Messages may have come before the record: a later incarnation stays, and what
+        the record says of a leaving is final.
 
         :param state: the published state. Any state but draining and gone means that
             the upstream was ready, including that of a node that was stopping.
         """
-        self.identity = identity
-        self.version = version
-        self.slots = slots
-        leaving = state in (State.DRAINING, State.GONE)
-        self.state = State(state) if leaving else State.READY
-        if self.state is State.GONE:
+        leaving = State(state) if state in (State.DRAINING, State.GONE) else None
+        if leaving is State.GONE:
             self.record_departed(identity.endpoint, identity.incarnation)
-        self.heartbeat_at = self.now()
-        self.log.info("upstream-restored", endpoint=identity.endpoint)
+        known = self.identity
+        if known is not None and known.incarnation > identity.incarnation:
+            return
+        if known == identity and (leaving is None or self.state is State.GONE):
+            return
+        if known != identity:
+            self.sequence = -1
+            self.version = version
+            self.slots = slots
+            self.heartbeat_at = self.now()
+        self.identity = identity
+        self.state = leaving or State.READY
+        self.log.info("upstream-restored", endpoint=identity.endpoint, state=self.state)
         self.notify()
 
     def record_heartbeat(self, beat: heartbeats.Heartbeat) -> bool:
-        """Apply a heartbeat; return False if it is older than the known state."""
+        """Apply a heartbeat; return False if it is older than the known state.
+
+        An earlier process of this node may have acknowledged that the sender leaves,
+        after the heartbeat was sent, and may have told nobody. So only one that was
+        sent after the start of this process confirms the sender.
+        """
         identity = Identity(beat.endpoint, beat.incarnation)
         if not self.is_newer(beat):
             self.log.note(
@@ -109,7 +125,8 @@
         self.state = State.DRAINING if beat.draining else State.READY
         self.address = beat.address or self.config.upstream
         self.heartbeat_at = self.now()
-        self.confirmed = True
+        if self.heartbeat_at - self.started_at > MAX_HEARTBEAT_DELAY:
+            self.confirmed = True
         self.cold_until = self.heartbeat_at + beat.cold_remaining
         if fresh:
             self.failures = 0
@@ -123,6 +140,8 @@
                 version=beat.version,
             )
             self.notify()
+        elif self.awaits_confirmation():
+            self.notify()
         return True
 
     def is_newer(self, beat: heartbeats.Heartbeat) -> bool:
@@ -209,11 +228,14 @@
             del self.departed[next(iter(self.departed))]
 
     def awaits_confirmation(self) -> bool:
-        """Return whether it is ready by a restored record only."""
+        """Return whether it is ready, but may have left before the process started."""
         return self.state is State.READY and not self.confirmed
 
     def confirm(self, endpoint: str) -> None:
-        """Record that the upstream itself said that it is ready.
+        """Record that the upstream answered this process that it is ready.
+
+        Later incarnations need no confirmation: none has left before this process
+        started, as none had started by then.
 
         :param endpoint: its id; another one confirms nothing.
         """
@@ -221,6 +243,7 @@
         if self.awaits_confirmation() and known == endpoint:
             self.confirmed = True
             self.log.info("upstream-confirmed", endpoint=endpoint)
+            self.notify()
 
     def notify(self) -> None:
         for listener in self.listeners:
@@ -251,7 +274,7 @@
             )
         if not self.confirmed:
             return codes.Failure(
-                codes.NO_ENDPOINT, "nothing has confirmed the restored record yet"
+                codes.NO_ENDPOINT, "the upstream may have left; it is not checked yet"
             )
         return None
 
--- a/rattanridge/standin/fleet.py
+++ b/rattanridge/standin/fleet.py
@@ -139,18 +139,34 @@
     async def wait_applied(
         self, generation: int, seconds: float = READY_LIMIT
     ) -> float:
-        """Wait until every node has applied a generation; return the seconds taken."""
+        """Wait until every node has applied a generation; return the seconds taken.
+
+        Nodes that started before there was one then check their upstreams, too.
+        """
         started_at = time.monotonic()
+        nodes = [host.node for host in self.hosts.values()]
         await self.wait(
-            lambda: all(
-                host.node.configs.version >= generation for host in self.hosts.values()
+            lambda: all(node.configs.version >= generation for node in nodes), seconds
+        )
+        taken = time.monotonic() - started_at
+        await self.wait_checked(seconds)
+        return taken
+
+    async def wait_checked(self, seconds: float = READY_LIMIT) -> None:
+        """Wait until no upstream of a service in force awaits its health check."""
+        checks = [host.node.confirmation for host in self.hosts.values()]
+        await self.wait(
+            lambda: (
+                not any(
+                    item.health_path() and item.upstream.awaits_confirmation()
+                    for item in checks
+                )
             ),
             seconds,
         )
-        return time.monotonic() - started_at
 
     async def wait_endpoints(self, seconds: float = READY_LIMIT) -> None:
-        """Wait until every node lists every endpoint as a candidate."""
+        """Wait until every node lists every endpoint as a candidate, and checked it."""
         await self.wait(
             lambda: all(
                 self.hosts.keys() <= host.node.directory.candidates.keys()
@@ -158,6 +174,7 @@
             ),
             seconds,
         )
+        await self.wait_checked(seconds)
 
     async def wait(
         self,
--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -266,10 +266,11 @@
 
     def answer_health_check(self) -> aiohttp.web.Response:
         """Answer a health check: status 200 unless the upstream is leaving."""
-        return aiohttp.web.Response(
-            status=503 if self.draining else 200,
-            headers={headers.INSTANCE: self.endpoint},
-        )
+        well = self.faults.health == "well" if self.faults.health else not self.draining
+        fields = {headers.INSTANCE: self.endpoint}
+        if self.faults.health == "full":
+            fields[headers.NOT_RUN] = "1"
+        return aiohttp.web.Response(status=200 if well else 503, headers=fields)
 
     def is_affected(self, run: Run) -> bool:
         """Whether the faults in force affect this request."""
--- a/rattanridge/standin/upstream_faults.py
+++ b/rattanridge/standin/upstream_faults.py
@@ -23,6 +23,8 @@
         empty for none.
     :param leaving: say in all answers that the upstream is leaving; one that drains
         says so in any case.
+    :param health: answer to health checks: ``well``, ``ill`` or ``full``, whatever is
+        true; empty for the truth.
     :param deaf: work on after the caller has disconnected or the deadline passed.
     """
 
@@ -40,6 +42,7 @@
     silent: bool = False
     limit: str = ""
     leaving: bool = False
+    health: str = ""
     deaf: bool = False
 
 
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -59,6 +59,46 @@
         assert not node.upstream.record_heartbeat(beat)
         assert node.upstream.state == "gone"
 
+    # Guards against: a process that knew nothing, or only a record of before, took a
+    # heartbeat that came late for a confirmation, and sent requests to an upstream
+    # whose leaving its predecessor had acknowledged.
+    @pytest.mark.parametrize("store_answers", [False, True])
+    @pytest.mark.parametrize("farewell", ["drain", "send_farewell"])
+    async def test_late_heartbeat_after_a_leaving_that_was_not_stored(
+        self, world, farewell, store_answers
+    ):
+        await world.start("registry", "registry")
+        first = world.upstreams[0]
+        first.announcements = dict  # its answers do not say that it leaves
+        late = first.next_heartbeat()
+        world.store.faults.silent = True
+        assert await getattr(first, farewell)() == 200
+        await world.nodes[0].close()
+        world.store.faults.silent = not store_answers
+        node = await restart(world)
+        if store_answers:
+            await world.wait(lambda: node.upstream.identity is not None)
+        url = f"http://{node.config.listen.heartbeats}/api/instances/{first.endpoint}"
+        async with world.session.put(url, data=late) as answer:
+            assert answer.status == 200
+        world.store.faults.silent = False
+        await world.wait(node.ready)
+        await world.wait(lambda: node.membership.publisher.revision)
+        await asyncio.sleep(0.3)
+        assert {(await world.call("/lookup/1"))[0] for _ in range(10)} == {200}
+        assert not first.runs
+
+    async def test_a_full_upstream_is_checked_again(self, world):
+        """It rejects a health check as it does any other request."""
+        await world.start("registry")
+        first = world.upstreams[0]
+        first.faults.health = "full"
+        node = await restart(world)
+        await asyncio.sleep(0.3)
+        assert not node.upstream.confirmed
+        first.faults.health = ""
+        await world.wait(lambda: node.upstream.confirmed, 3.0)
+
     async def test_another_upstream_at_the_address_confirms_nothing(self, world):
         await world.start("registry")
         world.upstreams[0].endpoint = "i-other"
--- a/tests/test_upstream_states.py
+++ b/tests/test_upstream_states.py
@@ -8,6 +8,10 @@
 | gone, or a later incarnation | ignored | ignored | ignored | ignored |
 
 A message with a lower sequence number than an applied one is ignored.
+
+A process that has just started knows nothing, or a record that may be older than the
+last acknowledgement. It sends nothing until the upstream itself, or a heartbeat that is
+too late to have been sent before, shows that it has not left.
 """
 
 import types
@@ -26,8 +30,14 @@
 class Believed(upstreams.Upstream):
     """An upstream's state that needs no running loop."""
 
+    clock = 0.0
+
     def now(self):
-        return 0.0
+        return self.clock
+
+    def is_usable(self):
+        """Return whether the upstream gets requests."""
+        return self.refusal(CONFIG.service) is None
 
 
 class IgnoresIncarnation(Believed):
@@ -65,15 +75,28 @@
         pass
 
 
+class BelievesEveryHeartbeat(Believed):
+    def record_heartbeat(self, beat):
+        applied = super().record_heartbeat(beat)
+        self.confirmed = self.confirmed or applied
+        return applied
+
+
+class BelievesTheRecord(Believed):
+    def restore(self, identity, state, version, slots):
+        super().restore(identity, state, version, slots)
+        self.confirmed = True
+
+
 class RefusesEverything(Believed):
     def is_newer(self, beat):
         return self.identity is None
 
 
 class Machine(stateful.RuleBasedStateMachine):
-    """One address: its endpoints, the messages on the way, and the node beside it.
+    """One address: its endpoints, the messages on the way, the node and its record.
 
-    The node's record is stored before a leaving is acknowledged.
+    A leaving is acknowledged while the store is silent, too.
     """
 
     tested: type[Believed] = Believed
@@ -81,7 +104,10 @@
     def __init__(self):
         super().__init__()
         self.log = silent_log.SilentLog()
-        self.node = self.tested(CONFIG, self.log)
+        self.clock = 0.0
+        self.silent = False
+        self.record = None
+        self.start_process()
         self.endpoint = "i-1"
         self.born = 1
         self.sequence = 0
@@ -89,8 +115,40 @@
         self.on_the_way = []
         # What the node acknowledged last of the leaving of each incarnation.
         self.left = {}
-        # Incarnation and sequence number that this process of the node applied last.
+
+    def start_process(self):
+        """Start a process of the node; it lists its record if the store answers."""
+        self.node = self.tested(CONFIG, self.log)
+        self.node.clock = self.node.started_at = self.clock
+        # Incarnation and sequence number that this process applied last.
         self.applied = (0, 0)
+        self.newest = 0
+        # The leavings that this process knows for certain.
+        self.told = {}
+        self.listed = False
+        self.list_record()
+
+    def list_record(self):
+        if self.silent or self.listed:
+            return
+        self.listed = True
+        if self.record is not None:
+            identity, state = self.record
+            self.node.restore(identity, state, "v1", 4)
+            if state in (upstreams.State.DRAINING, upstreams.State.GONE):
+                self.tell(identity.incarnation, state.value)
+
+    def tell(self, born, state):
+        if self.told.get(born) != "gone":
+            self.told[born] = state
+
+    def publish(self):
+        """Write the record as a node does, if the store answers."""
+        if self.silent or self.node.identity is None:
+            return
+        if self.node.awaits_confirmation() and self.record is not None:
+            return
+        self.record = (self.node.identity, self.node.state)
 
     def send(self, kind):
         self.sequence += 1
@@ -103,6 +161,8 @@
         if kind == "farewell":
             self.node.record_farewell(endpoint, born)
             self.left[born] = "gone"
+            self.tell(born, "gone")
+            self.publish()
             return
         draining = kind == "draining"
         beat = heartbeats.Heartbeat(
@@ -114,6 +174,8 @@
             self.applied = (born, sequence)
         if applied and draining:
             self.left.setdefault(born, "draining")
+            self.tell(born, "draining")
+        self.publish()
 
     @stateful.rule()
     def ready(self):
@@ -139,10 +201,12 @@
         identity = upstreams.Identity(self.endpoint, self.born)
         if self.state == "gone" or self.node.identity != identity:
             return
-        if self.node.state is upstreams.State.READY:
+        if self.node.is_usable():
             self.state = "draining"
             self.node.record_leaving(identity)
             self.left.setdefault(self.born, "draining")
+            self.tell(self.born, "draining")
+            self.publish()
 
     @stateful.rule()
     def answer_of_an_earlier_incarnation(self):
@@ -177,11 +241,32 @@
 
     @stateful.rule()
     def start_node_again(self):
-        before = self.node
-        self.node = self.tested(CONFIG, self.log)
-        self.applied = (0, 0)
-        if before.identity is not None:
-            self.node.restore(before.identity, before.state, before.version, 4)
+        self.start_process()
+
+    @stateful.rule()
+    def silence_store(self):
+        self.silent = True
+
+    @stateful.rule()
+    def regain_store(self):
+        self.silent = False
+        self.list_record()
+        self.publish()
+
+    @stateful.rule()
+    def check_health(self):
+        """The upstream answers truthfully; it says nothing of its incarnation."""
+        if self.node.awaits_confirmation() and self.state == "ready":
+            self.node.confirm(self.endpoint)
+            self.publish()
+
+    @stateful.rule()
+    def wait_long(self):
+        """All messages on the way arrive, or are lost."""
+        while self.on_the_way:
+            self.deliver(self.on_the_way.pop())
+        self.clock += upstreams.MAX_HEARTBEAT_DELAY + 1
+        self.node.clock = self.clock
 
     @stateful.rule()
     def hear_at_once(self):
@@ -193,24 +278,45 @@
             assert self.node.state is upstreams.State.READY
             assert self.node.identity.incarnation == self.born
 
+    @stateful.rule()
+    def hear_after_a_check_or_a_long_time(self):
+        """An upstream that is ready is usable, whatever the node has lost."""
+        if self.state != "ready":
+            return
+        self.hear_at_once()
+        self.check_health()
+        assert self.node.is_usable()
+
+    @stateful.rule()
+    def hear_although_the_check_fails(self):
+        if self.state == "ready":
+            self.wait_long()
+            self.hear_at_once()
+            assert self.node.is_usable()
+
+    @stateful.invariant()
+    def nothing_reaches_an_upstream_that_has_left(self):
+        node = self.node
+        if node.identity is not None and node.identity.endpoint == self.endpoint:
+            assert not (node.is_usable() and self.born in self.left)
+
     @stateful.invariant()
     def leaving_is_final(self):
         node = self.node
         if node.identity is None:
             return
-        left = self.left.get(node.identity.incarnation)
-        if left is not None:
+        told = self.told.get(node.identity.incarnation)
+        if told is not None:
             assert node.state in (upstreams.State.DRAINING, upstreams.State.GONE)
-        if left == "gone":
+        if told == "gone":
             assert node.state is upstreams.State.GONE
 
     @stateful.invariant()
     def nothing_older_is_believed(self):
-        """No incarnation follows one that started after it."""
+        """In a process, no incarnation follows one that started after it."""
         known = self.node.identity
-        newest = getattr(self, "newest", 0)
         if known is not None:
-            assert known.incarnation >= newest
+            assert known.incarnation >= self.newest
             self.newest = known.incarnation
 
 
@@ -222,6 +328,8 @@
     IgnoresAnswers,
     BelievesAnswersOfOthers,
     RestoresNothing,
+    BelievesEveryHeartbeat,
+    BelievesTheRecord,
     RefusesEverything,
 )
 SETTINGS = hypothesis.settings(
@@ -244,3 +352,45 @@
 
         with pytest.raises(AssertionError):
             stateful.run_state_machine_as_test(Mutant, settings=MUTANT_SETTINGS)
+
+
+def make_beat(born, sequence=1):
+    return heartbeats.Heartbeat(
+        f"i-{born}", born, sequence, "s", "a:1", "v1", 4, False, 0.0
+    )
+
+
+class TestLateRecord:
+    """The store answers a new process after its first heartbeat has come."""
+
+    IDENTITY = upstreams.Identity("i-2", 2)
+
+    def restore(self, beat, state):
+        """Return what a process believes after a heartbeat, then its record."""
+        node = Believed(CONFIG, silent_log.SilentLog())
+        node.record_heartbeat(beat)
+        node.restore(self.IDENTITY, state, "v1", 4)
+        return node
+
+    # Guards against: a heartbeat that came late made the process ignore the record, in
+    # which its predecessor had said that the sender had left.
+    @pytest.mark.parametrize("state", ["draining", "gone"])
+    def test_a_leaving_in_it_is_final(self, state):
+        node = self.restore(make_beat(2), state)
+        assert node.state == state
+        assert not node.record_heartbeat(make_beat(2, sequence=9))
+
+    @pytest.mark.parametrize("state", ["ready", "stopping"])
+    def test_the_same_upstream_keeps_its_state(self, state):
+        node = self.restore(make_beat(2, sequence=5), state)
+        assert (node.state, node.sequence) == ("ready", 5)
+
+    def test_a_later_upstream_in_it_is_believed(self):
+        node = self.restore(make_beat(1), "ready")
+        assert node.identity == self.IDENTITY
+        assert node.record_heartbeat(make_beat(2))
+        assert not node.record_heartbeat(make_beat(1, sequence=9))
+
+    def test_an_earlier_upstream_in_it_changes_nothing(self):
+        node = self.restore(make_beat(3), "gone")
+        assert (node.state, node.identity.endpoint) == ("ready", "i-3")
