DRAIN: a late heartbeat replaces no record that says that its sender left

What would be seen: the leaving of an endpoint was stored; its node was started again in a silence of the store and heard a late heartbeat. When the store was back, the node wrote ready over the record, and the next process of the node had no trace of the leaving.

Cause: the record was restored only if the upstream was not known yet, and each state was published at once.

Change: a record that comes after the first heartbeat is joined with it: a leaving in it is final, a later upstream in it replaces an earlier one. While the upstream may have left, the record of an earlier process is not written over.

--- a/rattanridge/mesh/membership.py
+++ b/rattanridge/mesh/membership.py
@@ -101,6 +101,7 @@
                     self.config.name, self.publisher.revision, deleted=True
                 )
             )
+        self.publish()
 
     def apply(self, item: store_objects.StoredObject) -> None:
         """Apply one changed or deleted record."""
@@ -156,11 +157,10 @@
     def restore(self, name: str) -> None:
         """Restore the upstream's state from the record of an earlier process.
 
-        Does nothing if the upstream has already been identified, or if the record
-        is for another service.
+        Does nothing if the record is for another service.
         """
         record = self.directory.records.get(name)
-        if record is None or not record.endpoint or self.upstream.identity is not None:
+        if record is None or not record.endpoint:
             return
         if record.service != self.config.service:
             return
@@ -174,11 +174,14 @@
     def publish(self) -> None:
         """Request that the node's record be updated to the upstream's state.
 
-        A stopping node whose upstream has left removes its record.
+        A stopping node whose upstream has left removes its record. What an earlier
+        process published is not replaced by an upstream that may have left.
         """
         upstream = self.upstream
         if upstream.identity is None:
             return
+        if upstream.awaits_confirmation() and self.may_have_predecessor():
+            return
         if self.shutdown.begun and upstream.state is upstreams.State.GONE:
             self.publisher.publish(None)
             return
@@ -195,6 +198,10 @@
         )
         self.publisher.publish(record)
 
+    def may_have_predecessor(self) -> bool:
+        """Return whether an earlier process of this node may have left a record."""
+        return not self.has_records or self.config.name in self.directory.records
+
     def published_state(self) -> str:
         """Return the state for the record.
 
--- a/rattanridge/mesh/publisher.py
+++ b/rattanridge/mesh/publisher.py
@@ -29,6 +29,8 @@
         self.health = health
         self.log = log
         self.desired: records.Record | None = None
+        # Until something is published, the record of an earlier process stays.
+        self.published = False
         self.stored: records.Record | None = None
         self.revision = 0
         self.changed = asyncio.Event()
@@ -36,6 +38,7 @@
 
     def publish(self, record: records.Record | None) -> None:
         """Set the record to keep in the store; None removes it."""
+        self.published = True
         if record != self.desired:
             self.desired = record
             self.written.clear()
@@ -49,7 +52,7 @@
         if item.name != self.name or item.revision < self.revision:
             return
         self.record_stored(None if item.deleted else item)
-        if self.stored != self.desired:
+        if self.published and self.stored != self.desired:
             self.changed.set()
 
     def record_stored(self, item: store_objects.StoredObject | None) -> None:
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -88,6 +88,25 @@
         assert {(await world.call("/lookup/1"))[0] for _ in range(10)} == {200}
         assert not first.runs
 
+    # Guards against: the process wrote "ready", from a heartbeat that came late, over
+    # the record in which its predecessor had said that the upstream had left.
+    async def test_late_heartbeat_replaces_no_record(self, world):
+        await world.start("registry")
+        first = world.upstreams[0]
+        late = first.next_heartbeat()
+        assert await first.send_farewell() == 200
+        await world.nodes[0].close()
+        world.store.faults.silent = True
+        node = await restart(world)
+        url = f"http://{node.config.listen.heartbeats}/api/instances/{first.endpoint}"
+        async with world.session.put(url, data=late) as answer:
+            assert answer.status == 200
+        assert node.upstream.state == "ready"
+        world.store.faults.silent = False
+        await world.wait(lambda: node.upstream.state == "gone")
+        await asyncio.sleep(0.3)
+        assert node.membership.publisher.stored.state == "gone"
+
     async def test_a_full_upstream_is_checked_again(self, world):
         """It rejects a health check as it does any other request."""
         await world.start("registry")
