--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -1,6 +1,7 @@
 """A node that is started again, and what its upstream said before."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -18,6 +19,14 @@
     return host.node
 
 
+async def send_late(world, node, data):
+    """Deliver a heartbeat of the first upstream that was sent earlier."""
+    endpoint = world.upstreams[0].endpoint
+    url = f"http://{node.config.listen.heartbeats}/api/instances/{endpoint}"
+    async with world.session.put(url, data=data) as answer:
+        assert answer.status == 200
+
+
 class TestRestoredUpstream:
     async def test_health_check_makes_it_usable_before_its_next_heartbeat(self, world):
         await world.start("registry")
@@ -78,9 +87,7 @@
         node = await restart(world)
         if store_answers:
             await world.wait(lambda: node.upstream.identity is not None)
-        url = f"http://{node.config.listen.heartbeats}/api/instances/{first.endpoint}"
-        async with world.session.put(url, data=late) as answer:
-            assert answer.status == 200
+        await send_late(world, node, late)
         world.store.faults.silent = False
         await world.wait(node.ready)
         await world.wait(lambda: node.membership.publisher.revision)
@@ -88,6 +95,40 @@
         assert {(await world.call("/lookup/1"))[0] for _ in range(10)} == {200}
         assert not first.runs
 
+    async def test_store_that_returns_from_a_copy_of_before_a_leaving(self, world):
+        """The leaving was stored; its process is lost, and then the store."""
+        await world.start("registry")
+        first = world.upstreams[0]
+        first.announcements = dict
+        late = first.next_heartbeat()
+        copied_at = time.monotonic()
+        assert await first.send_farewell() == 200
+        await world.nodes[0].close()
+        await world.store.restore(time.monotonic() - copied_at)
+        node = await restart(world)
+        await world.wait(lambda: node.upstream.state == "ready")
+        await send_late(world, node, late)
+        await asyncio.sleep(0.3)
+        assert (await world.call("/lookup/1"))[0] == 503
+        assert not first.runs
+
+    # Found, not mended (issue 25): if its health check lies, too, nobody is left who
+    # knows of the leaving.
+    async def test_lying_health_check_after_a_leaving_that_was_not_stored(self, world):
+        await world.start("registry")
+        first = world.upstreams[0]
+        first.announcements = dict
+        first.faults.health = "well"
+        world.store.faults.silent = True
+        assert await first.send_farewell() == 200
+        await world.nodes[0].close()
+        world.store.faults.silent = False
+        node = await restart(world)
+        await world.wait(node.ready)
+        await asyncio.sleep(0.3)
+        assert (await world.call("/lookup/1"))[0] == 503
+        assert not first.runs
+
     # Guards against: the process wrote "ready", from a heartbeat that came late, over
     # the record in which its predecessor had said that the upstream had left.
     async def test_late_heartbeat_replaces_no_record(self, world):
@@ -98,9 +139,7 @@
         await world.nodes[0].close()
         world.store.faults.silent = True
         node = await restart(world)
-        url = f"http://{node.config.listen.heartbeats}/api/instances/{first.endpoint}"
-        async with world.session.put(url, data=late) as answer:
-            assert answer.status == 200
+        await send_late(world, node, late)
         assert node.upstream.state == "ready"
         world.store.faults.silent = False
         await world.wait(lambda: node.upstream.state == "gone")
@@ -126,3 +165,20 @@
         await asyncio.sleep(0.3)
         assert not node.upstream.confirmed
         assert (await world.call("/lookup/1"))[0] == 503
+
+
+class TestCrashEvidence:
+    # Found, not mended (issue 39): the next process of a node writes a record without
+    # the evidence that its predecessor had published.
+    async def test_next_process_keeps_what_was_published(self, world):
+        await world.start("registry", "workshop")
+        suspects = world.nodes[0].suspects
+        suspects.evidence.record_broken_request("name", 0.01, time.monotonic())
+        suspects.record_upstream_end()
+        reported = world.nodes[1].suspects.quarantine.reported
+        await world.wait(lambda: "node-0" in reported)
+        node = await restart(world)
+        await world.wait(lambda: node.upstream.confirmed)
+        await world.wait(node.membership.publisher.written.is_set)
+        await asyncio.sleep(1.5)
+        assert "node-0" in reported
