--- a/rattanridge/mesh/shutdown.py
+++ b/rattanridge/mesh/shutdown.py
@@ -26,7 +26,7 @@
     """The shutdown of one node.
 
     :param phase: never falls.
-    :param deadline: monotonic seconds at which requests in progress are cut.
+    :param deadline: monotonic seconds by which accepted requests have to end.
     """
 
     __slots__ = ("deadline", "phase")
@@ -60,7 +60,7 @@
         self.phase = max(self.phase, phase)
 
     def can_finish(self, processing_time: float) -> bool:
-        """Return whether a request is accepted, as it will end before it would be cut.
+        """Return whether a request is accepted, as it will end before the deadline.
 
         :param processing_time: mean seconds of its route.
         """
@@ -69,7 +69,7 @@
         return not queueing.may_outlast(processing_time, self.time_left())
 
     def time_left(self) -> float:
-        """Return the seconds until requests in progress are cut."""
+        """Return the seconds until the deadline."""
         return self.deadline - asyncio.get_running_loop().time()
 
     def failure(self) -> codes.Failure:
--- a/rattanridge/mesh/upstream.py
+++ b/rattanridge/mesh/upstream.py
@@ -90,7 +90,9 @@
         known = self.identity
         if known is not None and known.incarnation > identity.incarnation:
             return
-        if known == identity and (leaving is None or self.state is State.GONE):
+        if known == identity and leaving in (None, self.state):
+            return
+        if known == identity and self.state is State.GONE:
             return
         if known != identity:
             self.sequence = -1
--- a/rattanridge/web/server.py
+++ b/rattanridge/web/server.py
@@ -132,7 +132,7 @@
     def is_busy(self) -> bool:
         """Return whether a request, or its answer, is in progress.
 
-        From the head of the request on, until the whole answer is written.
+        That is from the end of the request's head until the whole answer is written.
         """
         if self._request_in_progress or self._messages:
             return True
--- a/tests/test_upstream_states.py
+++ b/tests/test_upstream_states.py
@@ -385,6 +385,15 @@
         node = self.restore(make_beat(2, sequence=5), state)
         assert (node.state, node.sequence) == ("ready", 5)
 
+    # Guards against: each list told all listeners of a leaving that was known.
+    @pytest.mark.parametrize("state", ["ready", "draining", "gone"])
+    def test_what_is_known_changes_nothing(self, state):
+        node = self.restore(make_beat(2), state)
+        changes = []
+        node.listeners.append(lambda: changes.append(node.state))
+        node.restore(self.IDENTITY, state, "v1", 4)
+        assert not changes
+
     def test_a_later_upstream_in_it_is_believed(self):
         node = self.restore(make_beat(1), "ready")
         assert node.identity == self.IDENTITY
