DRAIN: a record brings back no upstream whose farewell came before it

What would be seen: a node that had just been started acknowledged a farewell that names no incarnation, then listed its record of before, counted the endpoint as ready again and sent requests to it if its health check said 200.

Cause: since a record that comes after the first message is joined with it; a farewell that names no incarnation counts as older than the record.

Change: the record's incarnation is compared with the farewells that this process knows.

TestLateRecord.test_a_farewell_of_all_incarnations_is_final failed before for both states.

--- a/rattanridge/mesh/upstream.py
+++ b/rattanridge/mesh/upstream.py
@@ -87,13 +87,13 @@
         leaving = State(state) if state in (State.DRAINING, State.GONE) else None
         if leaving is State.GONE:
             self.record_departed(identity.endpoint, identity.incarnation)
+        if self.has_departed(identity):
+            leaving = State.GONE
         known = self.identity
         if known is not None and known.incarnation > identity.incarnation:
             return
         if known == identity and leaving in (None, self.state):
             return
-        if known == identity and self.state is State.GONE:
-            return
         if known != identity:
             self.sequence = -1
             self.version = version
@@ -153,15 +153,15 @@
         the node. Leaving is final: a draining incarnation does not get ready again.
         """
         return not (
-            self.is_departed(beat)
+            self.has_departed(Identity(beat.endpoint, beat.incarnation))
             or self.is_of_earlier_incarnation(beat)
             or self.is_overtaken(beat)
             or self.is_ready_after_draining(beat)
         )
 
-    def is_departed(self, beat: heartbeats.Heartbeat) -> bool:
-        """Return whether the sender had said farewell before."""
-        return beat.incarnation <= self.departed.get(beat.endpoint, -1)
+    def has_departed(self, identity: Identity) -> bool:
+        """Return whether an incarnation has said farewell."""
+        return identity.incarnation <= self.departed.get(identity.endpoint, -1)
 
     def is_of_earlier_incarnation(self, beat: heartbeats.Heartbeat) -> bool:
         """Return whether the sender started before the known upstream."""
--- a/tests/test_upstream_states.py
+++ b/tests/test_upstream_states.py
@@ -51,7 +51,7 @@
 
 
 class IgnoresFarewell(Believed):
-    def is_departed(self, beat):
+    def has_departed(self, identity):
         return False
 
 
@@ -394,6 +394,16 @@
         node.restore(self.IDENTITY, state, "v1", 4)
         assert not changes
 
+    # Guards against: a farewell that names no incarnation comes first, and the record
+    # makes its sender ready again.
+    @pytest.mark.parametrize("state", ["ready", "draining"])
+    def test_a_farewell_of_all_incarnations_is_final(self, state):
+        node = Believed(CONFIG, silent_log.SilentLog())
+        node.record_farewell(self.IDENTITY.endpoint, 0)
+        node.restore(self.IDENTITY, state, "v1", 4)
+        assert node.state == "gone"
+        assert not node.record_heartbeat(make_beat(2, sequence=9))
+
     def test_a_later_upstream_in_it_is_believed(self):
         node = self.restore(make_beat(1), "ready")
         assert node.identity == self.IDENTITY
