--- a/tests/test_late_records.py
+++ b/tests/test_late_records.py
@@ -14,7 +14,7 @@
 
 
 def make_node():
-    """Return the state of an upstream as a process believes it that has just started."""
+    """Return what a process that has just started believes of its upstream."""
     return test_upstream_states.Believed(
         test_upstream_states.CONFIG, silent_log.SilentLog()
     )
