Rollouts: log for each check and route what a bad version must show, and the permits

A rollout-evidence line told sums only, so nobody could see that no count could have reached the verdict. rollout-route lines name the counts of both versions and the thresholds that follow from the old one; rollout-evidence what is permitted and why the last step waits. evidence.thresholds holds what is_failing and is_slow computed; no change of logic.

--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -25,7 +25,7 @@
     versions as versioning,
 )
 from rattanridge.platform import orders, store as stores
-from rattanridge.policies import placement, ramp as ramps
+from rattanridge.policies import evidence, placement, ramp as ramps
 
 CHECK_INTERVAL = 0.35  # seconds between two checks of all rollouts
 # The same while an endpoint of a new version gets its full load.
@@ -186,6 +186,33 @@
             new_errors=sum(item.errors for item in new),
             old_calls=sum(item.calls for item in old),
             old_errors=sum(item.errors for item in old),
+            new_requests=evaluation.exposure.new,
+            permitted=evaluation.exposure.permitted(),
+            obstacle=evaluation.ramp.obstacle or "-",
+        )
+        for route, counts in evaluation.new.items():
+            self.log_route(evaluation, route, counts)
+
+    def log_route(
+        self, evaluation: evaluations.Evaluation, route: str, new: evidence.Counts
+    ) -> None:
+        """Log what one route shows, and what would make the new version bad there."""
+        old = evaluation.old.get(route, evidence.Counts())
+        bad = evidence.thresholds(old)
+        slow, timed = new.count_slow(bad.seconds)
+        self.log.note(
+            "rollout-route",
+            route=route,
+            version=evaluation.order.version,
+            new_calls=new.calls,
+            new_errors=new.errors,
+            old_calls=old.calls,
+            old_errors=old.errors,
+            bad_share=bad.error_share,
+            new_slow=slow,
+            new_timed=timed,
+            new_unanswered=sum(new.unanswered.values()),
+            bad_seconds=bad.seconds,
         )
 
     async def fetch_report(
--- a/rattanridge/policies/evidence.py
+++ b/rattanridge/policies/evidence.py
@@ -7,6 +7,7 @@
 as a slow one.
 """
 
+import dataclasses
 import math
 
 import msgspec
@@ -27,6 +28,18 @@
 SLOW_SHARE_FACTOR = 3.0  # times the old version's share of slow requests
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Thresholds:
+    """What makes the new version bad on a route, by what the old one shows there.
+
+    :param error_share: share of failed requests; over 1 if no version can reach it.
+    :param seconds: from which an answer is slow; 0 if the old version has too few.
+    """
+
+    error_share: float
+    seconds: float
+
+
 class Counts(msgspec.Struct):
     """Requests of one version on one route.
 
@@ -223,6 +236,15 @@
     return ""
 
 
+def thresholds(old: Counts) -> Thresholds:
+    """Return from what on a new version is bad, beside chance."""
+    error_share = max(MIN_ERROR_SHARE, MIN_ERROR_FACTOR * old.error_share())
+    seconds = 0.0
+    if old.timed_calls() >= MIN_TIMED_CALLS:
+        seconds = SLOW_FACTOR * old.quantile(SLOW_QUANTILE)
+    return Thresholds(error_share, seconds)
+
+
 def is_failing(
     old: Counts,
     new: Counts,
@@ -235,8 +257,7 @@
     """
     if new.errors < MIN_ERRORS:
         return False
-    share = new.error_share()
-    if share < MIN_ERROR_SHARE or share < MIN_ERROR_FACTOR * old.error_share():
+    if new.error_share() < thresholds(old).error_share:
         return False
     expected = max(old.expected_error_share(), least_share)
     return is_significant(new.errors, new.calls, expected, significance)
@@ -248,9 +269,9 @@
     A request is slow if it takes ``SLOW_FACTOR`` times as long as most of the old
     version's.
     """
-    if old.timed_calls() < MIN_TIMED_CALLS:
+    threshold = thresholds(old).seconds
+    if not threshold:
         return False
-    threshold = SLOW_FACTOR * old.quantile(SLOW_QUANTILE)
     slow, timed = new.count_slow(threshold)
     if timed < MIN_TIMED_CALLS or slow < (1.0 - SLOW_QUANTILE) * timed:
         return False
--- a/rattanridge/policies/exposure.py
+++ b/rattanridge/policies/exposure.py
@@ -82,6 +82,10 @@
         """Return the requests that the service has had since the order."""
         return self.new + self.old
 
+    def permitted(self) -> int:
+        """Return the requests that all exits together may have sent the new version."""
+        return sum(max(item.permitted, item.sent) for item in self.new_exits.values())
+
     def outstanding(self) -> int:
         """Return the requests that silent exits may have sent unseen."""
         return sum(item.unseen() for item in self.new_exits.values() if item.silent)
