--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -250,9 +250,7 @@
         if not self.health.up.is_set():
             return
         earlier = (ramp.step, ramp.began, ramp.has_capacity())
-        ramp.capacity_ratio = evaluation.capacity_ratio(candidates)
-        heard = evaluation.is_heard(candidates)
-        ramp.advance(len(new), evaluation.old, evaluation.new, heard)
+        evaluation.advance(candidates)
         if ramp.done():
             await self.write_status(rollout, evaluation, orders.COMPLETED, "in time")
             await self.accept(evaluation, new)
--- a/rattanridge/mesh/evaluation.py
+++ b/rattanridge/mesh/evaluation.py
@@ -142,6 +142,13 @@
         """Return the endpoints of the new version."""
         return [item for item in candidates if self.is_new(item.version)]
 
+    def advance(self, candidates: list[placement.Candidate]) -> None:
+        """Move the ramp on to the next step if it is time for it."""
+        self.endpoints = len(self.candidates_on_trial(candidates))
+        self.ramp.capacity_ratio = self.capacity_ratio(candidates)
+        heard = self.is_heard(candidates)
+        self.ramp.advance(self.endpoints, self.old, self.new, heard)
+
     def share(self, state: str) -> float:
         """Return the share of the requests that the new version gets in a state."""
         if state != orders.RUNNING:
--- /dev/null
+++ b/tests/test_troubled_rollouts.py
@@ -0,0 +1,91 @@
+"""Rollouts while the old version, or both, are in trouble."""
+
+import pytest
+
+from rattanridge.platform import orders
+from tests import rollout_model
+
+CALLS_SHED = 0.62  # share of the requests that fail as their calls are shed
+SEEDS = range(6)
+
+
+def calm(now):
+    return rollout_model.CALM
+
+
+def failing(share, until=100.0):
+    """Return a trouble that fails a share of the requests until some second."""
+
+    def trouble(now):
+        return rollout_model.Trouble(share if now < until else 0.0)
+
+    return trouble
+
+
+def with_failures(trouble, share):
+    """Return what a version meets that adds failures of its own to a trouble."""
+
+    def both(now):
+        common = trouble(now)
+        served = (1.0 - common.failing) * (1.0 - share)
+        return rollout_model.Trouble(1.0 - served, common.factor, common.slow)
+
+    return both
+
+
+def play_all(old, new, rate=rollout_model.RATE):
+    """Yield a rollout for each seed after its end."""
+    for seed in SEEDS:
+        model = rollout_model.Model(seed, old, new, rate)
+        model.run()
+        yield model
+
+
+class TestTroubleThatEnds:
+    # Guards against: failures of the old version that are over (its calls were shed for
+    # 3.3 s after the order) hide those of the new one, which takes over (EXPOSURE).
+    @pytest.mark.parametrize("until", [3.3, 6.0, 9.0])
+    @pytest.mark.parametrize("share", [0.3, 0.5, 1.0])
+    def test_bad_version_is_rolled_back_in_time(self, until, share):
+        trouble = failing(CALLS_SHED, until)
+        for model in play_all(trouble, with_failures(trouble, share)):
+            assert model.state == orders.ROLLED_BACK
+            assert model.bounds_hold()
+
+    @pytest.mark.parametrize("until", [3.3, 6.0, 9.0])
+    def test_good_version_takes_over(self, until):
+        trouble = failing(CALLS_SHED, until)
+        for model in play_all(trouble, trouble):
+            assert model.state == orders.COMPLETED
+
+
+class TestTroubleThatLasts:
+    # Guards against: a version that fails everything takes over, as the old one failed
+    # a third of its requests and three times that is out of reach (EXPOSURE).
+    @pytest.mark.parametrize("common", [0.3, 0.35, CALLS_SHED, 0.9])
+    @pytest.mark.parametrize("share", [0.5, 1.0])
+    def test_bad_version_does_not_take_over(self, common, share):
+        trouble = failing(common)
+        for model in play_all(trouble, with_failures(trouble, share)):
+            assert model.state == orders.ROLLED_BACK
+            assert model.new_requests() <= model.allowed_requests()
+
+    @pytest.mark.parametrize("common", [0.1, 0.25, 0.35])
+    def test_good_version_takes_over(self, common):
+        trouble = failing(common)
+        for model in play_all(trouble, trouble):
+            assert model.state == orders.COMPLETED
+
+
+class TestTroubleOfTheOldVersion:
+    @pytest.mark.parametrize("share", [0.3, CALLS_SHED, 1.0])
+    def test_version_that_cures_it_takes_over(self, share):
+        for model in play_all(failing(share), calm):
+            assert model.state == orders.COMPLETED
+
+
+class TestCalm:
+    @pytest.mark.parametrize("rate", [10.0, 90.0, rollout_model.RATE])
+    def test_good_version_takes_over(self, rate):
+        for model in play_all(calm, calm, rate):
+            assert model.state == orders.COMPLETED
