--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -304,7 +304,10 @@
     ) -> None:
         """Tell the exits of the new version that it has replaced the old one."""
         permit = trials.Permit(
-            evaluation.order.version, trials.UNLIMITED, trials.ACCEPTED_DURATION
+            evaluation.order.version,
+            trials.UNLIMITED,
+            trials.ACCEPTED_DURATION,
+            accepted=True,
         )
         await asyncio.gather(*(self.fetch_report(item, permit) for item in new))
 
--- a/rattanridge/mesh/trial.py
+++ b/rattanridge/mesh/trial.py
@@ -31,11 +31,13 @@
 
     :param requests: that the exit may have sent in all, by its own count.
     :param seconds: for which the permit holds.
+    :param accepted: whether the version has replaced the old one.
     """
 
     version: str
     requests: int
     seconds: float = PERMIT_DURATION
+    accepted: bool = False
 
 
 class Trial:
@@ -101,7 +103,7 @@
         if state == orders.ROLLED_BACK or self.is_braked():
             return codes.Failure(codes.DRAINING, "the version is being rolled back")
         permit = self.current_permit()
-        if state != orders.RUNNING and permit is None:
+        if state != orders.RUNNING and (permit is None or permit.accepted):
             return None
         if permit is None or self.now() >= self.permitted_until:
             return on_trial("no permit from a coordinator")
--- a/rattanridge/mesh/versions.py
+++ b/rattanridge/mesh/versions.py
@@ -125,6 +125,9 @@
         self.rollouts: dict[str, Rollout] = {}
         # Whether the orders are known, from the store or from another node.
         self.known = False
+        # Outcomes of ended orders, by service and version; they hold when the next
+        # order names another version.
+        self.outcomes: dict[tuple[str, str], str] = {}
         # Rollouts that the store has lost; their orders may come again.
         self.lost: dict[str, Rollout] = {}
 
@@ -182,6 +185,7 @@
         if known is not None and known.order == order:
             fresh.continue_from(known)
         self.rollouts[order.service] = fresh
+        self.record_outcome(fresh)
         self.meters.rollout_share.labels(order.service).set(fresh.share())
         self.log.info(
             "rollout-seen",
@@ -192,6 +196,13 @@
             revision=item.revision,
         )
 
+    def record_outcome(self, rollout: Rollout) -> None:
+        """Record how the order ended that a status tells of, perhaps an earlier one."""
+        status = rollout.status
+        if status is not None and status.state != orders.RUNNING:
+            key = (rollout.order.service, status.version)
+            self.outcomes[key] = status.state
+
     def find_lost(self, item: store_objects.StoredObject) -> Rollout | None:
         """Return the rollout that the store had lost and that is written again.
 
@@ -201,10 +212,10 @@
         return lost if lost is not None and is_newer_era(item, lost.item) else None
 
     def state_of(self, service: str, version: str) -> str:
-        """Return the state of the rollout to a version; empty if there is none."""
+        """Return the state of the last rollout to a version; empty if none is known."""
         rollout = self.rollouts.get(service)
         if rollout is None or rollout.order.version != version:
-            return ""
+            return self.outcomes.get((service, version), "")
         return rollout.state()
 
     def running_order(self, service: str) -> RunningOrder | None:
@@ -235,7 +246,11 @@
             return kept
         target = rollout.order.version
         new = [item for item in candidates if item.version == target]
-        old = [item for item in candidates if item.version != target]
+        old = [
+            item
+            for item in candidates
+            if item.version != target and not self.was_rolled_back(item)
+        ]
         state = rollout.state()
         if state == orders.ROLLED_BACK:
             return old
@@ -251,6 +266,11 @@
             return [min(new, key=lambda item: (item.lost, item.endpoint))]
         return new
 
+    def was_rolled_back(self, candidate: placement.Candidate) -> bool:
+        """Return whether an earlier order to an endpoint's version was rolled back."""
+        state = self.outcomes.get((candidate.service, candidate.version))
+        return state == orders.ROLLED_BACK
+
     def count_choice(self, service: str, reason: str) -> None:
         """Count a choice of a version that no share decided."""
         self.meters.version_choices.labels(service, reason).inc()
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -232,3 +232,62 @@
         )
         found.apply_page(data, "other")
         assert not found.known
+
+
+class TestNextOrder:
+    # Guards against: the version that has taken over needs a permit again as soon as
+    # the next order names another one, and its service stops (review/1).
+    @pytest.mark.parametrize("more", [{}, {"accepted": True}])
+    async def test_version_that_took_over_needs_no_permit(self, world, more):
+        await start(world)
+        pause_coordinators(world)
+        trial = world.nodes[2].exit.trial
+        if more:
+            world.nodes[2].versions.rollouts.clear()
+        else:
+            await write_status(world, orders.COMPLETED)
+        trial.apply_permit(trials.Permit("v2", trials.UNLIMITED, 0.01, **more))
+        await world.order("registry", "v3", DURATION)
+        await world.wait(lambda: target(world.nodes[2]) == "v3")
+        await asyncio.sleep(0.02)
+        assert trial.refusal() is None
+
+    # Guards against: endpoints of a version that was rolled back count as old ones once
+    # the next order names another version (EXPOSURE).
+    async def test_version_that_was_rolled_back_gets_nothing(self, world):
+        await start(world)
+        pause_coordinators(world)
+        await write_status(world, orders.ROLLED_BACK)
+        await world.order("registry", "v3", DURATION)
+        await world.wait(lambda: all(target(node) == "v3" for node in world.nodes))
+        assert await send(world, 12) == {200}
+        assert not world.upstreams[2].runs
+        assert world.nodes[2].exit.trial.refusal().code is codes.DRAINING
+
+    async def test_version_can_be_ordered_again(self, world):
+        await start(world)
+        pause_coordinators(world)
+        await write_status(world, orders.ROLLED_BACK)
+        await world.order("registry", "v3", DURATION)
+        await world.order("registry", "v2", DURATION)
+        await world.wait(lambda: target(world.nodes[2]) == "v2")
+        assert world.nodes[2].versions.state_of("registry", "v2") != ""
+
+
+def target(node):
+    """Return the version that a node knows to be ordered; empty if none is."""
+    rollout = node.versions.rollouts.get("registry")
+    return rollout.order.version if rollout is not None else ""
+
+
+async def write_status(world, state):
+    """Write the end of the rollout, and wait until all nodes know it."""
+    store = world.nodes[0].store
+    stored = await store.get(orders.KIND, "registry")
+    data = orders.encode_status(orders.Status(state, "v2"))
+    await store.replace_status(orders.KIND, "registry", data, stored.revision)
+    await world.wait(
+        lambda: all(
+            node.versions.state_of("registry", "v2") == state for node in world.nodes
+        )
+    )
