--- a/rattanridge/measure/rollouts.py
+++ b/rattanridge/measure/rollouts.py
@@ -16,6 +16,7 @@
 ROUNDS = 40  # runs of each scenario in each deployment
 POLL_INTERVAL = 0.35  # seconds between two evaluations by the coordinator
 APPLY_DELAY = 0.5  # seconds until a written share is in force at all entries
+TIME_LIMIT = 3.0  # seconds, of each request
 LATENCY_SIGMA = 0.5  # standard deviation of the logarithm of latencies
 EXPOSURE_SHARE = 0.1  # of all requests, the most that a bad version may get
 EXPOSURE_SLACK = 50  # requests that it may get on top
@@ -61,6 +62,9 @@
     :param last_route_only: whether only the last route has the fault.
     :param common_error_rate: fraction of both versions' requests that fail, as in an
         overload.
+    :param common_until: seconds after the start of the rollout until both are in
+        trouble.
+    :param common_factor: factor on both versions' latencies meanwhile.
     """
 
     name: str
@@ -70,6 +74,8 @@
     min_share: float = 0.0
     last_route_only: bool = False
     common_error_rate: float = 0.0
+    common_until: float = math.inf
+    common_factor: float = 1.0
 
     def is_bad(self) -> bool:
         """Return whether the new version has to be rolled back."""
@@ -87,6 +93,16 @@
     Scenario("errors_under_load", error_rate=0.5, min_share=0.15),
     Scenario("errors_on_one_route", error_rate=0.5, last_route_only=True),
     Scenario("slow_under_load", latency_factor=8.0, min_share=0.15),
+    Scenario("good_after_trouble", common_error_rate=0.62, common_until=4.0),
+    Scenario("good_in_slowness", common_factor=4.0),
+    Scenario(
+        "errors_after_trouble",
+        error_rate=0.5,
+        common_error_rate=0.62,
+        common_until=4.0,
+    ),
+    Scenario("errors_in_trouble", error_rate=0.5, common_error_rate=0.35),
+    Scenario("slow_in_slowness", latency_factor=8.0, common_factor=4.0),
 )
 
 
@@ -165,15 +181,21 @@
             requests = self.draw_request_count(rate * POLL_INTERVAL)
             to_new = sum(self.random.random() < share for _ in range(requests))
             self.new_requests += to_new
-            self.record_requests(
-                self.old, name, requests - to_new, work, self.scenario.common_error_rate
-            )
-            error_rate = max(
-                self.scenario.error_rate if faulty else 0.0,
-                self.scenario.common_error_rate,
-            )
+            common, slowed = self.common_trouble(work)
+            self.record_requests(self.old, name, requests - to_new, slowed, common)
+            added = self.scenario.error_rate if faulty else 0.0
+            error_rate = evidence.add_share(common, added)
             factor = self.scenario.latency_factor if faulty else 1.0
-            self.record_requests(self.new, name, to_new, work * factor, error_rate)
+            self.record_requests(self.new, name, to_new, slowed * factor, error_rate)
+
+    def common_trouble(self, work: float) -> tuple[float, float]:
+        """Return the share of failures and the processing time of both versions now.
+
+        :param work: processing time in seconds without trouble.
+        """
+        if self.ramp.elapsed >= self.scenario.common_until:
+            return 0.0, work
+        return self.scenario.common_error_rate, work * self.scenario.common_factor
 
     def is_fault_active(self, share: float) -> bool:
         """Return whether the fault occurs at this time and share."""
@@ -196,9 +218,11 @@
         counts = counts_by_route.setdefault(name, evidence.Counts())
         for _ in range(requests):
             failed = self.random.random() < error_rate
-            counts.record_call(
-                failed, work * math.exp(self.random.gauss(0.0, LATENCY_SIGMA))
-            )
+            seconds = work * math.exp(self.random.gauss(0.0, LATENCY_SIGMA))
+            if seconds >= TIME_LIMIT:
+                counts.record_timeout(TIME_LIMIT)
+            else:
+                counts.record_call(failed, seconds)
 
     def draw_request_count(self, mean: float) -> int:
         """Return a random number of requests for one interval."""
--- a/rattanridge/policies/ramp.py
+++ b/rattanridge/policies/ramp.py
@@ -19,7 +19,7 @@
 MIN_CAPACITY_RATIO = 0.6  # new over old slots; with less the old one is not replaced
 MIN_CALLS = 8  # answers on each route in use, before the last step
 MIN_CALLS_SHARE = 0.01  # of the old version's calls; enough where 8 take too long
-TRIAL_CALLS = 24  # requests that a trial should see even if there are few
+TRIAL_CALLS = 36  # requests that a trial should see even if there are few
 FULL_SHARE = 1.0
 NOT_LOADED = "no endpoint had its full load"
 
