--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -25,7 +25,7 @@
     versions as versioning,
 )
 from rattanridge.platform import orders, store as stores
-from rattanridge.policies import evidence, placement, ramp as ramps
+from rattanridge.policies import evidence, evidence_history, placement, ramp as ramps
 
 CHECK_INTERVAL = 0.35  # seconds between two checks of all rollouts
 # The same while an endpoint of a new version gets its full load.
@@ -190,14 +190,19 @@
             permitted=evaluation.exposure.permitted(),
             obstacle=evaluation.ramp.obstacle or "-",
         )
-        for route, counts in evaluation.new.items():
-            self.log_route(evaluation, route, counts)
+        for route, history in evaluation.history.routes.items():
+            if history.last_new.ended():
+                self.log_route(evaluation, route, history.compare())
 
     def log_route(
-        self, evaluation: evaluations.Evaluation, route: str, new: evidence.Counts
+        self,
+        evaluation: evaluations.Evaluation,
+        route: str,
+        compared: evidence_history.Comparison,
     ) -> None:
         """Log what one route shows, and what would make the new version bad there."""
-        old = evaluation.old.get(route, evidence.Counts())
+        old = compared.old
+        new = compared.new
         bad = evidence.thresholds(old)
         slow, timed = new.count_slow(bad)
         self.log.note(
