EXPOSURE: a version whose requests end without an answer is not proven

Requests that end without an answer, or in a time that does not count, speak for nobody; with nothing else, no doubt was found. A quarter of those that ended must have been answered.

--- a/rattanridge/policies/proof.py
+++ b/rattanridge/policies/proof.py
@@ -16,6 +16,9 @@
 FEW_CALLS_SIGNIFICANCE = 0.2
 EXCUSE_SIGNIFICANCE = 0.02  # smaller, as it is looked at during the whole rollout
 MIN_CALLS = 8  # requests on a route that are judged
+# Of the requests that ended, the share that must have been answered, and in a time that
+# counts; without them nothing speaks for the version.
+MIN_ANSWERED_SHARE = 0.25
 MIN_WINDOW_CALLS = 20  # requests on a route in the last window that are judged
 MAX_BAD_ANSWERS = 40  # failed or slow answers
 DECISION_TIME = 3.5  # seconds
@@ -59,6 +62,8 @@
     if is_doubtful(new.errors, new.calls, old.error_share(), significance):
         return f"{new.errors} of {new.calls} failed, {old.error_share():.2f} before"
     slow, timed, old_share = count_slow(old, new)
+    if min(new.calls, timed) < MIN_ANSWERED_SHARE * new.ended():
+        return f"only {min(new.calls, timed)} of {new.ended()} tell a time"
     if is_doubtful(slow, timed, old_share, significance):
         return f"{slow} of {timed} slow, {old_share:.2f} before"
     return ""
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -51,6 +51,14 @@
         history = make_history(evidence.Counts(), answered(12, slow=late, late=late))
         assert bool(proof.find_doubt(history)) is is_doubtful
 
+    # Guards against: requests that end without an answer speak neither for a version
+    # nor against it, and it takes over.
+    def test_version_that_answers_nothing_is_in_doubt(self):
+        new = evidence.Counts()
+        for _ in range(40):
+            new.record_unanswered(0.05)
+        assert proof.find_doubt(make_history(answered(300), new))
+
     def test_route_without_requests_is_not_judged(self):
         assert not proof.find_doubt(make_history(answered(300), answered(3, errors=3)))
 
