--- a/rattanridge/policies/proof.py
+++ b/rattanridge/policies/proof.py
@@ -60,12 +60,13 @@
         few = new.ended() < FEW_CALLS
         significance = FEW_CALLS_SIGNIFICANCE if few else PROOF_SIGNIFICANCE
     if is_doubtful(new.errors, new.calls, old.error_share(), significance):
-        return f"{new.errors} of {new.calls} failed, {old.error_share():.2f} before"
+        share = old.error_share()
+        return f"{new.errors} of {new.calls} failed, {share:.2f} of the old version's"
     slow, timed, old_share = count_slow(old, new)
     if min(new.calls, timed) < MIN_ANSWERED_SHARE * new.ended():
         return f"only {min(new.calls, timed)} of {new.ended()} tell a time"
     if is_doubtful(slow, timed, old_share, significance):
-        return f"{slow} of {timed} slow, {old_share:.2f} before"
+        return f"{slow} of {timed} slow, {old_share:.2f} of the old version's"
     return ""
 
 
