--- a/rattanridge/policies/evidence.py
+++ b/rattanridge/policies/evidence.py
@@ -247,15 +247,6 @@
     }
 
 
-def find_fault(old: CountsByRoute, new: CountsByRoute) -> str:
-    """Return why the new version is considered bad; an empty string if it is not."""
-    for route, counts in new.items():
-        fault = find_route_fault(route, old.get(route, Counts()), counts)
-        if fault:
-            return fault
-    return ""
-
-
 def find_route_fault(
     route: str,
     old: Counts,
--- a/tests/test_version_evidence.py
+++ b/tests/test_version_evidence.py
@@ -10,12 +10,19 @@
 ROUTE = drawn_counts.ROUTE
 
 
+def find_fault(old, new):
+    """Return what the evidence of a single check shows; counts are by route."""
+    history = evidence_history.History()
+    history.record(1.0, old, new)
+    return history.find_fault()
+
+
 class TestFindFault:
     @pytest.mark.parametrize("seed", range(20))
     def test_similar_version_is_not_rejected(self, seed):
         rng = random.Random(seed)
         old = {ROUTE: drawn_counts.draw_counts(rng, 400, 0.01)}
-        assert not evidence.find_fault(
+        assert not find_fault(
             old, {ROUTE: drawn_counts.draw_counts(rng, 60, 0.01, 1.5)}
         )
 
@@ -23,15 +30,13 @@
     def test_failures_are_detected_early(self, seed):
         rng = random.Random(seed)
         old = {ROUTE: drawn_counts.draw_counts(rng, 400, 0.01)}
-        assert evidence.find_fault(
-            old, {ROUTE: drawn_counts.draw_counts(rng, 30, 0.45)}
-        )
+        assert find_fault(old, {ROUTE: drawn_counts.draw_counts(rng, 30, 0.45)})
 
     @pytest.mark.parametrize("seed", range(20))
     def test_slowness_of_half_the_requests_is_detected(self, seed):
         rng = random.Random(seed)
         old = {ROUTE: drawn_counts.draw_counts(rng, 400)}
-        assert evidence.find_fault(
+        assert find_fault(
             old, {ROUTE: drawn_counts.draw_counts(rng, 40, 0.0, 8.0, 0.5)}
         )
 
@@ -43,12 +48,12 @@
             "b": drawn_counts.draw_counts(rng, 90),
             "c": drawn_counts.draw_counts(rng, 12, 0.5),
         }
-        assert "c" in evidence.find_fault(old, new)
+        assert "c" in find_fault(old, new)
 
     def test_overload_of_both_versions_is_no_fault(self):
         rng = random.Random(1)
         old = {ROUTE: drawn_counts.draw_counts(rng, 400, 0.4, 6.0)}
-        assert not evidence.find_fault(
+        assert not find_fault(
             old, {ROUTE: drawn_counts.draw_counts(rng, 100, 0.5, 6.0)}
         )
 
@@ -73,7 +78,7 @@
     ):
         old = {ROUTE: evidence.Counts(old_calls, old_errors)}
         new = {ROUTE: evidence.Counts(53, 8)}
-        assert bool(evidence.find_fault(old, new)) is is_fault
+        assert bool(find_fault(old, new)) is is_fault
 
     # Guards against: no count could be three times as bad as the old version's.
     @pytest.mark.parametrize(
@@ -85,7 +90,7 @@
     ):
         old = {ROUTE: evidence.Counts(300, old_errors)}
         new = {ROUTE: evidence.Counts(calls, errors)}
-        assert "errors" in evidence.find_fault(old, new)
+        assert "errors" in find_fault(old, new)
 
     # Guards against: a slow request ends at its time limit before it counts as slow.
     @pytest.mark.parametrize("work", [0.35, 0.5])
@@ -98,7 +103,7 @@
                 new.record_call(False, work)
             else:
                 new.record_timeout(1.0)
-        assert "slow" in evidence.find_fault({ROUTE: old}, {ROUTE: new})
+        assert "slow" in find_fault({ROUTE: old}, {ROUTE: new})
 
     def test_counts_since_an_earlier_snapshot(self):
         rng = random.Random(1)
@@ -119,7 +124,7 @@
         new = drawn_counts.draw_counts(rng, 20)
         for _ in range(20):
             getattr(new, record)(1.5)
-        assert "slow" in evidence.find_fault({ROUTE: old}, {ROUTE: new})
+        assert "slow" in find_fault({ROUTE: old}, {ROUTE: new})
 
     @pytest.mark.parametrize("record", ["record_unanswered", "record_running"])
     def test_stall_of_both_versions_is_no_fault(self, record):
@@ -129,7 +134,7 @@
         for counts, number in ((old, 150), (new, 20)):
             for _ in range(number):
                 getattr(counts, record)(1.5)
-        assert not evidence.find_fault({ROUTE: old}, {ROUTE: new})
+        assert not find_fault({ROUTE: old}, {ROUTE: new})
 
     def test_requests_that_have_just_begun_tell_nothing(self):
         rng = random.Random(1)
@@ -137,7 +142,7 @@
         new = drawn_counts.draw_counts(rng, 20)
         for _ in range(200):
             new.record_running(0.01)
-        assert not evidence.find_fault({ROUTE: old}, {ROUTE: new})
+        assert not find_fault({ROUTE: old}, {ROUTE: new})
 
     def test_running_requests_are_not_summed_over_time(self):
         counts = evidence.Counts()
