EXPOSURE: a version takes over only while its exits report

Without a report in the last step nothing is found, and the version was completed at the time limit. The test fails without the change.

--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -271,7 +271,8 @@
         """Return why a version may not take over, though the time is over."""
         if not ramp.has_capacity():
             return "too few endpoints"
-        return f"not proved in time: {ramp.obstacle}"
+        obstacle = ramp.obstacle or ramps.NOT_HEARD
+        return f"not proved in time: {obstacle}"
 
     def has_changed(self, ramp: ramps.Ramp, earlier: tuple[int, float, bool]) -> bool:
         """Return whether the ramp has changed since the last check."""
--- a/rattanridge/mesh/evaluation.py
+++ b/rattanridge/mesh/evaluation.py
@@ -153,10 +153,14 @@
         return [item for item in candidates if self.is_new(item.version)]
 
     def advance(self, candidates: list[placement.Candidate]) -> None:
-        """Move the ramp on to the next step if it is time for it."""
-        self.endpoints = len(self.candidates_on_trial(candidates))
+        """Move the ramp on to the next step if it is time for it.
+
+        The old version gets nothing in the last step, and need not report in it.
+        """
+        new = self.candidates_on_trial(candidates)
+        self.endpoints = len(new)
         self.ramp.capacity_ratio = self.capacity_ratio(candidates)
-        heard = self.is_heard(candidates)
+        heard = self.is_heard(new if self.ramp.is_last() else candidates)
         doubt = proof.find_doubt(self.history)
         self.ramp.advance(self.endpoints, self.old, self.new, heard, doubt)
 
--- a/rattanridge/policies/ramp.py
+++ b/rattanridge/policies/ramp.py
@@ -22,12 +22,14 @@
 TRIAL_CALLS = 36  # requests that a trial should see even if there are few
 FULL_SHARE = 1.0
 NOT_LOADED = "no endpoint had its full load"
+NOT_HEARD = "exits do not report"
 
 # The last step ends when the requests at the old version have ended.
 SHARE_DELAY = 0.7  # seconds until nearly all entries have a new share
 SLOW_REQUEST_QUANTILE = 0.99
 LAST_STEP_TIME = (1.2, 5.0)  # seconds, at least and at most
 MAX_LAST_STEP_SHARE = 0.3  # of the usable time
+HEARD_GRACE = 0.5  # seconds after its end in which the last step waits for reports
 MIN_STEP_TIME = 0.8  # seconds of a step that loads one or all endpoints
 
 
@@ -71,6 +73,7 @@
     :param capacity_ratio: slots of the new version's ready endpoints, divided by
         those of the old version.
     :param obstacle: why the last step has not begun though it was time for it.
+    :param heard: whether the exits of both versions reported at the last check.
     :param rate: requests per second that the service gets; 0 if it is not known.
     :param request_time: seconds that nearly all of the old version's requests take.
     """
@@ -82,6 +85,7 @@
     step_at: float = 0.0
     capacity_ratio: float = 1.0
     obstacle: str = NOT_LOADED
+    heard: bool = True
     rate: float = 0.0
     request_time: float = 0.0
 
@@ -133,6 +137,7 @@
         :param heard: whether the exits of both versions report.
         :param doubt: why the new version is not proven; empty if it is.
         """
+        self.heard = heard
         if self.began < 0:
             if not endpoints:
                 return
@@ -142,7 +147,7 @@
         if self.elapsed - self.began < self.begin_of(self.step + 1):
             return
         if self.step == LOAD_STEP:
-            self.obstacle = self.find_obstacle(old, new, heard) or doubt
+            self.obstacle = self.find_obstacle(old, new) or doubt
             if self.obstacle:
                 return
         self.step += 1
@@ -153,11 +158,11 @@
         return self.elapsed - self.step_at
 
     def find_obstacle(
-        self, old: evidence.CountsByRoute, new: evidence.CountsByRoute, heard: bool
+        self, old: evidence.CountsByRoute, new: evidence.CountsByRoute
     ) -> str:
         """Return why the last step may not begin; empty if it may."""
-        if not heard:
-            return "exits do not report"
+        if not self.heard:
+            return NOT_HEARD
         if self.step_time() < MIN_STEP_TIME:
             return NOT_LOADED
         for route, counts in old.items():
@@ -209,14 +214,21 @@
 
     def done(self) -> bool:
         """Return whether the new version has taken over."""
-        if not self.is_last() or not self.has_capacity():
+        if not self.is_last() or not self.has_capacity() or not self.heard:
             return False
         return self.step_time() >= MIN_STEP_TIME and self.out_of_time()
 
     def failed(self) -> bool:
         """Return whether the time is over and the new version may not take over."""
-        return self.out_of_time() and not (self.is_last() and self.has_capacity())
+        if not self.out_of_time():
+            return False
+        if not self.is_last() or not self.has_capacity():
+            return True
+        return not self.heard and self.out_of_time(HEARD_GRACE)
 
-    def out_of_time(self) -> bool:
-        """Return whether the rollout must be completed or rolled back now."""
-        return self.elapsed >= max(self.began, 0.0) + self.usable_time()
+    def out_of_time(self, grace: float = 0.0) -> bool:
+        """Return whether the rollout must be completed or rolled back now.
+
+        :param grace: seconds that are given besides.
+        """
+        return self.elapsed >= max(self.began, 0.0) + self.usable_time() + grace
--- a/tests/rollout_model.py
+++ b/tests/rollout_model.py
@@ -86,6 +86,7 @@
         self.now = 0.0
         self.bad_answers = 0
         self.bad_limit_at = None
+        self.silent_until = 0.0
         self.state = orders.RUNNING
 
     def run(self):
@@ -147,7 +148,8 @@
         for item in self.exits():
             if item.endpoint in permits:
                 item.permitted = permits[item.endpoint].requests
-            reports.append(item.report())
+            is_silent = self.now < self.silent_until
+            reports.append(None if is_silent else item.report())
         evaluation.record_reports(reports, self.now)
         evaluation.measure(self.now)
         if evaluation.fault:
--- a/tests/test_troubled_rollouts.py
+++ b/tests/test_troubled_rollouts.py
@@ -131,6 +131,20 @@
             assert model.state == orders.COMPLETED
 
 
+class TestSilence:
+    # Guards against: no exit reports in the last step, nothing is found, and the
+    # version takes over unwatched.
+    @pytest.mark.parametrize("silent_for", [0.3, 100.0])
+    def test_version_does_not_take_over_unwatched(self, silent_for):
+        model = rollout_model.Model(1, calm, calm)
+        while not model.evaluation.ramp.is_last():
+            model.play_step()
+        model.silent_until = model.evaluation.ramp.usable_time() + 1.4 + silent_for
+        expected = orders.COMPLETED if silent_for < 0.5 else orders.ROLLED_BACK
+        assert model.run() == expected
+        assert model.now < rollout_model.DURATION
+
+
 class TestCalm:
     @pytest.mark.parametrize("rate", [10.0, 90.0, rollout_model.RATE])
     def test_good_version_takes_over(self, rate):
