Rollouts: a comparison is made once a check; texts that misled

Verdict, proof, the count of bad answers and the log asked for the same comparison of a route up to ten times a check. It is kept until the next check now. decide no longer sets the number of endpoints, which advance sets. Three texts said less than the code does.

--- a/rattanridge/measure/rollouts.py
+++ b/rattanridge/measure/rollouts.py
@@ -62,8 +62,8 @@
     :param last_route_only: whether only the last route has the fault.
     :param common_error_rate: fraction of both versions' requests that fail, as in an
         overload.
-    :param common_until: seconds after the start of the rollout until both are in
-        trouble.
+    :param common_until: seconds after the start of the rollout at which the trouble of
+        both versions ends.
     :param common_factor: factor on both versions' latencies meanwhile.
     """
 
--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -246,7 +246,6 @@
         """Roll back, continue or complete a rollout, and write what changed."""
         ramp = evaluation.ramp
         new = evaluation.candidates_on_trial(candidates)
-        evaluation.endpoints = len(new)
         if evaluation.fault:
             await self.brake(evaluation, new)
             await self.write_status(
--- a/rattanridge/policies/evidence.py
+++ b/rattanridge/policies/evidence.py
@@ -19,8 +19,8 @@
 MIN_ERRORS = 4  # failures; a version with fewer is not rejected
 MIN_ERROR_SHARE = 0.15  # of the requests; a version that fails fewer is not bad
 MIN_ERROR_FACTOR = 3.0  # times the old version's share of failures
-# Share of what the old version serves that the new one fails; enough if three times
-# the old version's failures is more.
+# Share of what the old version serves that a bad version fails or slows at least;
+# enough for a verdict if three times the old version's share is more.
 BAD_SHARE = 0.3
 BASELINE_SHARE = 0.05  # share of failed or slow requests that any version may have
 SQRT_2 = math.sqrt(2.0)
--- a/rattanridge/policies/evidence_history.py
+++ b/rattanridge/policies/evidence_history.py
@@ -61,12 +61,15 @@
         self.baseline = evidence.Counts()
         # Sums of the slices that are older than the longest window.
         self.earlier = WeightedSum()
+        # Comparisons of the last check by their begin; each is asked for repeatedly.
+        self.compared: dict[float | None, Comparison] = {}
 
     def record(self, now: float, old: evidence.Counts, new: evidence.Counts) -> None:
         """Record the sums since the order.
 
         :param now: monotonic seconds.
         """
+        self.compared.clear()
         observed = old.since(self.last_old)
         observed.running = {}
         fresh = new.since(self.last_new)
@@ -100,6 +103,12 @@
 
         :param since: monotonic seconds.
         """
+        if since not in self.compared:
+            self.compared[since] = self.sum_slices(since)
+        return self.compared[since]
+
+    def sum_slices(self, since: float | None) -> Comparison:
+        """Return the evidence from a time on, as ``compare`` does."""
         weighted = WeightedSum()
         if since is None:
             weighted.merge(self.earlier)
--- a/rattanridge/policies/ramp.py
+++ b/rattanridge/policies/ramp.py
@@ -73,7 +73,8 @@
     :param capacity_ratio: slots of the new version's ready endpoints, divided by
         those of the old version.
     :param obstacle: why the last step has not begun though it was time for it.
-    :param heard: whether the exits of both versions reported at the last check.
+    :param heard: whether the exits reported at the last check: those of both versions,
+        in the last step those of the new one.
     :param rate: requests per second that the service gets; 0 if it is not known.
     :param request_time: seconds that nearly all of the old version's requests take.
     """
@@ -134,7 +135,7 @@
         """Move on to the next step if it is time for it.
 
         :param endpoints: number of the new version's ready endpoints.
-        :param heard: whether the exits of both versions report.
+        :param heard: whether the exits that matter in this step report.
         :param doubt: why the new version is not proven; empty if it is.
         """
         self.heard = heard
