Client accounts: configuration, authentication at the entry, rank, codes

Cause: the configuration may hold accounts with keys; requests without one of them must not run, and endpoints receive the account's name in place of the key.

Claims of idempotency keys are separate by account, so that an account does not get the recorded answer of another one that chose the same key.

--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -124,6 +124,13 @@
 CANNOT_LISTEN = define(
     1008, "cannot-listen", 500, "The node cannot listen on a port of its settings"
 )
+BAD_ACCOUNT = define(
+    1009,
+    "bad-account",
+    400,
+    "An account's name, keys, rate or burst is invalid, or used by another account",
+    exit_code=2,
+)
 
 # 2xxx: the platform's object API.
 PLATFORM_DOWN = define(
@@ -165,6 +172,7 @@
 HOP_REFUSED = define(
     4006, "hop-refused", 403, "A node-to-node call has no valid proof of the shared key"
 )
+NO_ACCOUNT = define(4007, "no-account", 401, "The route requires the key of an account")
 
 # 5xxx: calls to services.
 NOT_READY = define(5001, "not-ready", 503, "The node has no configuration yet")
@@ -228,7 +236,7 @@
     5037,
     "configuration-behind",
     503,
-    "No route matches, but other nodes have a newer configuration in force",
+    "No route or account matches, but other nodes have a newer configuration",
 )
 RATE_LIMITED = define(
     5038,
@@ -242,6 +250,12 @@
     503,
     "The endpoint's version is on trial and may get no more requests now",
 )
+PARENT_UNKNOWN = define(
+    5040,
+    "parent-unknown",
+    503,
+    "A call without a key names a request that is not in progress at this node",
+)
 INTERNAL = define(5034, "internal", 500, "The node itself failed; see its log")
 
 # 6xxx: rollouts.
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes, documents, routes, settings
+from rattanridge.kernel import accounts, codes, documents, routes, settings
 
 Prefix = typing.Annotated[str, msgspec.Meta(pattern=r"^/", max_length=512)]
 Host = typing.Annotated[
@@ -15,6 +15,7 @@
 ]
 Method = typing.Annotated[str, msgspec.Meta(pattern=r"^([A-Z]{1,16}|\*)$")]
 Attempts = typing.Annotated[int, msgspec.Meta(ge=1, le=10)]
+AccountPriority = typing.Annotated[int, msgspec.Meta(ge=0, le=1000)]
 
 PRIORITIES = ("high", "normal", "low")  # highest first; the index is the rank
 ANY_METHOD = "*"
@@ -50,6 +51,7 @@
     :param key: source of the idempotency key, for work that must run at most once
         even if the caller sends the request again.
     :param large: whether its answers are large; needs ``idempotent``.
+    :param public: whether requests need no key even if there are accounts.
     """
 
     host: Host = routes.ANY_HOST
@@ -65,6 +67,25 @@
     attempts: Attempts = 3
     key: routes.KeySource | None = None
     large: bool = False
+    public: bool = False
+
+
+class Account(settings.Struct, kw_only=True):
+    """A client account.
+
+    :param name: name that the endpoints receive.
+    :param keys: keys that identify its requests.
+    :param priority: ``high``, ``normal``, ``low``, or a whole number of which 0 is the
+        highest; None for ``normal``.
+    :param rate: requests per second over all nodes; 0 for no limit.
+    :param burst: requests that may exceed the rate at once.
+    """
+
+    name: str
+    keys: list[str] = msgspec.field(default_factory=list)
+    priority: typing.Literal["high", "normal", "low"] | AccountPriority | None = None
+    rate: float = 0.0
+    burst: float = 0.0
 
 
 class Preset(settings.Struct, kw_only=True):
@@ -73,6 +94,7 @@
     name: settings.Name
     services: typing.Annotated[dict[settings.Name, Service], msgspec.Meta(min_length=1)]
     routes: typing.Annotated[list[Route], msgspec.Meta(min_length=1, max_length=10_000)]
+    accounts: list[Account] = msgspec.field(default_factory=list)
 
 
 def load(path: str) -> Preset:
@@ -93,9 +115,11 @@
 def validate(preset: Preset, where: str = "preset") -> None:
     """Raise on errors that field types do not catch.
 
-    These are routes to undefined services, invalid key sources, large answers of
-    routes that are not idempotent, and two routes that match the same requests.
+    These are invalid accounts, routes to undefined services, invalid key sources,
+    large answers of routes that are not idempotent, and two routes that match the same
+    requests.
     """
+    accounts.by_name(map(make_account, preset.accounts), where)
     seen: set[tuple[str, str, str]] = set()
     for index, route in enumerate(preset.routes):
         location = f"{where}: routes[{index}]"
@@ -135,7 +159,22 @@
     converted = [
         make_route(f"r{index:05}", item) for index, item in enumerate(preset.routes)
     ]
-    return routes.Configuration(version, routes.group_by_host(converted), services)
+    return routes.Configuration(
+        version,
+        routes.group_by_host(converted),
+        services,
+        accounts=accounts.by_name(map(make_account, preset.accounts), preset.name),
+    )
+
+
+def make_account(item: Account) -> accounts.Account:
+    """Return a preset's account as an account of a configuration."""
+    priority = item.priority
+    if isinstance(priority, str):
+        priority = PRIORITIES.index(priority)
+    return accounts.Account(
+        item.name, tuple(item.keys), priority, item.rate, item.burst
+    )
 
 
 def make_route(name: str, item: Route) -> routes.Route:
@@ -155,4 +194,5 @@
         bare=True,
         key=item.key,
         large=item.large,
+        public=item.public,
     )
--- a/rattanridge/kernel/routes.py
+++ b/rattanridge/kernel/routes.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanridge.kernel import registry
+from rattanridge.kernel import accounts as client_accounts, registry
 
 # Plug-ins of ``policies`` that extract a request's idempotency key.
 KEY_SOURCES: registry.Registry[type] = registry.Registry("key source")
@@ -48,6 +48,7 @@
     :param key: source of the idempotency key that identifies repeated requests;
         None if the route uses no keys.
     :param large: whether its answers are large; only if it is idempotent.
+    :param public: whether requests need no key even if there are accounts.
     """
 
     name: str
@@ -63,6 +64,7 @@
     bare: bool = False
     key: KeySource | None = None
     large: bool = False
+    public: bool = False
 
     def matches(self, path: str, method: str) -> bool:
         """Return whether a request's path and method match the route."""
@@ -103,6 +105,7 @@
     :param version: increases with each version, not always by one.
     :param routes: routes by host, with the longest prefix first.
     :param unknown_kinds: kinds of its routes that this program does not know.
+    :param accounts: client accounts by name; empty if no keys are needed.
     """
 
     version: int
@@ -110,6 +113,20 @@
     services: dict[str, Service]
     limits: Limits = Limits()
     unknown_kinds: frozenset[str] = frozenset()
+    accounts: dict[str, client_accounts.Account] = dataclasses.field(
+        default_factory=dict
+    )
+    accounts_by_key: dict[str, client_accounts.Account] = dataclasses.field(
+        init=False, compare=False, repr=False
+    )
+
+    def __post_init__(self) -> None:
+        found = {key: item for item in self.accounts.values() for key in item.keys}
+        object.__setattr__(self, "accounts_by_key", found)
+
+    def account_of(self, key: str) -> client_accounts.Account | None:
+        """Return the account that holds a key; None if there is none."""
+        return self.accounts_by_key.get(key)
 
     def match(self, host: str, path: str, method: str) -> Route | None:
         """Return the matching route with the longest prefix; None without a match.
--- /dev/null
+++ b/rattanridge/mesh/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts at the entry."""
--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -23,8 +23,8 @@
     :param headers: end-to-end headers, forwarded as they came.
     :param service: service that the request goes to.
     :param route: name of the route that matched.
-    :param rank: priority of its route, or of its parent if that is in progress; 0 is
-        served first.
+    :param rank: rank by its account's and route's priority, or that of its parent if
+        that is in progress; 0 is served first.
     :param from_upstream: whether an upstream sent it while running another request,
         its parent.
     :param nested: whether the parent is in progress and waits for the answer.
@@ -37,6 +37,8 @@
     :param entry: address at which its entry accepts calls of other nodes.
     :param announcement: what its entry knows that the endpoint announced.
     :param sent: whether any byte of it was sent to an upstream.
+    :param account: name of the client account that it belongs to; empty for none.
+        The configuration in force may no longer have it.
     """
 
     attempt: str
@@ -58,6 +60,7 @@
     is_retry: bool = False
     announcement: announcements.Announcement | None = None
     sent: bool = False
+    account: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,10 +121,20 @@
 PER_HOP_HEADERS = frozenset(
     name.lower() for name in (headers.DEADLINE, headers.ENDPOINT, headers.CALLER)
 )
+# Headers that are dropped as well if there are client accounts: keys, which endpoints
+# never receive, and the account's name, which only the mesh sets.
+ACCOUNT_HEADERS = PER_HOP_HEADERS | frozenset(
+    name.lower() for name in (headers.AUTHORIZATION, headers.ACCOUNT)
+)
+
 
+def forwardable(
+    source: multidict.CIMultiDictProxy, dropped: frozenset[str] = PER_HOP_HEADERS
+) -> Headers:
+    """Return the headers to forward: neither hop-by-hop headers nor the mesh's own.
 
-def forwardable(source: multidict.CIMultiDictProxy) -> Headers:
-    """Return the headers to forward: neither hop-by-hop headers nor the mesh's own."""
+    :param dropped: further headers to drop, in lower case.
+    """
     named = {
         item.strip().lower()
         for value in source.getall("Connection", ())
@@ -131,7 +144,7 @@
         (name, value)
         for name, value in source.items()
         if not own_headers.is_dropped(name)
-        and name.lower() not in PER_HOP_HEADERS
+        and name.lower() not in dropped
         and name.lower() not in named
     ]
 
--- a/rattanridge/mesh/claim.py
+++ b/rattanridge/mesh/claim.py
@@ -48,10 +48,12 @@
     """Return the name of a request's claim.
 
     The query is not part of it, but of the digest: the key with another query is a
-    conflict.
+    conflict. The account is part of it: accounts that choose the same key by chance
+    must not get each other's answers.
     """
     path = call.path.partition("?")[0]
-    return hash_texts(call.service, call.method, path, key)
+    account = (call.account,) if call.account else ()
+    return hash_texts(call.service, call.method, path, key, *account)
 
 
 def digest(call: calls.Call) -> str:
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -18,6 +18,7 @@
     shutdown as shutdowns,
     suspects as suspecting,
 )
+from rattanridge.mesh.accounts import authentication
 from rattanridge.platform import headers
 from rattanridge.policies import splitting
 from rattanridge.web import bodies, headers as own_headers, memory, pipelining
@@ -27,6 +28,8 @@
 MIN_RETRY_AFTER = 0.05  # seconds
 # Random factors of Retry-After, so that refused callers do not all return at once.
 RETRY_AFTER_JITTER = (0.8, 1.5)
+# Reasons for which a node refuses a request that a newer version may let in.
+VERSION_CODES = (codes.NOT_READY, codes.NO_ROUTE, codes.NO_ACCOUNT)
 
 
 class Entry:
@@ -123,27 +126,47 @@
         """Read a whole request and return it as a call with its route.
 
         Raise ``not-ready`` if there is no configuration, ``no-route`` if no route
-        matches, and other coded failures if the body is refused.
+        matches, ``no-account`` if the route requires a key, and other coded failures
+        if the body is refused. The version in force after the body was read decides.
         """
         current, route = await self.find_route(request)
-        path = request.raw_path
-        time_left = headers.parse_deadline(request.headers.get(headers.DEADLINE))
-        time_left = DEFAULT_DEADLINE if time_left is None else time_left
         limit = min(current.limits.body_bytes, self.config.limits.body_bytes)
         body = await bodies.read_body(request, limit, self.memory_budget)
-        attempt = request.headers.get(headers.ATTEMPT, "")
-        parent = self.dispatcher.exit.parents.find(attempt)
-        running = parent if parent is not None and parent.in_progress else None
+        try:
+            if authentication.needs_recheck(current, self.configs.current or current):
+                current, route = await self.find_route(request)
+            return self.make_call(request, current, route, body, started_at), route
+        except BaseException:
+            self.memory_budget.free_body(body)
+            raise
+
+    def make_call(
+        self,
+        request: aiohttp.web.BaseRequest,
+        current: routes.Configuration,
+        route: routes.Route,
+        body: bytes,
+        started_at: float,
+    ) -> calls.Call:
+        """Return a request as a call.
+
+        Raise ``no-account`` or ``parent-unknown`` if nobody has sent it who may.
+        """
+        time_left = headers.parse_deadline(request.headers.get(headers.DEADLINE))
+        time_left = DEFAULT_DEADLINE if time_left is None else time_left
+        sender = self.identify(request, current, route)
+        parent, running = sender.parent, sender.running_parent
+        dropped = calls.ACCOUNT_HEADERS if current.accounts else calls.PER_HOP_HEADERS
         call = calls.Call(
-            attempt=attempt,
+            attempt=request.headers.get(headers.ATTEMPT, ""),
             method=request.method,
-            path=path,
-            headers=calls.forwardable(request.headers),
+            path=request.raw_path,
+            headers=calls.forwardable(request.headers, dropped),
             body=body,
             service=self.splitter.choose(route),
             route=route.name,
             idempotent=route.idempotent,
-            rank=running.rank if running is not None else route.priority,
+            rank=sender.rank,
             from_upstream=parent is not None,
             nested=running is not None,
             is_retry=parent is not None and parent.is_retry,
@@ -152,37 +175,66 @@
             caller=self.config.service,
             version=current.version,
             entry=self.config.listen.hops,
+            account=sender.account,
         )
         if running is not None:
             dependencies = self.dispatcher.exit.dependencies
             dependencies.record_call(running.route, call.service)
-        return call, route
+        return call
+
+    def identify(
+        self,
+        request: aiohttp.web.BaseRequest,
+        current: routes.Configuration,
+        route: routes.Route,
+    ) -> authentication.Sender:
+        """Return the sender of a request; raise if it may not send it."""
+        find_parent = self.dispatcher.exit.parents.find
+        return authentication.identify(current, route, request.headers, find_parent)
 
     async def find_route(
         self, request: aiohttp.web.BaseRequest
     ) -> tuple[routes.Configuration, routes.Route]:
         """Return the configuration in force and the route of a request.
 
-        That there is no route is said only by the newest version that is known of;
-        the route may have been added in it. Raise ``no-route``, ``not-ready``, or
-        ``configuration-behind`` if that version cannot be had at once.
+        That there is no route, or no account with its key, is said only by the newest
+        version that is known of; it may have been added in it. Raise ``no-route``,
+        ``no-account``, ``not-ready``, or ``configuration-behind`` if that version
+        cannot be had at once.
         """
-        wanted = (request.method, request.raw_path, request.headers)
-        found = self.match(*wanted)
-        if found is None and self.configs.is_behind():
-            await self.configs.wait_caught_up()
-            found = self.match(*wanted)
-            if found is None and self.configs.is_behind():
+        try:
+            return self.accept(request)
+        except codes.Failure as failure:
+            if failure.code not in VERSION_CODES or not self.configs.is_behind():
+                raise
+        await self.configs.wait_caught_up()
+        try:
+            return self.accept(request)
+        except codes.Failure as failure:
+            if failure.code in VERSION_CODES and self.configs.is_behind():
                 raise codes.Failure(codes.CONFIGURATION_BEHIND)
-        if self.configs.current is None:
+            raise
+
+    def accept(
+        self, request: aiohttp.web.BaseRequest
+    ) -> tuple[routes.Configuration, routes.Route]:
+        """Return the configuration in force and the route of a request.
+
+        Raise ``no-route``, ``not-ready``, ``no-account`` or ``parent-unknown``.
+        """
+        current = self.configs.current
+        if current is None:
             raise codes.Failure(codes.NOT_READY, retry_after=1.0)
+        found = self.match(request.method, request.raw_path, request.headers)
         if found is None:
             host = own_headers.host_of(request.headers.get("Host", ""))
             raise codes.Failure(
                 codes.NO_ROUTE,
                 f"no route matches {request.method} {request.raw_path} at {host!r}",
             )
-        return self.configs.current, found
+        if current.accounts:
+            self.identify(request, current, found)
+        return current, found
 
     def match(
         self, method: str, target: str, fields: multidict.CIMultiDictProxy
--- a/rattanridge/mesh/hop_headers.py
+++ b/rattanridge/mesh/hop_headers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import urllib.parse
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import announcements, calls, upstream as upstreams
@@ -9,7 +10,7 @@
 from rattanridge.policies import load_shedding, placement
 from rattanridge.web import headers as own_headers
 
-CALL_FIELDS = 9
+CALL_FIELDS = 9  # and the account's name if the call belongs to one
 ANSWER_FIELDS = 10
 ANNOUNCEMENT_FIELDS = 4
 MAX_DEADLINE_SECONDS = 3600.0
@@ -18,7 +19,7 @@
 def encode_call(call: calls.Call) -> str:
     """Return the value of the header that describes a call to be forwarded now."""
     now = asyncio.get_running_loop().time()
-    fields = (
+    fields = [
         call.service,
         call.route,
         int(call.idempotent),
@@ -28,7 +29,9 @@
         int((call.timely_until - now) * 1000),
         call.version,
         call.entry,
-    )
+    ]
+    if call.account:
+        fields.append(urllib.parse.quote(call.account, safe=""))
     return ",".join(map(str, fields))
 
 
@@ -45,10 +48,11 @@
     """
     parts = received.get(own_headers.CALL, "").split(",")
     time_left = headers.parse_deadline(received.get(headers.DEADLINE))
-    if len(parts) != CALL_FIELDS or time_left is None:
+    if len(parts) not in (CALL_FIELDS, CALL_FIELDS + 1) or time_left is None:
         raise codes.Failure(
             codes.BAD_REQUEST,
-            f"a forwarded call needs {headers.DEADLINE} and {CALL_FIELDS} fields in "
+            f"a forwarded call needs {headers.DEADLINE} and {CALL_FIELDS} fields, or "
+            f"one more for an account, in "
             f"{own_headers.CALL}; got {len(parts)} fields, deadline: {time_left}",
         )
     try:
@@ -77,6 +81,7 @@
         entry=parts[8],
         is_retry=bool(is_retry),
         announcement=decode_announcement(received.get(own_headers.ANNOUNCED, "")),
+        account=urllib.parse.unquote(parts[CALL_FIELDS]) if parts[CALL_FIELDS:] else "",
     )
 
 
--- a/rattanridge/mesh/parents.py
+++ b/rattanridge/mesh/parents.py
@@ -21,12 +21,14 @@
         then.
     :param rank: its priority; 0 unless it is in progress.
     :param route: name of its route; empty unless it is in progress.
+    :param account: name of its client account; empty unless it is in progress.
     """
 
     in_progress: bool
     is_retry: bool
     rank: int = 0
     route: str = ""
+    account: str = ""
 
 
 class Parents:
@@ -64,7 +66,9 @@
             return None
         running = self.running.get(parent)
         if running is not None:
-            return Parent(True, running.is_retry, running.rank, running.route)
+            return Parent(
+                True, running.is_retry, running.rank, running.route, running.account
+            )
         now = clock.seconds_since_boot()
         ended = self.ended.get(parent, 0.0) > now
         return Parent(False, ended or now - self.started_at < RESTART_GRACE)
--- a/rattanridge/mesh/upstream_messages.py
+++ b/rattanridge/mesh/upstream_messages.py
@@ -17,6 +17,8 @@
         (headers.ENDPOINT, endpoint),
         (headers.CALLER, call.caller),
     ]
+    if call.account and not call.nested:
+        request_headers.append((headers.ACCOUNT, call.account))
     return connections.write_request(call.method, call.path, request_headers, call.body)
 
 
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes, routes
+from rattanridge.kernel import accounts, codes, routes
 
 KIND = "config"
 NAME = "main"
@@ -55,6 +55,9 @@
     extras: WireExtras | msgspec.UnsetType = msgspec.field(
         name="Extras", default=msgspec.UNSET
     )
+    public: bool | msgspec.UnsetType = msgspec.field(
+        name="Public", default=msgspec.UNSET
+    )
 
 
 class WireHost(msgspec.Struct):
@@ -81,6 +84,16 @@
     idle_ms: float = msgspec.field(name="IdleTimeoutMs", default=15_000)
 
 
+class WireAccount(msgspec.Struct, omit_defaults=True):
+    """One client account: its keys, and its rate in requests per second."""
+
+    name: str = msgspec.field(name="Name", default="")
+    keys: list[str] | None = msgspec.field(name="ApiKeys", default=None)
+    priority: int | None = msgspec.field(name="Priority", default=None)
+    rate: float = msgspec.field(name="RatePerS", default=0.0)
+    burst: float = msgspec.field(name="Burst", default=0.0)
+
+
 class WireConfiguration(msgspec.Struct):
     """The whole configuration; ``Version`` is a hexadecimal number."""
 
@@ -88,14 +101,17 @@
     hosts: list[WireHost] = msgspec.field(name="VirtualHosts")
     services: list[WireService] = msgspec.field(name="Services")
     limits: WireLimits = msgspec.field(name="Limits", default_factory=WireLimits)
+    accounts: list[WireAccount] | msgspec.UnsetType | None = msgspec.field(
+        name="Tenants", default=msgspec.UNSET
+    )
 
 
 def decode(data: bytes) -> routes.Configuration:
     """Decode and validate a configuration.
 
     A later version of the platform may define further kinds of routes. A route of an
-    unknown kind is used as one that is not idempotent. Raise ``bad-field``, or
-    ``missing-service`` for a route to an undefined service.
+    unknown kind is used as one that is not idempotent. Raise ``bad-field``,
+    ``bad-account``, or ``missing-service`` for a route to an undefined service.
     """
     try:
         wire = msgspec.json.decode(data, type=WireConfiguration)
@@ -124,9 +140,21 @@
         services,
         limits,
         frozenset(unknown_kinds.difference(KINDS)),
+        accounts.by_name(map(decode_account, wire.accounts or ()), "configuration"),
     )
 
 
+def decode_account(item: WireAccount) -> accounts.Account:
+    """Return an account of the wire format, which is not checked yet."""
+    keys = tuple(item.keys or ())
+    return accounts.Account(item.name, keys, item.priority, item.rate, item.burst)
+
+
+def encode_account(item: accounts.Account) -> WireAccount:
+    """Return an account in wire format."""
+    return WireAccount(item.name, list(item.keys), item.priority, item.rate, item.burst)
+
+
 def decode_route(
     host: str, item: WireRoute, services: dict[str, routes.Service]
 ) -> routes.Route:
@@ -152,6 +180,7 @@
         methods=frozenset(extras.methods),
         bare=extras.bare,
         key=extras.key,
+        public=bool(item.public),
     )
 
 
@@ -208,6 +237,8 @@
             limits.idle_timeout * 1000,
         ),
     )
+    if configuration.accounts:
+        wire.accounts = list(map(encode_account, configuration.accounts.values()))
     return msgspec.json.encode(wire)
 
 
@@ -228,6 +259,8 @@
         wire.split = [WireShare(item.service, item.weight) for item in route.shares]
     if route.methods or route.bare or route.key:
         wire.extras = WireExtras(sorted(route.methods), route.bare, route.key)
+    if route.public:
+        wire.public = True
     return wire
 
 
--- a/rattanridge/platform/headers.py
+++ b/rattanridge/platform/headers.py
@@ -11,10 +11,13 @@
 LIMIT = "Server-Limit"  # requests per second that the upstream takes from all nodes
 LEAVING = "Server-Leaving"  # "1" in all answers of an upstream that is about to leave
 CALLER = "Caller-Service"  # service of the host that sent the first request
+AUTHORIZATION = "Authorization"  # of a caller: "Token", a space, and a key
+ACCOUNT = "Tenant-Id"  # name of the client account that a request belongs to
 
 DEADLINE_DIGITS = 9
 LEAVING_VALUE = "1"
 
+KEY_SCHEME = "Token"
 PARENT_SEPARATOR = "."
 
 
@@ -27,6 +30,14 @@
     return attempt.rpartition(PARENT_SEPARATOR)[0]
 
 
+def parse_key(text: str | None) -> str:
+    """Return the key in an authorization header; empty if there is none."""
+    if not text:
+        return ""
+    scheme, _, key = text.partition(" ")
+    return key.strip() if scheme.lower() == KEY_SCHEME.lower() else ""
+
+
 def parse_deadline(text: str | None) -> float | None:
     """Return the seconds left by a deadline header; None if it is absent or invalid."""
     if not text or len(text) > DEADLINE_DIGITS or not text.isdecimal():
