--- a/rattanridge/admin/server.py
+++ b/rattanridge/admin/server.py
@@ -9,7 +9,7 @@
 
 from rattanridge import admin
 from rattanridge.admin import presets as preset_store, status
-from rattanridge.kernel import codes, registry, settings
+from rattanridge.kernel import codes, presets, registry, settings
 from rattanridge.mesh import node as nodes
 from rattanridge.web import bodies
 
@@ -35,10 +35,12 @@
     """One administration request whose token and role have been checked.
 
     :param operator: name of the token.
+    :param role: role of the token.
     :param arguments: path parts by the names in the operation's pattern.
     """
 
     operator: str
+    role: str
     arguments: dict[str, str]
     query: dict[str, str]
     body: bytes
@@ -138,7 +140,8 @@
         if self.active > MAX_ACTIVE_REQUESTS:
             raise codes.Failure(codes.ADMIN_BUSY)
         body = await bodies.read_body(request, MAX_BODY_BYTES)
-        checked = Request(token.name, arguments, dict(request.query), body)
+        query = dict(request.query)
+        checked = Request(token.name, token.role, arguments, query, body)
         result = await matched.handler(self, checked)
         self.counters.add("admin.done")
         if matched.method != "GET":
@@ -212,9 +215,15 @@
 
 @operation("GET", "/presets/<name>", "viewer")
 async def show_preset(server: Server, request: Request) -> object:
-    """Return one revision of a preset with its content."""
+    """Return one revision of a preset with its content.
+
+    Only operators receive the keys of its accounts, so that they can put it again.
+    """
     revision = request.query_int("revision") or 0
-    return await server.presets.show(request.arguments["name"], revision)
+    found = await server.presets.show(request.arguments["name"], revision)
+    if request.role != "operator" and found.content is not None:
+        found.content = presets.hide_keys(found.content)
+    return found
 
 
 @operation("POST", "/presets/<name>/use", "operator")
--- a/rattanridge/cli/preset.py
+++ b/rattanridge/cli/preset.py
@@ -46,7 +46,7 @@
 @click.option("--revision", default=0, help="Revision to show; 0 means the newest.")
 @remote.options
 def show(name: str, revision: int, client: remote.AdminClient) -> None:
-    """Show the routes of the preset NAME."""
+    """Show the routes and accounts of the preset NAME, but no keys."""
     query = urllib.parse.urlencode({"revision": revision})
     answer = client.call("GET", f"/presets/{client.quote(name)}?{query}")
     click.echo(f"preset {name} revision {answer['revision']}")
@@ -56,6 +56,13 @@
         click.echo(
             f"  {methods} {route['host']}{route['prefix']} -> {route['service']}"
             f" {kind} {route['priority']} {route['timeout']}s"
+            f"{' public' if route.get('public') else ''}"
+        )
+    for account in answer["content"].get("accounts", ()):
+        priority = "normal" if account["priority"] is None else account["priority"]
+        click.echo(
+            f"  account {account['name']}: {len(account['keys'])} keys, priority"
+            f" {priority}, rate {account['rate']}/s, burst {account['burst']}"
         )
 
 
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -19,6 +19,7 @@
 
 PRIORITIES = ("high", "normal", "low")  # highest first; the index is the rank
 ANY_METHOD = "*"
+HIDDEN_KEY = "***"
 # Target latency of a route that sets none, as a fraction of its timeout.
 DEFAULT_TARGET_RATIO = 0.5
 
@@ -120,6 +121,7 @@
     requests.
     """
     accounts.by_name(map(make_account, preset.accounts), where)
+    check_hidden_keys(preset, where)
     seen: set[tuple[str, str, str]] = set()
     for index, route in enumerate(preset.routes):
         location = f"{where}: routes[{index}]"
@@ -137,6 +139,15 @@
             seen.add(match)
 
 
+def check_hidden_keys(preset: Preset, where: str) -> None:
+    """Raise ``bad-account`` if a preset was copied from one whose keys are hidden."""
+    for index, item in enumerate(preset.accounts):
+        if HIDDEN_KEY in item.keys:
+            detail = f"the keys of account {item.name!r} are hidden"
+            location = f"{where}: accounts[{index}]"
+            raise codes.Failure(codes.BAD_ACCOUNT, detail, where=location)
+
+
 def check_key(key: routes.KeySource | None, location: str) -> None:
     """Raise ``bad-field`` if a key source is not registered or has no name."""
     if key is None:
@@ -177,6 +188,15 @@
     )
 
 
+def hide_keys(preset: Preset) -> Preset:
+    """Return a preset with ``HIDDEN_KEY`` in place of each key of its accounts."""
+    hidden = [
+        msgspec.structs.replace(item, keys=[HIDDEN_KEY] * len(item.keys))
+        for item in preset.accounts
+    ]
+    return msgspec.structs.replace(preset, accounts=hidden)
+
+
 def make_route(name: str, item: Route) -> routes.Route:
     """Return a preset's route as a route of a configuration."""
     methods = frozenset() if ANY_METHOD in item.methods else frozenset(item.methods)
--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -130,6 +130,7 @@
             before=self.version,
             source=source,
             bytes=len(content),
+            accounts=len(found.accounts),
         )
         self.current = found
         self.changed_at = asyncio.get_running_loop().time()
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -266,6 +266,8 @@
                 wait = max(answer.retry_after, MIN_RETRY_AFTER)
                 wait *= self.random.uniform(*RETRY_AFTER_JITTER)
                 response_headers["Retry-After"] = f"{wait:.2f}"
+            if answer.code is codes.NO_ACCOUNT:
+                response_headers["WWW-Authenticate"] = headers.KEY_SCHEME
         return aiohttp.web.Response(
             status=status, headers=response_headers, body=answer.body
         )
@@ -282,6 +284,9 @@
         self.meters.request_seconds.observe(took)
         outcome = "answered" if answer.code is None else answer.code.name
         self.meters.requests.labels(outcome).inc()
+        account = call.account if call is not None else ""
+        if call is not None and account and not call.nested:
+            self.meters.record_account_request(account, answer.code is None)
         if answer.code is None and answer.status < 500:
             late = call is not None and started_at + took > call.timely_until
             outcome = "late" if late else "served"
@@ -290,6 +295,7 @@
             id=request.headers.get(headers.ATTEMPT, "-"),
             path=request.raw_path,
             remote=request.remote,
+            account=account or "-",
             route=call.route if call else "-",
             service=call.service if call else "-",
             status=answer.status,
--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -16,6 +16,9 @@
         self.registry = prometheus_client.CollectorRegistry()
         self.events = self.counter("events", "Events by name", "event")
         self.requests = self.counter("requests", "Answers to callers", "outcome")
+        self.account_requests = self.counter(
+            "account_requests", "Answers to callers by account", "account", "outcome"
+        )
         self.refusals = self.counter("refusals", "Refusals by reason", "reason")
         self.retries = self.counter("retries", "Retries by reason", "reason")
         self.budget_requests = self.counter(
@@ -100,6 +103,14 @@
         """Count a call to the store by its outcome."""
         self.store_calls.labels(call, outcome).inc()
 
+    def record_account_request(self, account: str, answered: bool) -> None:
+        """Count an answer to a caller by its account.
+
+        There are only two outcomes, as each series of each account takes memory.
+        """
+        outcome = "answered" if answered else "refused-or-failed"
+        self.account_requests.labels(account, outcome).inc()
+
     def values(self) -> dict[str, float]:
         """Return all counters that are not zero, by name and labels."""
         found: dict[str, float] = {}
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -21,12 +21,14 @@
     )
 
 
-def configuration(version, *paths, services=("registry", "workshop")):
+def configuration(version, *paths, services=("registry", "workshop"), accounts=()):
     wire = configs.WireConfiguration(
         f"{version:08x}",
         [configs.WireHost(HOST, list(paths))],
         [configs.WireService(name) for name in services],
     )
+    if accounts:
+        wire.accounts = list(accounts)
     return msgspec.json.encode(wire)
 
 
@@ -132,10 +134,15 @@
             node.membership.budget_nodes.listed_since = float("-inf")
             node.exit.parents.started_at = float("-inf")
 
-    async def configure(self, version, *paths):
-        data = configuration(version, *paths)
+    async def configure(self, version, *paths, accounts=()):
+        data = configuration(version, *paths, accounts=accounts)
         await self.store.put(configs.KIND, configs.NAME, data)
 
+    async def apply(self, version, *paths, accounts=()):
+        """Put a version in force at all nodes."""
+        await self.configure(version, *paths, accounts=accounts)
+        await self.fleet.wait_applied(version)
+
     async def order(self, service, version, seconds):
         order = orders.Order(service, version, seconds)
         await self.store.put(orders.KIND, service, orders.encode_order(order))
