Soak: presets with client accounts, one of whose keys changes

Cause: nothing checked keys under faults, restarts and changing presets.

Checked: only requests with a key ran, as their account's and without the key; the key that is in all presets was never refused; after the faults all nodes accept the newest key and refuse the one before.

--- a/rattanridge/cli/soak.py
+++ b/rattanridge/cli/soak.py
@@ -31,7 +31,12 @@
 @click.option(
     "--stops", is_flag=True, help="Stop all nodes in turn beside long requests."
 )
-def soak(seed: int, seeds: int, minutes: float, keep: str, stops: bool) -> None:
+@click.option(
+    "--accounts", is_flag=True, help="Use presets with client accounts and keys."
+)
+def soak(
+    seed: int, seeds: int, minutes: float, keep: str, stops: bool, accounts: bool
+) -> None:
     """Run real processes under random faults and check the documented promises.
 
     Exit with status 1 if a promise was broken in any run; the logs of such a run
@@ -41,7 +46,7 @@
     failed_runs = 0
     for number in range(seed, seed + seeds):
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
-        run = soaks.Soak(number, minutes * 60, directory, stops)
+        run = soaks.Soak(number, minutes * 60, directory, stops, accounts)
         outcome = asyncio.run(run.run())
         click.echo(
             f"seed {number}: {outcome.answered} of {outcome.calls} calls answered, "
--- a/rattanridge/soak/callers.py
+++ b/rattanridge/soak/callers.py
@@ -13,7 +13,7 @@
 import aiohttp
 
 from rattanridge.platform import headers
-from rattanridge.soak import processes
+from rattanridge.soak import api_keys, processes
 from rattanridge.standin import upstream as upstreams
 from rattanridge.web import headers as web_headers
 
@@ -38,6 +38,7 @@
     :param leaving: whether the upstream said in the answer that it leaves.
     :param answered_at: when the answer had come, in seconds since the epoch.
     :param error: class name of the exception that ended it; empty if there was none.
+    :param api_key: key of a client account; empty if it has none.
     """
 
     id: str
@@ -54,6 +55,7 @@
     leaving: bool = False
     answered_at: float = 0.0
     error: str = ""
+    api_key: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -71,12 +73,22 @@
 
 
 class Callers:
-    """Sends requests of all kinds through all hosts."""
+    """Sends requests of all kinds through all hosts.
 
-    def __init__(self, cluster: processes.Cluster, rng: random.Random, load: Load):
+    :param keys: chooses the keys of client accounts; None if none are sent.
+    """
+
+    def __init__(
+        self,
+        cluster: processes.Cluster,
+        rng: random.Random,
+        load: Load,
+        keys: api_keys.KeyRing | None = None,
+    ):
         self.cluster = cluster
         self.random = rng
         self.load = load
+        self.keys = keys
         self.attempts: list[Attempt] = []
         self.numbers = itertools.count(1)
         self.stopping = False
@@ -99,31 +111,52 @@
         """
         service = self.random.choice(processes.SERVICES)
         number = next(self.numbers)
+        # All attempts of one request are of the same account.
+        api_key = self.keys.choose() if self.keys is not None else ""
+        if self.keys is not None and self.keys.is_public():
+            path = f"/{service}/{api_keys.PUBLIC}/{number}"
+            await self.send_attempt(session, "GET", path, api_key=api_key)
+            return
         kind = self.random.random()
         if kind < self.load.long_share:
-            await self.send_attempt(session, "POST", f"/{service}/{LONG}-{number}")
+            path = f"/{service}/{LONG}-{number}"
+            await self.send_attempt(session, "POST", path, api_key=api_key)
             return
         if kind < 0.5:
-            await self.send_attempt(session, "GET", f"/{service}/read-{number}")
+            path = f"/{service}/read-{number}"
+            await self.send_attempt(session, "GET", path, api_key=api_key)
         elif kind < 0.8:
-            await self.send_attempt(session, "POST", f"/{service}/once-{number}")
+            path = f"/{service}/once-{number}"
+            await self.send_attempt(session, "POST", path, api_key=api_key)
         else:
             for _ in range(self.random.randint(1, MAX_ATTEMPTS)):
                 path = f"/{service}/keyed-{number}"
-                await self.send_attempt(session, "POST", path, f"key-{number}")
+                await self.send_attempt(session, "POST", path, f"key-{number}", api_key)
 
     async def send_attempt(
-        self, session: aiohttp.ClientSession, method: str, path: str, key: str = ""
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        path: str,
+        key: str = "",
+        api_key: str = "",
+        host: processes.Host | None = None,
     ) -> Attempt:
-        """Send a request once through a random host and record the result."""
-        host = self.random.choice(self.cluster.hosts)
+        """Send a request once and record the result.
+
+        :param host: host to send it to; None for a random one.
+        """
+        host = host or self.random.choice(self.cluster.hosts)
         loop = asyncio.get_running_loop()
         attempt = f"{next(self.numbers):08x}"
         result = Attempt(attempt, method, path, key, host.name, loop.time())
+        result.api_key = api_key
         self.attempts.append(result)
         request_headers = {headers.ATTEMPT: attempt, headers.DEADLINE: str(DEADLINE_MS)}
         if key:
             request_headers[upstreams.IDEMPOTENCY_KEY] = key
+        if api_key:
+            request_headers[headers.AUTHORIZATION] = f"{headers.KEY_SCHEME} {api_key}"
         url = f"http://{host.listen['callers']}{path}"
         timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT)
         try:
--- a/rattanridge/soak/journals.py
+++ b/rattanridge/soak/journals.py
@@ -16,12 +16,16 @@
     :param attempt: attempt id of the request.
     :param key: idempotency key; empty if it has none.
     :param at: seconds since the epoch.
+    :param account: name of the client account that it received; empty if none.
+    :param authorization: what it received of the caller's key; empty if nothing.
     """
 
     endpoint: str
     attempt: str
     key: str
     at: float
+    account: str = ""
+    authorization: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,7 +51,14 @@
             found = json.loads(line)
             endpoint, at = found["endpoint"], found["at"]
             if found["event"] == "run":
-                run = Run(endpoint, found["attempt"], found["key"], at)
+                run = Run(
+                    endpoint,
+                    found["attempt"],
+                    found["key"],
+                    at,
+                    found["account"],
+                    found["authorization"],
+                )
                 journals.runs.append(run)
             elif found["event"] == "limit":
                 changes = journals.limits.setdefault(endpoint, [])
--- a/rattanridge/soak/promises.py
+++ b/rattanridge/soak/promises.py
@@ -14,6 +14,7 @@
     callers,
     faults,
     journals,
+    key_promises,
     processes,
     schedule,
 )
@@ -76,6 +77,7 @@
         *announced.check_leaving(runs, told),
         *check_planned_stops(runs, attempts, windows),
         *check_answered(attempts, windows),
+        *key_promises.check_all(runs, attempts),
     ]
 
 
--- a/rattanridge/soak/soak.py
+++ b/rattanridge/soak/soak.py
@@ -11,7 +11,15 @@
 from rattanridge.admin import presets as preset_store
 from rattanridge.kernel import codes, log, presets
 from rattanridge.platform import store as stores
-from rattanridge.soak import callers, faults, processes, promises, schedule
+from rattanridge.soak import (
+    api_keys,
+    callers,
+    faults,
+    key_promises,
+    processes,
+    promises,
+    schedule,
+)
 from rattanridge.standin import fleet
 
 HOSTS = 6
@@ -50,15 +58,24 @@
     :param directory: directory for settings, logs and journals.
     :param stops: whether all nodes are stopped and started again in turn, beside long
         requests that must not be repeated, in place of random faults.
+    :param accounts: whether the presets have client accounts, whose keys change.
     """
 
     def __init__(
-        self, seed: int, seconds: float, directory: pathlib.Path, stops: bool = False
+        self,
+        seed: int,
+        seconds: float,
+        directory: pathlib.Path,
+        stops: bool = False,
+        accounts: bool = False,
     ):
         self.cluster = processes.Cluster(directory, HOSTS)
         self.stops = stops
         load = STOPS_LOAD if stops else callers.Load()
-        self.callers = callers.Callers(self.cluster, random.Random(seed), load)
+        self.keys = api_keys.KeyRing(random.Random(seed)) if accounts else None
+        self.callers = callers.Callers(
+            self.cluster, random.Random(seed), load, self.keys
+        )
         planned = schedule.plan_stops(seconds, HOSTS)
         if not stops:
             planned = self.plan_random(seed, seconds)
@@ -132,6 +149,10 @@
             preset.routes.append(
                 presets.Route(prefix=f"/{service}/once", service=service)
             )
+        if self.keys is not None:
+            self.keys.change = self.changes
+            preset.accounts = api_keys.accounts_of(self.changes)
+            preset.routes += map(api_keys.public_route, processes.SERVICES)
         store = stores.Store(self.cluster.store_address)
         operations = preset_store.Presets(store, lambda: self.generation)
         try:
@@ -178,15 +199,19 @@
 
     async def check_service(self) -> None:
         """Check that nearly all requests are served after the faults."""
+        if self.keys is not None:
+            self.keys.only_steady = True
+            found = await key_promises.check_rotation(self.callers, self.changes)
+            self.outcome.broken += found
         before = len(self.callers.attempts)
         async with aiohttp.ClientSession() as session:
             for _ in range(FINAL_CALLS):
                 await self.callers.send_request(session)
-        found = self.callers.attempts[before:]
-        served = sum(item.status == 200 for item in found)
-        if served < FINAL_SHARE * len(found):
-            answers = {(item.status, item.code, item.error) for item in found}
-            self.outcome.broken.append(f"served {served} of {len(found)}: {answers}")
+        final = self.callers.attempts[before:]
+        served = sum(item.status == 200 for item in final)
+        if served < FINAL_SHARE * len(final):
+            answers = {(item.status, item.code, item.error) for item in final}
+            self.outcome.broken.append(f"served {served} of {len(final)}: {answers}")
 
     def complete_outcome(self) -> None:
         """Complete the outcome and check the promises."""
--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -285,7 +285,15 @@
     ) -> aiohttp.web.Response:
         """Run one request, which is recorded before anything else happens."""
         self.runs.append(run)
-        self.write_journal("run", attempt=run.attempt, key=run.key)
+        account = run.headers.get(headers.ACCOUNT, "")
+        authorization = run.headers.get(headers.AUTHORIZATION, "")
+        self.write_journal(
+            "run",
+            attempt=run.attempt,
+            key=run.key,
+            account=account,
+            authorization=authorization,
+        )
         self.counts["runs"] += 1
         affected = self.is_affected(run)
         self.running += 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,11 +5,14 @@
 
 import pytest
 
+from rattanridge.kernel import codes
 from rattanridge.soak import (
     announced,
+    api_keys,
     callers,
     faults,
     journals,
+    key_promises,
     processes,
     promises,
     proxy,
@@ -198,6 +201,48 @@
         assert bool(found) is broken
 
 
+class TestKeyPromises:
+    """Each check reports the violation that it is there for."""
+
+    @pytest.mark.parametrize(
+        ("key", "path", "account", "broken"),
+        [
+            ("steady-key", "/a/1", "steady", False),
+            ("steady-key", "/a/1", "rotated", True),
+            ("steady-key", "/a/1", "", True),
+            ("steady-key", "/a/public/1", "", True),
+            ("rotated-key-3", "/a/1", "rotated", False),
+            ("rotated-key-3", "/a/public/1", "", False),
+            (api_keys.WRONG_KEY, "/a/1", "", True),
+            (api_keys.WRONG_KEY, "/a/public/1", "", False),
+            ("", "/a/1", "", True),
+            ("", "/a/public/1", "", False),
+            ("", "/a/public/1", "steady", True),
+        ],
+    )
+    def test_run_of_a_request(self, key, path, account, broken):
+        attempt = make_attempt("1", api_key=key)
+        attempt.path = path
+        attempts = [attempt, make_attempt("2", api_key="steady-key")]
+        runs = [journals.Run("e", "1", "", AT, account)]
+        assert bool(key_promises.check_all(runs, attempts)) is broken
+
+    def test_key_at_the_endpoint(self):
+        attempts = [make_attempt("1", api_key="steady-key")]
+        runs = [journals.Run("e", "1", "", AT, "steady", "Token steady-key")]
+        assert key_promises.check_all(runs, attempts)
+
+    @pytest.mark.parametrize("key", ["steady-key", "rotated-key-1"])
+    def test_refusal(self, key):
+        refused = make_attempt("1", api_key=key, code=str(codes.NO_ACCOUNT.number))
+        found = key_promises.check_all([], [refused])
+        assert bool(found) is (key == "steady-key")
+
+    def test_nothing_is_checked_without_accounts(self):
+        runs = [journals.Run("e", "1", "", AT)]
+        assert not key_promises.check_all(runs, [make_attempt("1")])
+
+
 class TestSchedule:
     # Guards against: a seed gives different faults in each run and reproduces nothing.
     def test_schedule_depends_on_the_seed_alone(self):
@@ -306,6 +351,17 @@
         assert not outcome.broken
         assert outcome.answered > 0.5 * outcome.calls
 
+    # Guards against: keys that change with presets, under faults, let the wrong
+    # requests run or refuse the right ones.
+    def test_a_short_run_with_accounts(self, tmp_path):
+        run = soak.Soak(2, 4.2, tmp_path, accounts=True)
+        outcome = asyncio.run(run.run())
+        assert not outcome.broken
+        statuses = {item.status for item in run.callers.attempts}
+        assert {200, 401} <= statuses
+        lines = [path.read_text() for path in tmp_path.glob("*.log")]
+        assert not any("steady-key" in text for text in lines)
+
     # Guards against: what a node passes on just before it ends is cut.
     def test_stops_in_series_beside_long_requests(self, tmp_path):
         outcome = asyncio.run(soak.Soak(1, 10.0, tmp_path, stops=True).run())
