measure node-cost: compile the modules first

Cause: a deployment's build compiles all modules; where the environment forbids to write bytecode, the nodes of the experiment compiled some 70 modules at each start.

--- a/rattanridge/measure/node_cost.py
+++ b/rattanridge/measure/node_cost.py
@@ -40,6 +40,7 @@
 
     ``size`` is the number of requests, ``seconds`` the duration without changes.
     """
+    node_processes.compile_modules()
     figures = asyncio.run(
         run(
             parameters.size or DEFAULT_REQUESTS,
@@ -126,7 +127,7 @@
             if number < STARTS:
                 self.running.remove(node)
                 await node.kill()
-        # The first start may compile the modules.
+        # The first start reads the modules from disk.
         figures = {"start_cpu_ms": statistics.median(spent[1:]) * 1000}
         return figures | self.memory_figures("start")
 
--- a/rattanridge/measure/node_processes.py
+++ b/rattanridge/measure/node_processes.py
@@ -1,6 +1,7 @@
 """Nodes that run as in a deployment, each a process of its own, and what they cost."""
 
 import asyncio
+import compileall
 import dataclasses
 import os
 import pathlib
@@ -9,6 +10,7 @@
 import aiohttp
 import msgspec
 
+import rattanridge
 from rattanridge.measure import processes
 from rattanridge.mesh import settings
 from rattanridge.platform import heartbeats
@@ -33,6 +35,12 @@
     peak: float
 
 
+def compile_modules() -> None:
+    """Compile the package to bytecode, as the build of a deployment does."""
+    for directory in rattanridge.__path__:
+        compileall.compile_dir(directory, quiet=1)
+
+
 class NodeProcess:
     """A node that runs ``python -m rattanridge.daemon``.
 
