daemon: no garbage collection during the start

Cause: a start creates some 45,000 objects that stay. Collections during the imports take some 25 ms of CPU time, and the full one before gc.freeze 35 ms.

Change: the daemon disables the collector first, and enables it after the start, with all objects frozen.

--- a/rattanridge/daemon.py
+++ b/rattanridge/daemon.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import collections.abc
+import gc
 import os
 import signal
 import sys
 
 if __name__ == "__main__":
+    # What a start creates stays, so that searching it for garbage, again and again,
+    # takes a sixth of the CPU time of the start and finds next to nothing.
+    gc.disable()
     # By default SIGHUP ends a process, and a reload may be requested while the
     # modules below are still loading. Ignoring it loses nothing, because the
     # settings are read afterwards.
@@ -61,13 +65,15 @@
 async def start(node: nodes.Node) -> None:
     """Start a node, and its administration API if the settings give an address."""
     await node.start()
-    if not node.config.listen.admin:
-        return
-    # Imported here, so that a node without the API does not load its modules.
-    from rattanridge.admin import server
-
-    admin_server = server.Server(node)
-    await node.ports.listen(admin_server.serve, node.config.listen.admin)
+    if node.config.listen.admin:
+        # Imported here, so that a node without the API does not load its modules.
+        from rattanridge.admin import server
+
+        admin_server = server.Server(node)
+        await node.ports.listen(admin_server.serve, node.config.listen.admin)
+    # Modules and all parts of the node are never garbage.
+    gc.freeze()
+    gc.enable()
 
 
 def main() -> None:
