A node sleeps while it has nothing to do: log lines, coordinator

Cause: a node without requests woke up 5 times a second to flush log lines that it did not have, and 3 times to check rollouts that did not exist.

Change: the task that flushes waits for a line; the coordinator, whose modules are now imported on first use, waits for the first order.

--- a/rattanridge/kernel/sink.py
+++ b/rattanridge/kernel/sink.py
@@ -1,6 +1,7 @@
 """Non-blocking output of log lines, and the rate limit for events."""
 
 import collections
+import collections.abc
 import os
 
 import logbook
@@ -50,12 +51,15 @@
         # Whether part of the oldest line was already written.
         self.partly_written = False
         self.dropped = 0
+        # Called for each line that is buffered.
+        self.on_line: collections.abc.Callable[[], object] = lambda: None
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Buffer one line; drop the oldest lines if the buffer is full."""
         line = self.format(record).encode("utf-8", "replace") + b"\n"
         self.lines.append(line)
+        self.on_line()
         self.size += len(line)
         # Keep a partly written line: its rest must follow.
         oldest = int(self.partly_written)
--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -129,21 +129,33 @@
         self.sink = sink
         self.gate = sinks.RateLimiter(rate)
         self.task: asyncio.Task | None = None
+        # Set while there are lines to flush or to report as suppressed.
+        self.pending = asyncio.Event()
+        if sink is not None:
+            sink.on_line = self.pending.set
 
     def note(self, event: str, **fields: object) -> None:
         """Log an event that may be frequent; beyond the rate it is only counted."""
         if self.gate.allow(event, asyncio.get_running_loop().time()):
             self.info(event, **fields)
+        else:
+            self.pending.set()
 
     def start(self) -> None:
         """Start to flush the lines."""
         self.task = asyncio.create_task(self.run())
 
     async def run(self) -> None:
-        """Flush the lines and log the numbers of suppressed ones, until cancelled."""
+        """Flush the lines and log the numbers of suppressed ones, until cancelled.
+
+        Waits while there are none, as each wake-up costs CPU time.
+        """
         loop = asyncio.get_running_loop()
         reported = loop.time()
         while True:
+            if not self.has_pending():
+                self.pending.clear()
+                await self.pending.wait()
             await asyncio.sleep(sinks.FLUSH_INTERVAL)
             if loop.time() - reported > sinks.REPORT_INTERVAL:
                 reported = loop.time()
@@ -151,6 +163,12 @@
             if self.sink is not None:
                 self.sink.flush()
 
+    def has_pending(self) -> bool:
+        """Return whether there are lines to flush, or lost ones to report."""
+        if self.gate.suppressed:
+            return True
+        return self.sink is not None and bool(self.sink.lines or self.sink.dropped)
+
     def report(self) -> None:
         """Log how many lines of each kind were suppressed, and how many were lost.
 
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import gc
 import time
 import typing
 
@@ -11,7 +10,7 @@
     claims,
     configs,
     confirmation,
-    coordinator,
+    coordination,
     dispatcher,
     entry,
     events,
@@ -178,14 +177,14 @@
                 allow_stale=True,
             ),
         ]
-        self.coordinator = coordinator.Coordinator(
-            config,
-            self.store,
-            self.health,
+        self.coordination = coordination.Coordination(
             self.versions,
-            self.directory,
-            self.dispatcher.peers,
-            self.log,
+            config=config,
+            store=self.store,
+            health=self.health,
+            directory=self.directory,
+            peers=self.dispatcher.peers,
+            log=self.log,
         )
         self.store.era_listeners.append(self.apply_new_era)
         self.tasks: list[asyncio.Task] = []
@@ -274,11 +273,9 @@
         for watch in self.watches:
             self.start_task(watch.run())
         self.start_task(self.membership.publisher.run(RECORD_RETRY_DELAY))
-        self.start_task(self.coordinator.run())
+        self.start_task(self.coordination.run())
         self.start_task(self.claims.sweep())
         self.start_task(self.maintain())
-        gc.collect()
-        gc.freeze()
         self.log.info(
             "node-started",
             zone=self.config.zone,
--- a/rattanridge/mesh/versions.py
+++ b/rattanridge/mesh/versions.py
@@ -1,5 +1,6 @@
 """Selects the version of a service that a request goes to, by the operator's orders."""
 
+import asyncio
 import collections.abc
 import dataclasses
 import random
@@ -123,6 +124,8 @@
         self.now = now
         self.random = random.Random()
         self.rollouts: dict[str, Rollout] = {}
+        # Set once an order was seen.
+        self.any_order = asyncio.Event()
         # Whether the orders are known, from the store or from another node.
         self.known = False
         # Outcomes of ended orders, by service and version; they hold when the next
@@ -185,6 +188,7 @@
         if known is not None and known.order == order:
             fresh.continue_from(known)
         self.rollouts[order.service] = fresh
+        self.any_order.set()
         self.record_outcome(fresh)
         self.meters.rollout_share.labels(order.service).set(fresh.share())
         self.log.info(
--- a/tests/test_mesh_rollouts.py
+++ b/tests/test_mesh_rollouts.py
@@ -115,7 +115,7 @@
         await asyncio.sleep(2.0)
         assert holder(world) == name
         fresh = await restart(world, name)
-        running = fresh.coordinator.evaluations
+        running = fresh.coordination.coordinator.evaluations
         await world.wait(lambda: running and running["registry"].heard, 2.0)
         elapsed = asyncio.get_running_loop().time() - ordered_at
         assert abs(running["registry"].ramp.elapsed - elapsed) < 0.5
@@ -207,10 +207,10 @@
         rollout = node.versions.rollouts["registry"]
         evaluation = evaluations.Evaluation(rollout)
         found = node.directory.candidates_of("registry")
-        await node.coordinator.fetch_reports(evaluation, found)
+        await node.coordination.coordinator.fetch_reports(evaluation, found)
         assert evaluation.capacity_ratio(found) == pytest.approx(1.0)
         limited = world.nodes[3].exit.queue
         limited.times.record("lookup", 0.1)
         limited.set_limit(20.0)
-        await node.coordinator.fetch_reports(evaluation, found)
+        await node.coordination.coordinator.fetch_reports(evaluation, found)
         assert evaluation.capacity_ratio(found) == pytest.approx(2 / 24)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -246,7 +246,11 @@
         )
         # As if the store had returned later: nothing but the verdict is remembered.
         await world.wait(
-            lambda: not any(node.coordinator.evaluations for node in world.nodes)
+            lambda: (
+                not any(
+                    node.coordination.coordinator.evaluations for node in world.nodes
+                )
+            )
         )
         world.nodes[3].exit.trial.braked_until = 0.0
         await restore(world, time.monotonic() - copied_at)
@@ -286,7 +290,7 @@
         assert not stored.deleted
         await restore(world, 0.3)
         for node in world.nodes:
-            node.start_task(node.coordinator.run())
+            node.start_task(node.coordination.coordinator.run())
         await world.wait(
             lambda: rollout_state(world) == orders.COMPLETED, RETURNED_WITHIN
         )
