Configurations: a route is decoded with less work, a known one not at all

Cause: decoding 800 routes took 8.3 ms, more than half of it in checks of weights and in objects for fields that most routes do not have; the content in force was decoded again when another node or a list delivered it.

Change: weights are checked only where a route has a split, all routes to one service share one tuple, and content that is in force is not decoded.

Measured: configs.decode of 123 kB, mean of 20: 8.3 to 6.3 ms, beside other work.

--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -111,6 +111,8 @@
 
         :param source: where it was read, for the log and the node's state.
         """
+        if content == self.content:
+            return
         try:
             found = configs.decode(content)
         except codes.Failure as failure:
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -1,5 +1,7 @@
 """Wire format of the configuration, and its conversion to the kernel's types."""
 
+import functools
+
 import msgspec
 
 from rattanridge.kernel import codes, routes
@@ -32,6 +34,9 @@
     key: routes.KeySource | None = msgspec.field(name="IdempotencyKey", default=None)
 
 
+NO_EXTRAS = WireExtras()
+
+
 class WireRoute(msgspec.Struct):
     """One path of a host.
 
@@ -137,7 +142,7 @@
     """
     shares = decode_shares(item)
     check_route(item, shares, services)
-    extras = item.extras or WireExtras()
+    extras = item.extras or NO_EXTRAS
     return routes.Route(
         name=item.name,
         host=host.lower(),
@@ -159,7 +164,13 @@
     """Return the weighted services of a route: its split, or its only service."""
     if item.split:
         return tuple(routes.Share(part.service, part.weight) for part in item.split)
-    return (routes.Share(item.service or "", 1),)
+    return single_share(item.service or "")
+
+
+@functools.lru_cache(maxsize=1024)
+def single_share(service: str) -> tuple[routes.Share, ...]:
+    """Return the only share of a service, one object for all routes to it."""
+    return (routes.Share(service, 1),)
 
 
 def check_route(
@@ -176,9 +187,9 @@
         raise codes.Failure(codes.BAD_FIELD, f"prefix {item.prefix!r}", where=where)
     if item.timeout_ms <= 0 or item.target_ms < 0:
         raise codes.Failure(codes.BAD_FIELD, "times below zero", where=where)
-    if any(share.weight < 0 for share in shares):
+    if item.split and min(share.weight for share in shares) < 0:
         raise codes.Failure(codes.BAD_FIELD, "a weight below zero", where=where)
-    if not any(share.weight > 0 for share in shares):
+    if item.split and max(share.weight for share in shares) <= 0:
         raise codes.Failure(codes.BAD_FIELD, "no weight above zero", where=where)
     key = item.extras.key if item.extras else None
     if key is not None and key.source not in routes.KEY_SOURCES.items:
