--- a/rattanridge/mesh/connections.py
+++ b/rattanridge/mesh/connections.py
@@ -18,7 +18,7 @@
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import response_limits
-from rattanridge.web import memory
+from rattanridge.web import memory, receiving
 
 CONNECT_TIMEOUT = 0.25  # seconds to connect while a request waits
 MAX_HEADER_LINE_BYTES = 65_536  # of a response
@@ -91,6 +91,10 @@
         self.idle_limit = DEFAULT_IDLE_LIMIT
         self.used_at = loop.time()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        receiving.limit_reads(transport)
+
     def is_open(self) -> bool:
         """Return whether a request may be sent on it."""
         if self.close_reason or self.transport is None:
--- a/rattanridge/web/server.py
+++ b/rattanridge/web/server.py
@@ -18,7 +18,7 @@
 import yarl
 
 from rattanridge.kernel import codes
-from rattanridge.web import pipelining, responses
+from rattanridge.web import pipelining, receiving, responses
 
 IDLE_SECONDS = 75.0  # until an idle connection is closed
 FIRST_REQUEST_SECONDS = 10.0  # until a new connection must have sent a request
@@ -87,6 +87,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        receiving.limit_reads(transport)
         if not self.server.admit():
             typing.cast(asyncio.Transport, transport).abort()
             return
