Evacuated zones and the rate of cold endpoints: choice, exits, learning

Cause: an operator could not take a zone out of use, and a freshly started endpoint got requests at the rate of a warm one. Change: kind evacuations, watched only if the settings have evacuation_ms; entries choose no endpoint of such a zone and its exits refuse (5051). Exits count the requests to a cold endpoint and refuse beyond the bound (5050); the room travels in Rattanridge-Cold. Both refusals cost no attempt. The watches moved from mesh/node.py to mesh/watches.py.

--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -242,6 +242,18 @@
     503,
     "The endpoint's version is on trial and may get no more requests now",
 )
+ENDPOINT_COLD = define(
+    5050,
+    "endpoint-cold",
+    503,
+    "The endpoint is cold, and gets as many requests a second as it takes then",
+)
+ZONE_EVACUATED = define(
+    5051,
+    "zone-evacuated",
+    503,
+    "The endpoint's availability zone is evacuated",
+)
 INTERNAL = define(5034, "internal", 500, "The node itself failed; see its log")
 
 # 6xxx: rollouts.
@@ -283,3 +295,17 @@
 ADMIN_BUSY = define(
     7011, "admin-busy", 503, "Too many administration requests are running on this node"
 )
+
+# 8xxx: availability zones.
+ZONE_UNKNOWN = define(8001, "zone-unknown", 404, "No node is in this zone")
+ZONE_ALREADY_EVACUATED = define(
+    8002, "zone-already-evacuated", 409, "The zone is evacuated already"
+)
+ZONE_NOT_EVACUATED = define(8003, "zone-not-evacuated", 409, "The zone is in use")
+ZONE_LAST = define(8004, "zone-last", 409, "No other zone with a node is in use")
+ZONES_NOT_FOLLOWED = define(
+    8005,
+    "zones-not-followed",
+    409,
+    "The settings of the node do not ask to follow evacuations",
+)
--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -14,6 +14,7 @@
     ),
 ]
 Method = typing.Annotated[str, msgspec.Meta(pattern=r"^([A-Z]{1,16}|\*)$")]
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 Attempts = typing.Annotated[int, msgspec.Meta(ge=1, le=10)]
 
 PRIORITIES = ("high", "normal", "low")  # highest first; the index is the rank
@@ -27,10 +28,15 @@
 
     :param health_path: path of its health check.
     :param connections: maximum number of connections to one endpoint.
+    :param cold_start: seconds for which an endpoint is cold after its start.
+    :param cold_rate: requests per second that a cold endpoint takes; 0 if there is no
+        bound.
     """
 
     health_path: Prefix = "/healthz"
     connections: settings.Count = 100
+    cold_start: NotNegative = 0.0
+    cold_rate: NotNegative = 0.0
 
 
 class Route(settings.Struct, kw_only=True):
@@ -129,7 +135,9 @@
 def make_configuration(preset: Preset, version: int) -> routes.Configuration:
     """Return a preset as a configuration with the given version."""
     services = {
-        name: routes.Service(name, item.health_path, item.connections)
+        name: routes.Service(
+            name, item.health_path, item.connections, item.cold_start, item.cold_rate
+        )
         for name, item in preset.services.items()
     }
     converted = [
--- a/rattanridge/kernel/routes.py
+++ b/rattanridge/kernel/routes.py
@@ -79,11 +79,16 @@
 
     :param health_path: path of its health check.
     :param connections: maximum number of connections to one endpoint.
+    :param cold_start: seconds for which an endpoint is cold after its start.
+    :param cold_rate: requests per second that a cold endpoint takes; 0 if there is no
+        bound.
     """
 
     name: str
     health_path: str = "/healthz"
     connections: int = 100
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -7,7 +7,7 @@
 from rattanridge.kernel import codes
 from rattanridge.mesh import announcements
 from rattanridge.platform import headers
-from rattanridge.policies import load_shedding, placement
+from rattanridge.policies import cold_rate, load_shedding, placement
 from rattanridge.web import headers as own_headers
 
 Headers = list[tuple[str, str]]
@@ -75,6 +75,7 @@
     :param version: version of the configuration at the exit.
     :param refused_shares: how often the exit refuses new requests, by rank.
     :param announcement: what the endpoint announced in its answers.
+    :param room: requests that the endpoint may get, if it is cold; None if it is not.
     """
 
     status: int
@@ -92,6 +93,7 @@
     version: int = 0
     refused_shares: load_shedding.Shares = dataclasses.field(default_factory=dict)
     announcement: announcements.Announcement | None = None
+    room: cold_rate.Room | None = None
 
 
 def refusal(failure: codes.Failure, reached_upstream: bool = False) -> Answer:
--- a/rattanridge/mesh/confirmation.py
+++ b/rattanridge/mesh/confirmation.py
@@ -112,5 +112,8 @@
         known = self.upstream.identity
         if known is not None and known.endpoint == endpoint:
             self.announcements.record_answer(response.headers, known)
+            cold = headers.parse_cold(response.headers.get(headers.COLD))
+            if cold is not None:
+                self.upstream.record_cold(cold)
         if response.status == 200:
             self.upstream.confirm(endpoint)
--- a/rattanridge/mesh/directory.py
+++ b/rattanridge/mesh/directory.py
@@ -47,6 +47,8 @@
         # By node: what its endpoint announced last, and the monotonic seconds then.
         self.announcements: dict[str, announcements.Announcement] = {}
         self.announced_at: dict[str, float] = {}
+        # Zones whose endpoints get no requests.
+        self.evacuated: frozenset[str] = frozenset()
         # Incarnations that have announced that they leave, in the order in which that
         # became known. Records may be older than that, also later ones.
         self.leaving: dict[upstreams.Identity, None] = {}
@@ -151,7 +153,7 @@
         self.candidates[name] = candidate
         # A new list, as callers may still iterate over the old one.
         self.by_service[record.service] = [
-            *self.candidates_of(record.service),
+            *self.by_service.get(record.service, ()),
             candidate,
         ]
 
@@ -229,7 +231,7 @@
         known = self.candidates.pop(name, None)
         if known is not None:
             rest = [
-                item for item in self.candidates_of(known.service) if item is not known
+                item for item in self.by_service[known.service] if item is not known
             ]
             self.by_service[known.service] = rest
 
@@ -261,8 +263,15 @@
         ]
 
     def candidates_of(self, service: str) -> list[placement.Candidate]:
-        """Return the candidates of a service."""
-        return self.by_service.get(service, [])
+        """Return the candidates of a service, but none in an evacuated zone."""
+        found = self.by_service.get(service, [])
+        if self.evacuated:
+            return [item for item in found if item.zone not in self.evacuated]
+        return found
+
+    def is_candidate(self, candidate: placement.Candidate) -> bool:
+        """Return whether a candidate is still one, whether or not it is evacuated."""
+        return self.candidates.get(candidate.node) is candidate
 
 
 def is_same_endpoint(candidate: placement.Candidate, record: records.Record) -> bool:
--- a/rattanridge/mesh/dispatcher.py
+++ b/rattanridge/mesh/dispatcher.py
@@ -14,9 +14,11 @@
     settings,
     shutdown as shutdowns,
 )
-from rattanridge.policies import placement, retry_budget
+from rattanridge.policies import cold_rate, placement, retry_budget
 
 MAX_EXIT_REFUSALS = 3  # attempts of one call that did not reach an upstream
+# Refusals of one call that its entry could not foresee, and that count as no attempt.
+MAX_FREE_REFUSALS = 6
 # Connections to upstreams that may break during one call; the call may be the cause.
 MAX_UPSTREAM_FAILURES = 2
 NO_ENDPOINT_RETRY_AFTER = 0.3  # seconds
@@ -30,7 +32,10 @@
     codes.WRONG_ENDPOINT,
     codes.DRAINING,
     codes.STOPPING,
+    codes.ZONE_EVACUATED,
 )
+# Refusals by a bound on what the endpoint gets. The call moves on at no cost.
+FREE_CODES = (codes.ENDPOINT_COLD, codes.ZONE_EVACUATED)
 # Refusals that every other endpoint would give as well.
 FINAL_CODES = (codes.QUARANTINED, codes.CALLS_OVERLOADED)
 
@@ -46,7 +51,9 @@
 
     :param tried: nodes that the call was sent to.
     :param upstreams_reached: number of attempts that reached an upstream.
-    :param exit_refusals: number of attempts that did not reach an upstream.
+    :param exit_refusals: number of attempts that did not reach an upstream, without
+        the free ones.
+    :param free_refusals: number of refusals with one of ``FREE_CODES``.
     :param upstream_failures: number of attempts during which an upstream broke off.
     :param best_answer: the answer to return if no better one comes.
     """
@@ -54,6 +61,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     upstreams_reached: int = 0
     exit_refusals: int = 0
+    free_refusals: int = 0
     upstream_failures: int = 0
     best_answer: calls.Answer | None = None
 
@@ -61,7 +69,9 @@
         """Record the answer to one attempt; return the best one so far."""
         self.tried.add(node)
         self.upstreams_reached += answer.reached_upstream
-        self.exit_refusals += not answer.reached_upstream
+        free = answer.code in FREE_CODES
+        self.free_refusals += free
+        self.exit_refusals += not answer.reached_upstream and not free
         self.upstream_failures += answer.code is codes.UPSTREAM_FAILED
         self.best_answer = better_answer(self.best_answer, answer)
         return self.best_answer
@@ -75,6 +85,8 @@
         retry budget is divided; 0 if this node has no share of it.
     :param record_peer_version: called with the version of the configuration at each
         exit that answers, and the exit's address.
+    :param record_evacuated: called with the address of each exit that refused a call
+        because its zone is evacuated.
     :param peers: forwards calls to other nodes.
     :param shutdown: tells which calls can still end in time.
     """
@@ -87,6 +99,7 @@
         filter_candidates: CandidateFilter,
         count_budget_nodes: BudgetNodeCount,
         record_peer_version: collections.abc.Callable[[int, str], None],
+        record_evacuated: collections.abc.Callable[[str], None],
         peers: peer_clients.PeerClient,
         shutdown: shutdowns.Shutdown,
         log: events.Events,
@@ -98,11 +111,13 @@
         self.filter_candidates = filter_candidates
         self.count_budget_nodes = count_budget_nodes
         self.record_peer_version = record_peer_version
+        self.record_evacuated = record_evacuated
         self.log = log
         self.meters = meters
         self.peers = peers
         self.shutdown = shutdown
         self.placer = placement.PLACERS.get(config.policies.placement)(config.zone)
+        self.rooms = cold_rate.KnownRooms()
         self.budgets: dict[str, retry_budget.Budget] = {}
         self.poll_tasks: set[asyncio.Task] = set()
 
@@ -134,7 +149,7 @@
         while True:
             candidate = self.choose(call, route, progress.tried)
             if candidate is None:
-                return progress.best_answer or calls.refusal(no_endpoint_failure(call))
+                return progress.best_answer or calls.refusal(self.no_endpoint(call))
             answer = await self.send(candidate, call)
             self.record_result(candidate, call, answer)
             best_answer = progress.record_answer(candidate.node, answer)
@@ -170,14 +185,28 @@
         allowed = self.filter_candidates(call.service, all_candidates, bool(tried))
         untried = [item for item in allowed if item.node not in tried]
         now = asyncio.get_running_loop().time()
+        if self.rooms.rooms:
+            untried = [item for item in untried if not self.rooms.delay(item.node, now)]
         return self.placer.choose(untried, route.name, route.target_latency, now)
 
+    def no_endpoint(self, call: calls.Call) -> codes.Failure:
+        """Return the failure of a call whose service has no usable endpoint."""
+        now = asyncio.get_running_loop().time()
+        candidates = self.directory.candidates_of(call.service)
+        wait = self.rooms.least_delay((item.node for item in candidates), now)
+        if wait:
+            return codes.Failure(codes.ENDPOINT_COLD, call.service, retry_after=wait)
+        return codes.Failure(
+            codes.NO_ENDPOINT, call.service, retry_after=NO_ENDPOINT_RETRY_AFTER
+        )
+
     async def send(
         self, candidate: placement.Candidate, call: calls.Call
     ) -> calls.Answer:
         """Send a call to one endpoint through the exit of its node."""
         loop = asyncio.get_running_loop()
         candidate.begin(loop.time())
+        self.rooms.record_sent(candidate.node)
         call.announcement = self.directory.announcement_of(candidate.node, loop.time())
         answered = False
         try:
@@ -199,9 +228,12 @@
         if answer.load is not None:
             candidate.record_load(answer.load, now)
             self.record_announcement(candidate, answer, now)
+            self.rooms.record(candidate.node, answer.room, now)
             dependencies = self.exit.dependencies
             dependencies.record_shares(call.service, answer.refused_shares, now)
         self.record_peer_version(answer.version, candidate.hop)
+        if answer.code is codes.ZONE_EVACUATED:
+            self.record_evacuated(candidate.hop)
         if answer.code in UNUSABLE_CODES:
             candidate.record_unreachable(now)
             if answer.load is None:
@@ -241,7 +273,7 @@
         """Connect to a node repeatedly until it accepts or is no longer a candidate."""
         loop = asyncio.get_running_loop()
         self.log.note("node-lost", name=candidate.node, hop=candidate.hop)
-        while candidate in self.directory.candidates_of(candidate.service):
+        while self.directory.is_candidate(candidate):
             await asyncio.sleep(max(candidate.paused_until - loop.time(), 0.0))
             if await self.peers.probe(candidate.hop):
                 candidate.record_reachable()
@@ -274,6 +306,8 @@
             return False
         if progress.upstream_failures >= MAX_UPSTREAM_FAILURES:
             return False
+        if answer.code in FREE_CODES:
+            return progress.free_refusals < MAX_FREE_REFUSALS
         if not progress.upstreams_reached:
             return True
         return self.try_spend_retry(call)
@@ -340,10 +374,3 @@
     if last.code is None or last.ran is not codes.Execution.NOT_RUN:
         return last
     return answer
-
-
-def no_endpoint_failure(call: calls.Call) -> codes.Failure:
-    """Return the failure of a call whose service has no usable endpoint."""
-    return codes.Failure(
-        codes.NO_ENDPOINT, call.service, retry_after=NO_ENDPOINT_RETRY_AFTER
-    )
--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -43,6 +43,12 @@
             "upstream_limit",
             "Requests per second that the local endpoint takes; +Inf if it names none",
         )
+        self.upstream_cold = self.gauge(
+            "upstream_cold", "1 while the local endpoint is bounded as a cold one"
+        )
+        self.zone_evacuated = self.gauge(
+            "zone_evacuated", "1 while a zone is evacuated", "zone"
+        )
         self.version = self.gauge(
             "configuration_version", "Version of the configuration in force"
         )
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -8,6 +8,7 @@
     calls,
     connections,
     events,
+    gate as gates,
     monitoring,
     parents,
     settings,
@@ -35,6 +36,7 @@
     :param shutdown: tells which calls can still end in time.
     :param state_of: returns the state of the rollout to a version of a service.
     :param memory_budget: limits the bytes of bodies that the node holds in memory.
+    :param gate: refuses requests that the endpoint must not get.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         shutdown: shutdowns.Shutdown,
         state_of: trials.StateOf,
         memory_budget: memory.MemoryBudget,
+        gate: gates.Gate,
         log: events.Events,
         meters: events.Meters,
     ):
@@ -55,6 +58,7 @@
         self.log = log
         self.meters = meters
         self.pool = connections.Pool(memory_budget)
+        self.gate = gate
         self.idle_timeout = idle_timeout.IdleTimeout()
         self.queue = queueing.Queue(
             1,
@@ -73,6 +77,7 @@
         self.monitor = monitoring.Monitor(upstream)
         self.trial = trials.Trial(upstream, self.monitor, state_of, log)
         upstream.listeners.append(self.apply_upstream_change)
+        gate.evacuations.listeners.append(self.apply_evacuations)
 
     def apply_upstream_change(self) -> None:
         """Apply a change of the upstream: its identity, state or slots."""
@@ -89,6 +94,13 @@
         if upstream.state is upstreams.State.UNKNOWN:
             self.pool.close()
 
+    def apply_evacuations(self) -> None:
+        """Refuse all waiting requests if the node's zone is evacuated."""
+        if self.gate.evacuated:
+            self.queue.refuse_all(
+                codes.ZONE_EVACUATED, "the zone was evacuated meanwhile"
+            )
+
     def request_count(self) -> int:
         """Return the number of requests at the upstream and in the queue."""
         return self.queue.running + len(self.queue.waiting)
@@ -129,6 +141,7 @@
             answer = calls.refusal(failure, reached_upstream=call.sent)
         answer.load = self.load()
         answer.announcement = self.announcements.current()
+        answer.room = self.gate.room()
         now = asyncio.get_running_loop().time()
         answer.refused_shares = self.refused_shares.shares(now)
         if answer.code is not None:
@@ -205,7 +218,11 @@
         if not self.shutdown.can_finish(self.queue.times.mean_of(call.route)):
             raise codes.Failure(codes.STOPPING)
         self.suspects.check(call)
-        failure = self.upstream.refusal(call.service) or self.trial.refusal()
+        failure = (
+            self.upstream.refusal(call.service)
+            or self.gate.refusal()
+            or self.trial.refusal()
+        )
         if failure is not None:
             raise failure
         if self.upstream.is_unresponsive(len(self.parents.running)):
@@ -226,6 +243,7 @@
         except codes.Failure as failure:
             self.record_unreachable(failure)
             raise
+        self.gate.admit(self.pool, connection, len(self.parents.running))
         sent_at = loop.time()
         data = upstream_messages.encode_request(
             call, identity.endpoint, call.deadline - sent_at
@@ -283,6 +301,7 @@
         if self.idle_timeout.record_break(connection.idle_seconds, elapsed, now):
             self.log.note("connection-forgotten", rested=connection.idle_seconds)
             return
+        self.upstream.doubt_cold()
         self.suspects.record_broken_call(call, elapsed)
         self.schedule_probe()
 
--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -10,6 +10,7 @@
     calls,
     configs as configurations,
     directory as directories,
+    evacuation,
     events,
     exit as exits,
     hop_auth,
@@ -45,12 +46,14 @@
         configs: configurations.Configs,
         directory: directories.Directory,
         versions: versioning.Versions,
+        evacuations: evacuation.Evacuations,
         hop_auth: hop_auth.HopAuth,
         shutdown: shutdowns.Shutdown,
         meters: events.Meters,
     ):
         self.directory = directory
         self.versions = versions
+        self.evacuations = evacuations
         self.config = config
         self.exit = exit
         self.configs = configs
@@ -78,6 +81,9 @@
         if answer.announcement is not None:
             text = hop_headers.encode_announcement(answer.announcement)
             response_headers.append((own_headers.ANNOUNCED, text))
+        if answer.room is not None:
+            text = hop_headers.encode_room(answer.room)
+            response_headers.append((own_headers.COLD, text))
         response = aiohttp.web.Response(
             status=answer.status, headers=response_headers, body=answer.body
         )
@@ -106,6 +112,8 @@
             body = self.directory.encode_records()
         elif path == versioning.PATH:
             body = self.versions.encode_rollouts()
+        elif path == evacuation.PATH and self.evacuations.enabled:
+            body = self.evacuations.encode_page()
         elif path == configurations.STATE_PATH:
             body = self.configs.state()
         elif path == configurations.PATH:
@@ -234,6 +242,7 @@
         """Return all metrics, with the gauges set to their present values."""
         now = asyncio.get_running_loop().time()
         self.meters.running.set(self.exit.queue.running)
+        self.meters.upstream_cold.set(self.exit.gate.room() is not None)
         self.meters.waiting.set(len(self.exit.queue.waiting))
         for watch in self.health.watches:
             self.meters.data_age.labels(watch.kind).set(now - watch.current_at)
--- a/rattanridge/mesh/hop_headers.py
+++ b/rattanridge/mesh/hop_headers.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import collections.abc
+import math
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import announcements, calls, upstream as upstreams
 from rattanridge.platform import headers
-from rattanridge.policies import load_shedding, placement
+from rattanridge.policies import cold_rate, load_shedding, placement
 from rattanridge.web import headers as own_headers
 
 CALL_FIELDS = 9
@@ -135,6 +136,22 @@
     return found
 
 
+def encode_room(room: cold_rate.Room) -> str:
+    """Return the room of a cold endpoint as a header, such as ``5,230``.
+
+    That is the requests that it may get now, and milliseconds until it may get more.
+    """
+    return f"{room.left},{math.ceil(room.wait * 1000)}"
+
+
+def decode_room(text: str) -> cold_rate.Room | None:
+    """Return the room in a header; None if it is absent or unreadable."""
+    left, _, wait = text.partition(",")
+    if not (left.isdecimal() and wait.isdecimal()):
+        return None
+    return cold_rate.Room(int(left), min(int(wait) / 1000, cold_rate.WINDOW))
+
+
 def encode_announcement(announcement: announcements.Announcement) -> str:
     """Return an announcement as a header, such as ``i-7f,1700000000000,12.5,0``.
 
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -4,7 +4,6 @@
 import collections.abc
 import gc
 import time
-import typing
 
 from rattanridge.kernel import codes, sink as sinks
 from rattanridge.mesh import (
@@ -14,8 +13,11 @@
     coordinator,
     dispatcher,
     entry,
+    evacuation,
+    evacuation_repair,
     events,
     exit as exits,
+    gate,
     handlers,
     hop_auth,
     membership,
@@ -28,13 +30,9 @@
     suspects as suspecting,
     upstream as upstreams,
     versions,
-    watching,
-)
-from rattanridge.platform import (
-    configs as wire_configs,
-    orders,
-    store as stores,
+    watches,
 )
+from rattanridge.platform import orders, store as stores
 from rattanridge.web import memory
 
 DRAIN_POLL_INTERVAL = 0.05  # seconds between two checks for requests in progress
@@ -44,10 +42,6 @@
 CLOSE_RESERVE = 0.3  # seconds of the grace period that are kept for the close
 LATE_CALLS_WAIT = 0.1  # seconds for calls sent before their senders saw the shutdown
 MAINTENANCE_INTERVAL = 1.0  # seconds
-# Seconds from a change to the next watch of its kind.
-ROLLOUT_BATCH_DELAY = 0.1  # short, so that a rollback is not delayed
-CONFIG_BATCH_DELAY = 0.25  # a watch returns each version that was written meanwhile
-RECORDS_BATCH_DELAY = 0.8  # long, as exits refuse calls that an outdated record allows
 RECORD_RETRY_DELAY = 0.5  # seconds before a record is written again
 
 
@@ -97,6 +91,17 @@
             self.log,
             self.meters,
         )
+        self.evacuations = evacuation.Evacuations(
+            config,
+            self.directory,
+            self.fetch,
+            lambda: self.exit.request_count(),
+            self.log,
+            self.meters,
+        )
+        self.evacuation_repair = evacuation_repair.Repair(
+            config.name, self.evacuations, self.membership, self.store, self.log
+        )
         self.exit = exits.Exit(
             config,
             self.upstream,
@@ -104,6 +109,7 @@
             self.shutdown,
             self.versions.state_of,
             self.memory_budget,
+            gate.Gate(config, self.upstream, self.configs, self.evacuations, self.log),
             self.log,
             self.meters,
         )
@@ -121,6 +127,7 @@
             self.versions.filter_candidates,
             self.membership.count_budget_nodes,
             self.configs.record_peer_version,
+            self.evacuations.record_refusal,
             forwarders.PeerClient(self.hop_auth, self.memory_budget),
             self.shutdown,
             self.log,
@@ -146,6 +153,7 @@
             self.configs,
             self.directory,
             self.versions,
+            self.evacuations,
             self.hop_auth,
             self.shutdown,
             self.meters,
@@ -153,31 +161,15 @@
         self.heartbeat_handler = handlers.HeartbeatHandler(
             self.upstream, self.membership.wait_written, self.log, self.meters
         )
-        self.watches = [
-            self.make_watch(
-                wire_configs.KIND,
-                self.configs.apply_all,
-                self.configs.apply,
-                CONFIG_BATCH_DELAY,
-                large=True,
-                is_behind=self.configs.is_behind,
-            ),
-            self.make_watch(
-                records.KIND,
-                self.membership.apply_all,
-                self.membership.apply,
-                RECORDS_BATCH_DELAY,
-                allow_stale=True,
-                on_current=self.membership.record_current,
-            ),
-            self.make_watch(
-                orders.KIND,
-                self.versions.apply_all,
-                self.versions.apply,
-                ROLLOUT_BATCH_DELAY,
-                allow_stale=True,
-            ),
-        ]
+        self.watches = watches.make_watches(
+            self.store,
+            self.health,
+            self.configs,
+            self.membership,
+            self.versions,
+            self.evacuations,
+            self.log,
+        )
         self.coordinator = coordinator.Coordinator(
             config,
             self.store,
@@ -202,22 +194,28 @@
         return await self.dispatcher.peers.fetch(address, "GET", path)
 
     async def fetch_members(self, address: str) -> None:
-        """Fetch the records of all nodes, and the rollouts, from another node.
+        """Fetch records, rollouts and evacuations from another node.
 
-        A node that starts while the store is unreachable has neither. Does nothing
-        once they are known.
+        A node that starts while the store is unreachable has none of them. Does
+        nothing once they are known.
         """
-        if not self.versions.known:
-            await self.fetch_rollouts(address)
+        await self.fetch_orders(address)
         await self.membership.fetch_records(address)
 
     async def learn_rollouts(self) -> None:
-        """Fetch the rollouts from one of the other nodes, unless they are known."""
-        if self.versions.known:
+        """Fetch rollouts and evacuations from another node, unless they are known."""
+        if self.versions.known and self.evacuations.known:
             return
         address = self.membership.draw_other_address()
         if address:
+            await self.fetch_orders(address)
+
+    async def fetch_orders(self, address: str) -> None:
+        """Fetch rollouts and evacuations from another node, unless they are known."""
+        if not self.versions.known:
             await self.fetch_rollouts(address)
+        if not self.evacuations.known:
+            await self.evacuations.learn(address)
 
     async def fetch_rollouts(self, address: str) -> None:
         """Fetch the rollouts from another node."""
@@ -236,26 +234,6 @@
         else:
             await self.store.check(records.KIND, self.config.name)
 
-    def make_watch(
-        self,
-        kind: str,
-        apply_all: watching.ApplyAll,
-        apply: watching.ApplyOne,
-        batch_delay: float,
-        **more: typing.Any,
-    ) -> watching.Watch:
-        """Return a watch of one kind; ``more`` are further arguments of ``Watch``."""
-        return watching.Watch(
-            self.store,
-            kind,
-            self.health,
-            apply_all,
-            apply,
-            self.log,
-            batch_delay,
-            **more,
-        )
-
     async def start(self) -> None:
         """Listen on all ports and start to follow the store."""
         listen = self.config.listen
@@ -304,6 +282,7 @@
             and self.configs.current is not None
             and self.membership.has_records
             and self.versions.known
+            and self.evacuations.known
         )
 
     async def maintain(self) -> None:
@@ -318,6 +297,7 @@
             self.exit.parents.expire()
             self.dispatcher.peers.pool.expire_idle()
             await self.learn_rollouts()
+            self.evacuation_repair.start_if_needed()
             if self.settings_file is not None and self.settings_file.changed():
                 self.reload(self.settings_file)
 
@@ -387,6 +367,7 @@
         for task in (*self.tasks, *self.dispatcher.poll_tasks):
             task.cancel()
         self.confirmation.stop()
+        self.evacuation_repair.stop()
         self.health.close()
         self.exit.pool.close()
         self.dispatcher.peers.pool.close()
--- a/rattanridge/mesh/peers.py
+++ b/rattanridge/mesh/peers.py
@@ -125,5 +125,8 @@
         answer.announcement = hop_headers.decode_announcement(
             response.headers.get(own_headers.ANNOUNCED, "")
         )
+        answer.room = hop_headers.decode_room(
+            response.headers.get(own_headers.COLD, "")
+        )
         answer.headers = calls.forwardable(response.headers)
         return answer
--- a/rattanridge/mesh/settings.py
+++ b/rattanridge/mesh/settings.py
@@ -1,6 +1,7 @@
 """Settings of a node, from YAML: one object that all parts share."""
 
 import os
+import typing
 
 import msgspec
 
@@ -81,6 +82,17 @@
     keep: settings.Seconds = 900.0
 
 
+class Cold(settings.Struct):
+    """The bound on the requests that a cold endpoint gets in any second.
+
+    :param overage: multiple of the rate of a cold endpoint in the configuration.
+    :param slack: requests on top.
+    """
+
+    overage: typing.Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1.5
+    slack: typing.Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 8.0
+
+
 class Policies(settings.Struct):
     """Names of the policy plug-ins.
 
@@ -118,6 +130,9 @@
     :param key: secret with which nodes authenticate to each other; nodes do not
         authenticate if it is empty.
     :param tokens: tokens of the administration API.
+    :param cold: bound on the requests to a cold endpoint; none if it is missing.
+    :param evacuation_ms: milliseconds from an order to evacuate a zone until it binds
+        all nodes; no such orders are followed if it is missing.
     """
 
     name: str
@@ -136,6 +151,8 @@
     limits: Limits = msgspec.field(default_factory=Limits)
     claims: Claims = msgspec.field(default_factory=Claims)
     policies: Policies = msgspec.field(default_factory=Policies)
+    cold: Cold | None = None
+    evacuation_ms: settings.Count | None = None
 
 
 def parse(text: str, where: str = "settings") -> Settings:
--- a/rattanridge/mesh/upstream.py
+++ b/rattanridge/mesh/upstream.py
@@ -59,6 +59,8 @@
         self.slots = 0
         self.sequence = -1
         self.cold_until = 0.0
+        # Whether it may be cold: until a heartbeat says that it is not.
+        self.cold = True
         self.heartbeat_at = 0.0
         self.answered_at = 0.0
         self.busy_since = 0.0
@@ -98,6 +100,7 @@
             self.sequence = -1
             self.version = version
             self.slots = slots
+            self.cold = True
             self.heartbeat_at = self.now()
         self.identity = identity
         self.state = leaving or State.READY
@@ -129,7 +132,7 @@
         self.heartbeat_at = self.now()
         if self.heartbeat_at - self.started_at > MAX_HEARTBEAT_DELAY:
             self.confirmed = True
-        self.cold_until = self.heartbeat_at + beat.cold_remaining
+        self.record_cold(beat.cold_remaining)
         if fresh:
             self.failures = 0
             self.paused_until = 0.0
@@ -184,6 +187,30 @@
         """Return whether the sender is the known upstream, in its incarnation."""
         return self.identity == Identity(beat.endpoint, beat.incarnation)
 
+    def record_cold(self, remaining: float) -> None:
+        """Apply what the upstream said of its being cold.
+
+        It counts as cold until it says otherwise, as its time may pass only while it
+        gets requests.
+
+        :param remaining: seconds for which it is still cold; 0 if it is not.
+        """
+        self.cold_until = self.now() + remaining
+        self.set_cold(remaining > 0, "told")
+
+    def doubt_cold(self) -> None:
+        """Take the upstream for cold until a heartbeat says otherwise."""
+        self.set_cold(True, "doubt")
+
+    def set_cold(self, cold: bool, why: str) -> None:
+        """Set whether it may be cold; log a change where the settings bound that."""
+        if cold == self.cold:
+            return
+        self.cold = cold
+        if self.config.cold is not None:
+            endpoint = self.identity.endpoint if self.identity else "-"
+            self.log.note("upstream-cold", endpoint=endpoint, cold=cold, why=why)
+
     def record_farewell(self, endpoint: str, incarnation: int) -> None:
         """Apply a farewell. It is final: heartbeats may arrive after it.
 
@@ -313,6 +340,7 @@
     def record_unreachable(self, why: str) -> None:
         """Record a failed connection: send no requests for a growing pause."""
         now = self.now()
+        self.doubt_cold()
         if now < self.paused_until:
             return
         pause = min(FIRST_BACKOFF * 2**self.failures, MAX_BACKOFF)
@@ -327,6 +355,7 @@
 
         :param identity: the upstream that the request was meant for.
         """
+        self.doubt_cold()
         if self.identity == identity and self.state is State.READY:
             self.state = State.UNKNOWN
             self.log.info("upstream-replaced", endpoint=identity.endpoint)
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -65,11 +65,17 @@
 
 
 class WireService(msgspec.Struct):
-    """One service, with its health check and connection limit."""
+    """One service: health check, connection limit, and its endpoints when cold."""
 
     name: str = msgspec.field(name="Name")
     health_path: str = msgspec.field(name="HealthPath", default="/healthz")
     connections: int = msgspec.field(name="MaxConnections", default=100)
+    cold_start: float | msgspec.UnsetType = msgspec.field(
+        name="ColdStartS", default=msgspec.UNSET
+    )
+    cold_rate: float | msgspec.UnsetType = msgspec.field(
+        name="ColdPerS", default=msgspec.UNSET
+    )
 
 
 class WireLimits(msgspec.Struct):
@@ -102,10 +108,7 @@
         version = int(wire.version, VERSION_BASE)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise codes.Failure(codes.BAD_FIELD, str(error), where="configuration")
-    services = {
-        item.name: routes.Service(item.name, item.health_path, item.connections)
-        for item in wire.services
-    }
+    services = {item.name: decode_service(item) for item in wire.services}
     decoded = [
         decode_route(group.host, item, services)
         for group in wire.hosts
@@ -127,6 +130,19 @@
     )
 
 
+def decode_service(item: WireService) -> routes.Service:
+    """Decode one service; raise ``bad-field`` if a number is below zero."""
+    cold_start = item.cold_start or 0.0
+    cold_rate = item.cold_rate or 0.0
+    if cold_start < 0 or cold_rate < 0:
+        raise codes.Failure(
+            codes.BAD_FIELD, "a number below zero", where=f"service {item.name}"
+        )
+    return routes.Service(
+        item.name, item.health_path, item.connections, cold_start, cold_rate
+    )
+
+
 def decode_route(
     host: str, item: WireRoute, services: dict[str, routes.Service]
 ) -> routes.Route:
@@ -198,7 +214,13 @@
             for host, group in configuration.routes.items()
         ],
         [
-            WireService(item.name, item.health_path, item.connections)
+            WireService(
+                item.name,
+                item.health_path,
+                item.connections,
+                item.cold_start or msgspec.UNSET,
+                item.cold_rate or msgspec.UNSET,
+            )
             for item in configuration.services.values()
         ],
         WireLimits(
--- a/rattanridge/platform/headers.py
+++ b/rattanridge/platform/headers.py
@@ -10,6 +10,7 @@
 NOT_RUN = "Not-Executed"  # the upstream did not start work on the request
 LIMIT = "Server-Limit"  # requests per second that the upstream takes from all nodes
 LEAVING = "Server-Leaving"  # "1" in all answers of an upstream that is about to leave
+COLD = "Cold-Ms"  # milliseconds for which the upstream is still cold
 CALLER = "Caller-Service"  # service of the host that sent the first request
 
 DEADLINE_DIGITS = 9
@@ -34,6 +35,12 @@
     return int(text) / 1000
 
 
+def parse_cold(text: str | None) -> float | None:
+    """Return the seconds in the header of a cold upstream; None if unreadable."""
+    found = parse_rate(text) if text else None
+    return found / 1000 if found is not None else None
+
+
 def parse_limit(values: list[str]) -> float | None:
     """Return the requests per second in limit headers; None if none is readable.
 
--- a/rattanridge/web/headers.py
+++ b/rattanridge/web/headers.py
@@ -11,6 +11,8 @@
 REFUSED = "Rattanridge-Refused"  # between nodes: percentage refused, by rank
 # Between nodes: what the endpoint announced in its answers, as the sender knows it.
 ANNOUNCED = "Rattanridge-Announced"
+# Between nodes: what a cold endpoint may still get, only while it is cold.
+COLD = "Rattanridge-Cold"
 NODE = "Rattanridge-Node"  # between nodes: name of the sending node
 TOKEN = "Rattanridge-Token"  # between nodes: proof of the shared key
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -245,8 +245,12 @@
         result = testing.CliRunner().invoke(main.main, ["check", str(path)])
         assert result.exit_code == 2
 
-    def test_template_gives_valid_settings(self):
+    # A section is left out where the deployment has no value of its name.
+    @pytest.mark.parametrize("bounds", [True, False])
+    def test_template_gives_valid_settings(self, bounds):
         text = (ROOT / "deploy/node.yaml.tmpl").read_text()
+        section = r"(?s)\{\{#([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n"
+        text = re.sub(section, r"\2" if bounds else "", text)
         numbers = r"\{\{(Bounds|HeartbeatMs|Platform\.ReadsPerS)[^}]*\}\}"
         filled = re.sub(numbers, "2", text)
         numbers = itertools.count(1)
@@ -254,4 +258,6 @@
             r"\{\{[^}]*\|json\}\}", lambda match: f'"10.0.0.1:{next(numbers)}"', filled
         )
         filled = re.sub(r"\{\{[^}]*\}\}", "10.0.0.1", filled)
-        assert settings.parse(filled).repeats.least == 2.0
+        found = settings.parse(filled)
+        assert found.repeats.least == 2.0
+        assert (found.cold is not None) == (found.evacuation_ms is not None) == bounds
--- a/tests/test_upstream_states.py
+++ b/tests/test_upstream_states.py
@@ -24,7 +24,9 @@
 from rattanridge.platform import heartbeats
 from tests import silent_log
 
-CONFIG = types.SimpleNamespace(service="s", upstream="a:1", heartbeat_ms=1500)
+CONFIG = types.SimpleNamespace(
+    service="s", upstream="a:1", heartbeat_ms=1500, cold=None
+)
 
 
 class Believed(upstreams.Upstream):
