--- a/rattanridge/mesh/gate.py
+++ b/rattanridge/mesh/gate.py
@@ -41,6 +41,8 @@
         self.log = log
         self.rate = cold_rate.ColdRate()
         self.evacuated = False
+        # Whether a request was sent to the endpoint by this process.
+        self.sent = False
         configs.listeners.append(self.apply_change)
         upstream.listeners.append(self.apply_change)
         evacuations.listeners.append(self.apply_evacuations)
@@ -107,12 +109,13 @@
         :param connection: on which it will be sent; kept if it must not.
         :param running: requests that run at the endpoint.
         """
-        if self.rate.bound is not None and not running:
+        if self.rate.bound is not None and self.sent and not running:
             self.check_continuity(pool, connection)
         failure = self.refusal()
         if failure is not None:
             pool.add_idle(self.upstream.address, connection)
             raise failure
+        self.sent = True
         self.rate.record_start(asyncio.get_running_loop().time())
 
     def check_continuity(
--- a/rattanridge/policies/cold_rate.py
+++ b/rattanridge/policies/cold_rate.py
@@ -20,7 +20,7 @@
 # that they do not all return for a single request.
 RETURN_SHARE = 0.25
 # Random factors of the wait of an entry, so that not all return at the same time.
-RETURN_JITTER = (1.0, 1.5)
+RETURN_JITTER = (1.0, 1.3)
 
 
 def bound_of(rate: float, overage: float, slack: float) -> int:
