Commands and administration API to evacuate and restore zones

Cause: operators had no command of the product for it. Change: rattanridge zone evacuate, restore and list; /zones of the administration API; evacuated zones in status.

--- a/rattanridge/admin/status.py
+++ b/rattanridge/admin/status.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanridge.admin import presets
+from rattanridge.admin import presets, zone_reports
 from rattanridge.kernel import codes, untrusted_json
 from rattanridge.mesh import configs, node as nodes
 
@@ -53,6 +53,7 @@
     :param behind: nodes that do not apply the highest generation.
     :param refused: reason for which a node refuses a configuration, by node.
     :param endpoints: number of endpoints by service, version and state.
+    :param zones: evacuated availability zones.
     """
 
     platform: str
@@ -68,6 +69,7 @@
     refused: dict[str, str] = {}
     endpoints: dict[str, int] = {}
     rollouts: list[Rollout] = []
+    zones: list[zone_reports.Zone] = []
 
 
 class StatusCollector:
@@ -89,6 +91,9 @@
         report = self.local_report()
         states = await self.fetch_states()
         add_node_states(report, states)
+        if self.node.evacuations.evacuated():
+            zones = await zone_reports.collect(self.node)
+            report.zones = [item for item in zones if item.evacuated]
         try:
             choice = await self.presets.get_choice(report.node_generation)
         except codes.Failure as failure:
--- a/rattanridge/admin/store_writes.py
+++ b/rattanridge/admin/store_writes.py
@@ -90,6 +90,38 @@
         raise failure
 
 
+async def delete(store: stores.Store, kind: str, name: str, revision: int) -> None:
+    """Delete an object of a revision; do nothing if it is gone.
+
+    Raise ``platform-conflict`` if it has another revision.
+    """
+    backoff = INITIAL_BACKOFF
+    for attempts_left in reversed(range(MAX_ATTEMPTS)):
+        try:
+            await store.delete(kind, name, revision)
+            return
+        except codes.Failure as failure:
+            if failure.code is codes.PLATFORM_MISSING:
+                return
+            if failure.code not in stores.TRANSIENT_CODES:
+                raise
+            if await is_gone(store, kind, name, revision):
+                return
+            if not attempts_left:
+                raise
+        await asyncio.sleep(backoff)
+        backoff *= 2
+
+
+async def is_gone(store: stores.Store, kind: str, name: str, revision: int) -> bool:
+    """Return whether the store is known not to hold an object of a revision."""
+    try:
+        stored = await store.get(kind, name)
+    except codes.Failure:
+        return False
+    return stored is None or stored.revision != revision
+
+
 def same_json(first: bytes, second: bytes) -> bool:
     """Return whether two texts encode the same JSON value."""
     return msgspec.json.decode(first) == msgspec.json.decode(second)
--- a/rattanridge/cli/status.py
+++ b/rattanridge/cli/status.py
@@ -6,7 +6,7 @@
 
 import click
 
-from rattanridge.cli import main, remote
+from rattanridge.cli import main, remote, zone_lines
 
 MAX_NODES_SHOWN = 10  # lagging nodes that are listed by name
 
@@ -67,4 +67,5 @@
             f"rollout    {item['service']} to {item['new']} "
             f"{item['state']} share {item['share']:.0%}"
         )
+    lines += [zone_lines.format_zone(item) for item in report["zones"]]
     return lines
