Pages on zones and cold endpoints; exchange while the store is lost

Cause: a node of an evacuated zone that starts while the store is lost gets no calls, so it never heard whom to ask. A full cold endpoint on trial hid the old version. A restarted exit refused longer than the earlier process could matter. Change: nodes that know of an evacuation exchange it once a second while the store is lost; the old version is chosen if the new one has no room; what is unknown counts from the start of the process. Measured: test_evacuation, test_cold_rate, test_zones, test_docs pass.

--- a/rattanridge/mesh/dispatcher.py
+++ b/rattanridge/mesh/dispatcher.py
@@ -181,13 +181,26 @@
         self, call: calls.Call, route: routes.Route, tried: set[str]
     ) -> placement.Candidate | None:
         """Return the best endpoint that was not tried yet; None if there is none."""
-        all_candidates = self.directory.candidates_of(call.service)
-        allowed = self.filter_candidates(call.service, all_candidates, bool(tried))
-        untried = [item for item in allowed if item.node not in tried]
         now = asyncio.get_running_loop().time()
+        untried = self.untried(call, tried, bool(tried), now)
+        if not untried and self.rooms.rooms:
+            untried = self.untried(call, tried, True, now)
+        return self.placer.choose(untried, route.name, route.target_latency, now)
+
+    def untried(
+        self, call: calls.Call, tried: set[str], retry: bool, now: float
+    ) -> list[placement.Candidate]:
+        """Return the endpoints that may get a call, but no cold one without room.
+
+        :param retry: whether the call goes on to another endpoint, which then has the
+            old version during a rollout.
+        """
+        candidates = self.directory.candidates_of(call.service)
+        allowed = self.filter_candidates(call.service, candidates, retry)
+        untried = [item for item in allowed if item.node not in tried]
         if self.rooms.rooms:
             untried = [item for item in untried if not self.rooms.delay(item.node, now)]
-        return self.placer.choose(untried, route.name, route.target_latency, now)
+        return untried
 
     def no_endpoint(self, call: calls.Call) -> codes.Failure:
         """Return the failure of a call whose service has no usable endpoint."""
--- a/rattanridge/mesh/evacuation.py
+++ b/rattanridge/mesh/evacuation.py
@@ -15,6 +15,8 @@
 from rattanridge.platform import store_objects
 
 PATH = "/evacuations"
+NODE = "node"  # query parameter: address of the node that asks
+VERSION = "version"  # query parameter: its configuration
 MAX_ENDED = 16  # ended evacuations of a zone that are remembered
 MAX_ZONES = 256  # zones that are remembered, also as no longer evacuated
 LEARN_INTERVAL = 1.0  # seconds between two requests for what other nodes know
@@ -183,9 +185,9 @@
         page = Page(self.config.zone, self.count_running(), self.zones)
         return msgspec.json.encode(page)
 
-    async def learn(self, address: str) -> None:
+    async def learn(self, address: str, path: str = PATH) -> None:
         """Take over what another node knows and this one does not."""
-        data = await self.fetch(address, PATH) if self.enabled else None
+        data = await self.fetch(address, path) if self.enabled else None
         page = untrusted_json.decode_or_none(data, Page) if data else None
         if page is None:
             return
@@ -196,6 +198,17 @@
             self.log.info("evacuations-learnt", source=address)
             self.notify()
 
+    async def exchange(self, address: str, own_address: str, version: int) -> None:
+        """Exchange with another node what both know, while the store is lost.
+
+        Nobody sends calls to a node of an evacuated zone. One that has just started
+        has no other way to hear whom it can ask.
+
+        :param own_address: at which this node accepts calls of others.
+        :param version: of the configuration in force here.
+        """
+        await self.learn(address, f"{PATH}?{NODE}={own_address}&{VERSION}={version}")
+
     def merge(self, name: str, zone: Zone, source: str) -> None:
         """Take over what another node knows of a zone, if it is newer.
 
--- a/rattanridge/mesh/gate.py
+++ b/rattanridge/mesh/gate.py
@@ -41,6 +41,7 @@
         self.log = log
         self.rate = cold_rate.ColdRate()
         self.evacuated = False
+        self.started_at = asyncio.get_running_loop().time()
         # Whether a request was sent to the endpoint by this process.
         self.sent = False
         configs.listeners.append(self.apply_change)
@@ -48,8 +49,12 @@
         evacuations.listeners.append(self.apply_evacuations)
 
     def apply_change(self) -> None:
-        """Apply a change of the configuration or of the upstream's service."""
-        self.rate.apply(self.bound(), asyncio.get_running_loop().time())
+        """Apply a change of the configuration or of the upstream's service.
+
+        The process before this one may have sent requests until this one started.
+        """
+        now = asyncio.get_running_loop().time()
+        self.rate.apply(self.bound(), now if self.sent else self.started_at)
 
     def bound(self) -> int | None:
         """Return how many requests the endpoint may get while cold; None if any."""
--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -95,6 +95,7 @@
         self, request: aiohttp.web.BaseRequest
     ) -> aiohttp.web.Response:
         """Return the page that another node requested; 404 if there is none."""
+        self.record_asker(request)
         page = self.find_page(request.path)
         if page is not None:
             return page
@@ -106,6 +107,13 @@
         self.exit.trial.brake(version)
         return aiohttp.web.Response(body=b"{}", content_type=JSON)
 
+    def record_asker(self, request: aiohttp.web.BaseRequest) -> None:
+        """Record the configuration of a node that says who it is when it asks."""
+        version = request.query.get(evacuation.VERSION, "")
+        if version.isdecimal():
+            address = request.query.get(evacuation.NODE, "")
+            self.configs.record_peer_version(int(version), address)
+
     def find_page(self, path: str) -> aiohttp.web.Response | None:
         """Return a page of what this node knows; None if there is none at the path."""
         if path == directories.PATH:
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -210,6 +210,15 @@
         if address:
             await self.fetch_orders(address)
 
+    async def exchange_evacuations(self) -> None:
+        """Exchange the evacuations with another node while the store is lost."""
+        if self.health.up.is_set() or not self.directory.evacuated:
+            return
+        address = self.membership.draw_other_address()
+        if address:
+            own_address = self.config.listen.hops
+            await self.evacuations.exchange(address, own_address, self.configs.version)
+
     async def fetch_orders(self, address: str) -> None:
         """Fetch rollouts and evacuations from another node, unless they are known."""
         if not self.versions.known:
@@ -298,6 +307,7 @@
             self.dispatcher.peers.pool.expire_idle()
             await self.learn_rollouts()
             self.evacuation_repair.start_if_needed()
+            await self.exchange_evacuations()
             if self.settings_file is not None and self.settings_file.changed():
                 self.reload(self.settings_file)
 
--- a/rattanridge/policies/cold_rate.py
+++ b/rattanridge/policies/cold_rate.py
@@ -59,10 +59,13 @@
         # Monotonic seconds until which requests that were not counted may matter.
         self.unknown_until = 0.0
 
-    def apply(self, bound: int | None, now: float) -> None:
-        """Set the bound; None if the endpoint has none, and nothing is counted."""
+    def apply(self, bound: int | None, unknown_at: float) -> None:
+        """Set the bound; None if the endpoint has none, and nothing is counted.
+
+        :param unknown_at: monotonic seconds of the last request that was not counted.
+        """
         if self.bound is None and bound is not None:
-            self.unknown_until = now + WINDOW
+            self.unknown_until = unknown_at + WINDOW
         if bound is None:
             self.starts.clear()
         self.bound = bound
