--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -166,7 +166,7 @@
     async def run_in_slot(self, call: calls.Call) -> calls.Answer:
         """Wait for a slot and send a call; raise if the upstream cannot accept it."""
         self.announcements.apply_known(call.announcement)
-        self.check_call(call)
+        self.check_call(call, len(self.queue.waiting))
         self.check_dependencies(call)
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -213,14 +213,17 @@
                 codes.CALLS_OVERLOADED, retry_after=self.queue.retry_after()
             )
 
-    def check_call(self, call: calls.Call) -> None:
-        """Raise a coded failure if the upstream cannot accept the call now."""
+    def check_call(self, call: calls.Call, waiting: int = 0) -> None:
+        """Raise a coded failure if the upstream cannot accept the call now.
+
+        :param waiting: requests that wait for a slot before it.
+        """
         if not self.shutdown.can_finish(self.queue.times.mean_of(call.route)):
             raise codes.Failure(codes.STOPPING)
         self.suspects.check(call)
         failure = (
             self.upstream.refusal(call.service)
-            or self.gate.refusal()
+            or self.gate.refusal(waiting)
             or self.trial.refusal()
         )
         if failure is not None:
--- a/rattanridge/mesh/gate.py
+++ b/rattanridge/mesh/gate.py
@@ -77,8 +77,12 @@
         if before and not self.evacuated:
             self.upstream.doubt_cold()
 
-    def refusal(self) -> codes.Failure | None:
-        """Return why the endpoint must not get a request now; None if it may."""
+    def refusal(self, waiting: int = 0) -> codes.Failure | None:
+        """Return why the endpoint must not get a request now; None if it may.
+
+        :param waiting: requests that wait for a slot before it. They use up the room of
+            a cold endpoint, so that this one does not wait in vain.
+        """
         if self.evacuated:
             return codes.Failure(
                 codes.ZONE_EVACUATED,
@@ -97,7 +101,7 @@
             )
         if not self.upstream.cold:
             return None
-        delay = self.rate.delay(asyncio.get_running_loop().time())
+        delay = self.rate.delay(asyncio.get_running_loop().time(), 1 + waiting)
         if not delay:
             return None
         return codes.Failure(
