Overload: rank before lateness, fair shares of accounts, slots for urgent requests

The order put a request that had become late behind all timely ones of any rank, but the admission reckoned with its place as a timely one. On a slow endpoint each tank-level request is late from its arrival: it was accepted, waited behind the burst and was refused at its deadline (held for 2.9 s in the median). With the rank before lateness it is served, but still late: all slots hold requests of 1 to 5 s, and the nested calls go first.

Change: where new requests have several ranks or an account, a late request stays ahead of less urgent ones; slots that urgent requests need are kept free, unless a slot becomes free soon enough anyway; accounts take turns by work within a rank; the wait is estimated by that order, including what arrives more urgently meanwhile; requests at the end that were overtaken are refused at once; Retry-After is the time until the work ahead leaves the request timely. Elsewhere order and refusals are as before: the test with one rank compares all outcomes.

--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -18,7 +18,15 @@
     upstream_messages,
 )
 from rattanridge.platform import headers
-from rattanridge.policies import idle_timeout, load_shedding, placement, queueing
+from rattanridge.policies import (
+    admissions,
+    demand,
+    idle_timeout,
+    load_shedding,
+    placement,
+    queueing,
+    tickets,
+)
 from rattanridge.web import memory
 
 PROBE_DELAY = 0.05  # seconds from a broken connection to the probe of the upstream
@@ -58,8 +66,9 @@
         self.idle_timeout = idle_timeout.IdleTimeout()
         self.queue = queueing.Queue(
             1,
-            queueing.ORDERS.get(config.policies.order),
-            queueing.ADMISSIONS.get(config.policies.admission),
+            tickets.ORDERS.get(config.policies.order),
+            admissions.ADMISSIONS.get(config.policies.admission),
+            demand.BOUNDS.get(config.policies.bound),
         )
         self.refused_shares = load_shedding.RefusedShares()
         self.dependencies = load_shedding.Dependencies()
@@ -157,7 +166,7 @@
         self.check_dependencies(call)
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        await self.acquire_slot(call)
+        ticket = await self.acquire_slot(call)
         queued = loop.time() - started_at
         try:
             self.check_call(call)
@@ -167,11 +176,11 @@
             answer.queued = queued
             return answer
         finally:
-            self.queue.release()
+            self.queue.release(ticket)
 
-    async def acquire_slot(self, call: calls.Call) -> None:
-        """Wait for a slot; raise if there is none in time."""
-        ticket = queueing.Ticket(
+    async def acquire_slot(self, call: calls.Call) -> tickets.Ticket:
+        """Wait for a slot and return its ticket; raise if there is none in time."""
+        ticket = tickets.Ticket(
             call.route, call.rank, call.nested, call.timely_until, call.deadline
         )
         try:
@@ -180,6 +189,7 @@
             self.record_decision(call, failure.code in queueing.FULL_CODES)
             raise
         self.record_decision(call, False)
+        return ticket
 
     def record_decision(self, call: calls.Call, refused: bool) -> None:
         """Record whether the queue refused a new request."""
--- a/rattanridge/mesh/settings.py
+++ b/rattanridge/mesh/settings.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from rattanridge.kernel import codes, documents, registry, settings
-from rattanridge.policies import placement, queueing, retry_budget
+from rattanridge.policies import admissions, demand, placement, retry_budget, tickets
 
 MIN_KEY_LENGTH = 8  # characters of the shared key
 ADDRESSES = ("callers", "hops", "ready", "heartbeats", "metrics", "admin")
@@ -87,19 +87,22 @@
     :param placement: which endpoint a request goes to.
     :param order: which waiting request runs next.
     :param admission: which requests may wait at an exit.
+    :param bound: how many slots less urgent requests may hold at an exit.
     :param repeats: whether a request may be sent to a second endpoint.
     """
 
     placement: str = "expected-time"
-    order: str = "timely-first"
+    order: str = "rank-first"
     admission: str = "short-queue"
+    bound: str = "urgent-slots"
     repeats: str = "shared-budget"
 
 
 PLUGINS: dict[str, registry.Registry] = {
     "placement": placement.PLACERS,
-    "order": queueing.ORDERS,
-    "admission": queueing.ADMISSIONS,
+    "order": tickets.ORDERS,
+    "admission": admissions.ADMISSIONS,
+    "bound": demand.BOUNDS,
     "repeats": retry_budget.BUDGETS,
 }
 
--- a/rattanridge/mesh/shutdown.py
+++ b/rattanridge/mesh/shutdown.py
@@ -8,7 +8,7 @@
 import enum
 
 from rattanridge.kernel import codes
-from rattanridge.policies import queueing
+from rattanridge.policies import processing_times
 
 RESTART_TIME = 1.0  # seconds until the next process of the node usually answers
 
@@ -66,7 +66,7 @@
         """
         if self.refusing:
             return False
-        return not queueing.may_outlast(processing_time, self.time_left())
+        return not processing_times.may_outlast(processing_time, self.time_left())
 
     def time_left(self) -> float:
         """Return the seconds until the deadline."""
--- a/rattanridge/policies/queueing.py
+++ b/rattanridge/policies/queueing.py
@@ -3,173 +3,82 @@
 Handles bursts beyond the endpoint's slots, an endpoint that limits the rate of its
 requests, callers that retry immediately, and calls made by requests in progress.
 Refusing one of those calls wastes the work of its parent, which holds a slot elsewhere
-while it waits.
+while it waits. Also handles bursts of long requests beside short urgent ones, and
+accounts that send more than their share: ``tickets``, ``fair_shares`` and ``demand``
+decide which request runs next. Those rules apply only while new requests have several
+ranks or an account.
 """
 
 import asyncio
-import collections.abc
-import dataclasses
 
-from rattanridge.kernel import codes, registry
-from rattanridge.policies import rate_limit
+from rattanridge.kernel import codes
+from rattanridge.policies import (
+    admissions,
+    demand as demands,
+    fair_shares,
+    occupancy,
+    processing_times,
+    rate_limit,
+    tickets,
+)
 
-MEAN_WEIGHT = 0.1  # of one request in a route's mean processing time
-DEFAULT_PROCESSING_TIME = 0.05  # seconds, until a route's own mean is known
-LATE_WAIT_SHARE = 0.5  # of its remaining time that a late request may wait
 MIN_RETRY_AFTER = 0.05  # seconds
 MAX_RETRY_AFTER = 5.0  # seconds
 # Multiple of the mean processing time. With less time left before its deadline, a
 # waiting request is refused, as it could not be finished.
 MIN_RUN_SHARE = 0.8
-# Multiple of a route's mean processing time; nearly all its requests take less.
-SHUTDOWN_FACTOR = 8.0
-SHUTDOWN_RESERVE = 1.0  # seconds
+RECHECK_INTERVAL = 0.1  # seconds between two checks of the end of a mixed queue
+# Keep an estimated wait finite where more urgent requests need all slots, or the whole
+# limit on the rate.
+MIN_SLOTS_LEFT = 0.5
+MIN_RATE_LEFT = 0.05
 TIMER_MARGIN = 0.0001  # seconds, so that a timer does not fire just before its time
 # Refusals for want of room; which one tells what the endpoint is short of.
 FULL_CODES = (codes.QUEUE_FULL, codes.RATE_LIMITED)
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Ticket:
-    """One request at the queue.
-
-    :param route: name of its route; requests of one route take about the same time.
-    :param rank: priority of its route; 0 comes first.
-    :param nested: whether a request in progress waits for it.
-    :param timely_until: monotonic seconds until which its answer is timely.
-    :param deadline: monotonic seconds after which no caller waits for it.
-    :param number: position in the order of arrival.
-    :param ready: done when the request gets a slot, or fails if it is refused; only
-        requests that wait have it.
-    """
-
-    route: str
-    rank: int
-    nested: bool
-    timely_until: float
-    deadline: float
-    number: int = 0
-    ready: asyncio.Future = dataclasses.field(init=False, repr=False)
-
-
-# Returns the sort key of a request; the flag says whether it would be late.
-Order = collections.abc.Callable[[Ticket, bool], tuple]
-# Returns whether a request may wait; the number is the current monotonic seconds.
-Admission = collections.abc.Callable[["Queue", Ticket, float], bool]
-ORDERS: registry.Registry[Order] = registry.Registry("queue order")
-ADMISSIONS: registry.Registry[Admission] = registry.Registry("admission")
-
-
-@ORDERS.register("timely-first")
-def timely_first(ticket: Ticket, late: bool) -> tuple:
-    """Return a sort key: timely requests first, then nested calls, then by rank."""
-    return (late, not ticket.nested, ticket.rank, ticket.number)
-
-
-@ORDERS.register("by-rank")
-def by_rank(ticket: Ticket, late: bool) -> tuple:
-    """Return a sort key: timely requests first, then by rank."""
-    return (late, ticket.rank, ticket.number)
-
-
-@ORDERS.register("arrival")
-def by_arrival(ticket: Ticket, late: bool) -> tuple:
-    """Return a sort key: first come, first served."""
-    return (ticket.number,)
-
-
-@ADMISSIONS.register("short-queue")
-def admit_timely(queue: "Queue", ticket: Ticket, now: float) -> bool:
-    """Return whether a request may wait: only if it can meet its deadline.
-
-    A request that will miss its target latency may wait for only a part of its
-    remaining time.
-    """
-    wait = queue.expected_wait_of(ticket)
-    finish = now + wait + queue.times.mean_of(ticket.route)
-    late = finish > ticket.timely_until and not ticket.nested
-    late_wait = LATE_WAIT_SHARE * (ticket.deadline - now)
-    return finish <= ticket.deadline and not (late and wait > late_wait)
-
-
-@ADMISSIONS.register("until-deadline")
-def admit_until_deadline(queue: "Queue", ticket: Ticket, now: float) -> bool:
-    """Return whether a request may wait: whenever it can meet its deadline."""
-    processing_time = queue.times.mean_of(ticket.route)
-    return now + queue.expected_wait_of(ticket) + processing_time <= ticket.deadline
-
-
-@ADMISSIONS.register("no-queue")
-def admit_none(queue: "Queue", ticket: Ticket, now: float) -> bool:
-    """Return False: no request waits, so the entry tries another endpoint at once."""
-    return False
-
-
-def may_outlast(processing_time: float, remaining: float) -> bool:
-    """Return whether a request may still run when its process stops.
-
-    :param processing_time: mean seconds of its route.
-    :param remaining: seconds until the process has to stop.
-    """
-    return remaining < SHUTDOWN_RESERVE + SHUTDOWN_FACTOR * processing_time
-
-
-class ProcessingTimes:
-    """The mean processing time of each route's requests at one endpoint."""
-
-    def __init__(self) -> None:
-        self.means: dict[str, float] = {}
-        self.overall = 0.0
-
-    def record(self, route: str, seconds: float) -> None:
-        """Record the processing time of a completed request."""
-        previous = self.means.get(route, seconds)
-        self.means[route] = previous + MEAN_WEIGHT * (seconds - previous)
-        self.overall = (self.overall or seconds) * (1 - MEAN_WEIGHT)
-        self.overall += MEAN_WEIGHT * seconds
-
-    def mean_of(self, route: str) -> float:
-        """Return the mean seconds that a request of a route takes.
-
-        An unknown route gets the mean of all requests.
-        """
-        return self.means.get(route) or self.overall or DEFAULT_PROCESSING_TIME
-
-
 class Queue:
     """Assigns an endpoint's slots to requests, within the limit on their rate.
 
     :param slots: requests that the endpoint runs at once.
     :param order: returns the sort key of a request.
     :param admission: decides whether a request may wait.
+    :param bound: returns how many slots less urgent requests may hold.
     """
 
     def __init__(
         self,
         slots: int,
-        order: Order = timely_first,
-        admission: Admission = admit_timely,
+        order: tickets.Order = tickets.rank_first,
+        admission: admissions.Admission = admissions.admit_timely,
+        bound: demands.Bound = demands.leave_urgent_slots,
     ):
         self.slots = slots
         self.order = order
         self.admission = admission
+        self.bound = bound
         self.running = 0
-        self.waiting: list[Ticket] = []
-        self.times = ProcessingTimes()
+        self.waiting: list[tickets.Ticket] = []
+        self.times = processing_times.ProcessingTimes()
+        self.demand = demands.Demand()
+        self.shares = fair_shares.FairShares()
+        self.occupancy = occupancy.Occupancy()
         self.rate_limit = rate_limit.RateLimit()
         self.timer: asyncio.TimerHandle | None = None
         self.last_number = 0
+        self.recheck_at = 0.0  # monotonic seconds
 
-    async def acquire(self, ticket: Ticket) -> None:
+    async def acquire(self, ticket: tickets.Ticket) -> None:
         """Wait for a slot.
 
         Raise ``queue-full`` if none is free in time, ``rate-limited`` if the limit on
         the rate leaves no room in time.
         """
         now = asyncio.get_running_loop().time()
+        self.record_arrival(ticket, now)
         free = self.running < self.slots and not self.rate_limit.delay(now)
-        if free and not self.waiting:
-            self.start_request(now)
+        if free and not self.waiting and self.may_hold_slot(ticket, now):
+            self.start_request(ticket, now)
             return
         self.admit(ticket, now)
         try:
@@ -178,43 +87,146 @@
             self.abandon(ticket)
             raise
 
-    def start_request(self, now: float) -> None:
+    def record_arrival(self, ticket: tickets.Ticket, now: float) -> None:
+        """Set the place of a request that arrives."""
+        self.last_number += 1
+        ticket.number = self.last_number
+        ticket.cost = self.times.mean_of(ticket.route)
+        self.demand.record(ticket, now)
+        self.shares.assign_tag(ticket, now)
+
+    def is_mixed(self, now: float) -> bool:
+        """Return whether the rules for several ranks or accounts apply."""
+        return self.order is tickets.rank_first and self.demand.is_mixed(now)
+
+    def may_hold_slot(self, ticket: tickets.Ticket, now: float) -> bool:
+        """Return whether a request may get a slot that more urgent ones may need."""
+        if ticket.nested or not self.is_mixed(now):
+            return True
+        return self.occupancy.held_from(ticket.rank).count < self.bound_of(
+            ticket.rank, now
+        )
+
+    def bound_of(self, rank: int, now: float) -> int:
+        """Return how many slots a rank and less urgent ones may hold."""
+        held = self.occupancy.held_from(rank)
+        if not held.count:
+            return self.slots
+        mean = held.work / held.count
+        return self.bound(self.demand, rank, self.slots, mean, now)
+
+    def start_request(self, ticket: tickets.Ticket, now: float) -> None:
         """Assign a slot."""
         self.running += 1
+        self.occupancy.record_start(ticket)
+        self.shares.record_start(ticket, now)
         self.rate_limit.record_start(now)
 
-    def admit(self, ticket: Ticket, now: float) -> None:
+    def admit(self, ticket: tickets.Ticket, now: float) -> None:
         """Queue a request, or raise one of ``FULL_CODES`` if it is not admitted."""
-        self.last_number += 1
-        ticket.number = self.last_number
         if not self.admission(self, ticket, now):
-            raise codes.Failure(self.full_code(now), retry_after=self.retry_after())
+            self.shares.record_removal(ticket)
+            raise codes.Failure(
+                self.full_code(now), retry_after=self.retry_after(ticket)
+            )
         ticket.ready = asyncio.get_running_loop().create_future()
         self.waiting.append(ticket)
         self.schedule_expiry(ticket, now)
-        self.schedule_grant(now)
+        if self.is_mixed(now):
+            self.refuse_overtaken(now)
+            self.grant()
+        else:
+            self.schedule_grant(now)
+
+    def refuse_overtaken(self, now: float) -> None:
+        """Refuse requests at the end of the queue that can't meet their deadline now.
+
+        They were overtaken, and would be held until their deadline otherwise.
+        """
+        if now < self.recheck_at:
+            return
+        self.recheck_at = now + RECHECK_INTERVAL
+        while len(self.waiting) > 1:
+            last = max(self.waiting, key=lambda item: self.place_of(item, now))
+            wait = self.wait_in_place(last, self.is_late(last, now), now)
+            if now + wait + last.cost <= last.deadline:
+                return
+            self.remove(last)
+            self.refuse(last, self.full_code(now), "more urgent requests arrived")
+
+    def remove(self, ticket: tickets.Ticket) -> None:
+        """Remove a waiting request that gets no slot."""
+        self.waiting.remove(ticket)
+        self.shares.record_removal(ticket)
 
     def full_code(self, now: float) -> codes.Code:
         """Return the code of a refusal, by what a request would wait for longest."""
         limited = self.rate_limit.delay(now, len(self.waiting)) > self.wait_for_slot()
         return codes.RATE_LIMITED if limited else codes.QUEUE_FULL
 
-    def expected_wait_of(self, ticket: Ticket) -> float:
+    def expected_wait_of(self, ticket: tickets.Ticket) -> float:
         """Return the seconds until a request would get a slot in its order."""
+        now = asyncio.get_running_loop().time()
+        if self.is_mixed(now):
+            return self.mixed_wait_of(ticket, now)
         place = self.order(ticket, False)
         ahead = [item for item in self.waiting if self.order(item, False) < place]
         work = sum(self.times.mean_of(item.route) for item in ahead)
-        for_slot = (work + self.running * self.mean_time() / 2) / self.slots
-        now = asyncio.get_running_loop().time()
+        for_slot = (work + self.running * self.times.mean() / 2) / self.slots
         return max(for_slot, self.rate_limit.delay(now, len(ahead)))
 
-    def mean_time(self) -> float:
-        """Return the mean seconds of requests of all routes."""
-        return self.times.overall or DEFAULT_PROCESSING_TIME
+    def mixed_wait_of(self, ticket: tickets.Ticket, now: float) -> float:
+        """Return the seconds until a request would get a slot among several ranks.
+
+        More urgent requests that arrive meanwhile get their slots first. If it would
+        be late, so do timely ones of its own rank.
+        """
+        wait = self.wait_in_place(ticket, False, now)
+        if ticket.nested or now + wait + ticket.cost <= ticket.timely_until:
+            return wait
+        return self.wait_in_place(ticket, True, now, ticket.rank + 1)
+
+    def wait_in_place(
+        self, ticket: tickets.Ticket, late: bool, now: float, rank: int | None = None
+    ) -> float:
+        """Return the seconds until a request would get a slot.
+
+        :param late: whether it is late then.
+        :param rank: requests of more urgent ranks than this that arrive meanwhile go
+            first; None for the request's own rank.
+        """
+        place = self.order(ticket, late)
+        work, count = 0.0, 0
+        for item in self.waiting:
+            if self.place_of(item, now) < place:
+                work += item.cost
+                count += 1
+        wait = self.occupancy.time_to_free_slot()
+        if self.running < self.slots and self.may_hold_slot(ticket, now):
+            wait = 0.0
+        limited = self.rate_limit.delay(now, count)
+        if ticket.nested:
+            return max(wait + work / self.slots, limited)
+        rank = ticket.rank if rank is None else rank
+        if work:
+            wait += work / self.slots_left_to(rank, now)
+        if limited:
+            limited /= self.rate_left_to(rank, now)
+        return max(wait, limited)
+
+    def rate_left_to(self, rank: int, now: float) -> float:
+        """Return the share of the limited rate that more urgent ranks leave."""
+        taken = self.demand.more_urgent_rate(rank, now) / self.rate_limit.rate()
+        return max(1.0 - taken, MIN_RATE_LEFT)
+
+    def slots_left_to(self, rank: int, now: float) -> float:
+        """Return the slots that requests of more urgent ranks leave on average."""
+        load, _ = self.demand.more_urgent(rank, now)
+        return max(min(self.slots - load, self.bound_of(rank, now)), MIN_SLOTS_LEFT)
 
     def usable_slots(self) -> float:
         """Return how many slots the limit on the rate allows to use on average."""
-        return min(self.slots, self.rate_limit.rate() * self.mean_time())
+        return min(self.slots, self.rate_limit.rate() * self.times.mean())
 
     def expected_wait(self) -> float:
         """Return the seconds that a request at the end of the queue would wait."""
@@ -227,50 +239,64 @@
         if self.running < self.slots:
             return 0.0
         ahead = sum(self.times.mean_of(item.route) for item in self.waiting)
-        return (ahead + self.mean_time()) / self.slots
+        return (ahead + self.times.mean()) / self.slots
+
+    def retry_after(self, ticket: tickets.Ticket | None = None) -> float:
+        """Return the seconds until a refused request would be served, within limits.
 
-    def retry_after(self) -> float:
-        """Return the seconds until the current queue has drained, within limits."""
-        return min(max(self.expected_wait(), MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+        That is when the current queue has drained. Among several ranks, it is when so
+        much of the work ahead of the request is done that it would be timely.
 
-    def schedule_expiry(self, ticket: Ticket, now: float) -> None:
+        :param ticket: the request; None if only the whole queue counts.
+        """
+        now = asyncio.get_running_loop().time()
+        if ticket is None or not self.is_mixed(now):
+            wait = self.expected_wait()
+        else:
+            spare = ticket.timely_until - now - ticket.cost
+            wait = self.mixed_wait_of(ticket, now) - max(spare, 0.0)
+        return min(max(wait, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+
+    def schedule_expiry(self, ticket: tickets.Ticket, now: float) -> None:
         """Refuse a waiting request as soon as it can't meet its deadline any more."""
         latest = ticket.deadline - MIN_RUN_SHARE * self.times.mean_of(ticket.route)
         loop = asyncio.get_running_loop()
         handle = loop.call_at(max(latest, now), self.expire, ticket)
         ticket.ready.add_done_callback(lambda done: handle.cancel())
 
-    def expire(self, ticket: Ticket) -> None:
+    def expire(self, ticket: tickets.Ticket) -> None:
         """Refuse a request that got no slot in time."""
         if ticket in self.waiting:
-            self.waiting.remove(ticket)
+            self.remove(ticket)
             now = asyncio.get_running_loop().time()
             self.refuse(
                 ticket, self.full_code(now), "got no slot in time for its deadline"
             )
 
-    def refuse(self, ticket: Ticket, code: codes.Code, detail: str) -> None:
+    def refuse(self, ticket: tickets.Ticket, code: codes.Code, detail: str) -> None:
         """Fail a waiting request with a code."""
         if not ticket.ready.done():
-            failure = codes.Failure(code, detail, retry_after=self.retry_after())
+            failure = codes.Failure(code, detail, retry_after=self.retry_after(ticket))
             ticket.ready.set_exception(failure)
 
     def refuse_all(self, code: codes.Code, detail: str) -> None:
         """Fail all waiting requests with a code."""
         waiting, self.waiting = self.waiting, []
         for ticket in waiting:
+            self.shares.record_removal(ticket)
             self.refuse(ticket, code, detail)
 
-    def abandon(self, ticket: Ticket) -> None:
+    def abandon(self, ticket: tickets.Ticket) -> None:
         """Remove a request whose caller has gone, or release its slot."""
         if ticket in self.waiting:
-            self.waiting.remove(ticket)
+            self.remove(ticket)
         elif not ticket.ready.cancelled() and ticket.ready.exception() is None:
-            self.release()
+            self.release(ticket)
 
-    def release(self) -> None:
-        """Release a slot."""
+    def release(self, ticket: tickets.Ticket) -> None:
+        """Release the slot of a request."""
         self.running -= 1
+        self.occupancy.record_end(ticket)
         self.grant()
 
     def resize(self, slots: int) -> None:
@@ -294,10 +320,13 @@
                 self.schedule_grant(now)
                 return
             ticket = self.select_next(now)
-            self.waiting.remove(ticket)
+            if ticket is None:
+                return
             if ticket.ready.done():
+                self.remove(ticket)
                 continue
-            self.start_request(now)
+            self.waiting.remove(ticket)
+            self.start_request(ticket, now)
             ticket.ready.set_result(None)
 
     def schedule_grant(self, now: float) -> None:
@@ -310,7 +339,7 @@
         loop = asyncio.get_running_loop()
         self.timer = loop.call_at(now + delay + TIMER_MARGIN, self.grant)
 
-    def is_late(self, ticket: Ticket, now: float) -> bool:
+    def is_late(self, ticket: tickets.Ticket, now: float) -> bool:
         """Return whether a request that starts now would miss its target latency.
 
         A nested call never counts as late: its parent may still be timely, and the
@@ -319,8 +348,27 @@
         finish = now + self.times.mean_of(ticket.route)
         return not ticket.nested and finish > ticket.timely_until
 
-    def select_next(self, now: float) -> Ticket:
-        """Return the waiting request that is first by the queue's order."""
-        return min(
-            self.waiting, key=lambda item: self.order(item, self.is_late(item, now))
-        )
+    def place_of(self, ticket: tickets.Ticket, now: float) -> tuple:
+        """Return the sort key of a request that starts now."""
+        return self.order(ticket, self.is_late(ticket, now))
+
+    def select_next(self, now: float) -> tickets.Ticket | None:
+        """Return the waiting request that is first by the queue's order.
+
+        Return None if all that wait have to leave the free slots to urgent ones.
+        """
+        allowed = self.waiting
+        if self.is_mixed(now):
+            ranks = {item.rank: item for item in self.waiting if not item.nested}
+            blocked = {
+                rank
+                for rank, item in ranks.items()
+                if not self.may_hold_slot(item, now)
+            }
+            if blocked:
+                allowed = [
+                    item
+                    for item in self.waiting
+                    if item.nested or item.rank not in blocked
+                ]
+        return min(allowed, key=lambda item: self.place_of(item, now), default=None)
