Overload: accounts reach the queue; refused nested calls keep parents from starting

Cause: a service that refuses nested calls reported only refusals of new requests, so that parents were started in vain. Change: exits where several ranks or accounts compete report the refused share of nested calls under the rank -1. Tickets carry the account of the call.

--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -39,6 +39,10 @@
         self.upstream_seconds = self.histogram(
             "upstream_seconds", "Seconds until the local endpoint answered"
         )
+        self.slots_left = self.counter(
+            "slots_left",
+            "Requests that waited beside a slot that is kept for more urgent ones",
+        )
         self.upstream_requests = self.counter(
             "upstream_requests", "Requests sent to the local endpoint"
         )
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -154,6 +154,8 @@
             code=code.number,
             why=answer.detail or code.name,
             ran=answer.ran,
+            rank=call.rank,
+            account=call.account or "-",
             running=self.queue.running,
             waiting=len(self.queue.waiting),
             state=self.upstream.state,
@@ -181,21 +183,46 @@
     async def acquire_slot(self, call: calls.Call) -> tickets.Ticket:
         """Wait for a slot and return its ticket; raise if there is none in time."""
         ticket = tickets.Ticket(
-            call.route, call.rank, call.nested, call.timely_until, call.deadline
+            call.route,
+            call.rank,
+            call.nested,
+            call.timely_until,
+            call.deadline,
+            call.account,
         )
         try:
             await self.queue.acquire(ticket)
         except codes.Failure as failure:
             self.record_decision(call, failure.code in queueing.FULL_CODES)
             raise
+        finally:
+            if ticket.left_slot:
+                self.log_left_slot(call)
         self.record_decision(call, False)
         return ticket
 
+    def log_left_slot(self, call: calls.Call) -> None:
+        """Log that a call left a free slot to more urgent ones."""
+        self.meters.slots_left.inc()
+        self.log.note(
+            "slot-left",
+            id=call.attempt,
+            route=call.route,
+            rank=call.rank,
+            account=call.account or "-",
+        )
+
     def record_decision(self, call: calls.Call, refused: bool) -> None:
-        """Record whether the queue refused a new request."""
+        """Record whether the queue refused a request.
+
+        Refusals of nested calls are reported only where several ranks or accounts
+        compete; elsewhere their parents are started as before.
+        """
+        now = asyncio.get_running_loop().time()
         if not call.nested:
-            now = asyncio.get_running_loop().time()
             self.refused_shares.record(call.rank, refused, now)
+        elif self.queue.is_mixed(now):
+            self.refused_shares.record(load_shedding.NESTED, refused, now)
 
     def check_dependencies(self, call: calls.Call) -> None:
         """Raise ``calls-overloaded`` for a share of the less urgent requests.
--- a/rattanridge/policies/load_shedding.py
+++ b/rattanridge/policies/load_shedding.py
@@ -7,7 +7,8 @@
 refuse as many of their own less urgent ones.
 
 Handles a service that is overloaded by urgent requests of callers and by calls of less
-urgent requests to another service.
+urgent requests to another service, and one that cannot serve the calls of requests
+whatever their rank: their parents would be started in vain.
 """
 
 import dataclasses
@@ -21,6 +22,9 @@
 MAX_ROUTES = 1000  # routes whose calls are remembered
 MAX_SHARE = 0.6  # so that less urgent requests are not starved, and bring new reports
 
+# Stands for nested calls in shares; it is more urgent than any rank.
+NESTED = -1
+
 Shares = dict[int, float]
 
 
@@ -61,20 +65,33 @@
     def shares(self, now: float) -> Shares:
         """Return the refused share of the requests of each rank or a more urgent one.
 
-        Shares that are too small to matter are left out.
+        That of nested calls counts apart. Shares that are too small to matter are left
+        out.
         """
         found: Shares = {}
         offered = refused = 0.0
         for rank in sorted(self.decisions):
             decisions = self.decisions[rank]
             decisions.decay(now)
+            if rank == NESTED:
+                add_share(found, rank, decisions.offered, decisions.refused)
+                continue
             offered += decisions.offered
             refused += decisions.refused
-            if offered >= MIN_DECISIONS and refused >= MIN_SHARE * offered:
-                found[rank] = refused / offered
+            add_share(found, rank, offered, refused)
         return found
 
 
+def add_share(shares: Shares, rank: int, offered: float, refused: float) -> None:
+    """Add a refused share unless it is too small to matter.
+
+    :param offered: weighted number of requests.
+    :param refused: weighted number of those that were refused.
+    """
+    if offered >= MIN_DECISIONS and refused >= MIN_SHARE * offered:
+        shares[rank] = refused / offered
+
+
 @dataclasses.dataclass(slots=True)
 class Report:
     """Mean of the shares that the exits of a service reported.
--- a/rattanridge/policies/queueing.py
+++ b/rattanridge/policies/queueing.py
@@ -81,6 +81,7 @@
             self.start_request(ticket, now)
             return
         self.admit(ticket, now)
+        ticket.left_slot = free and not ticket.ready.done()
         try:
             await ticket.ready
         except asyncio.CancelledError:
--- a/rattanridge/policies/tickets.py
+++ b/rattanridge/policies/tickets.py
@@ -25,6 +25,8 @@
     :param cost: mean seconds of its route when it arrived.
     :param tag: when its account's turn comes, in seconds of an equal share.
     :param charge: by how much it delays its account's next request, in such seconds.
+    :param left_slot: whether it waited although a slot was free, which is kept for more
+        urgent requests.
     :param ready: done when the request gets a slot, or fails if it is refused; only
         requests that wait have it.
     """
@@ -39,6 +41,7 @@
     cost: float = 0.0
     tag: float = 0.0
     charge: float = 0.0
+    left_slot: bool = False
     ready: asyncio.Future = dataclasses.field(init=False, repr=False)
 
 
--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -52,6 +52,19 @@
             shares.record(2, False, 0.0)
         assert shares.shares(0.0) == {1: 1.0, 2: 0.5}
 
+    # Guards against: parents are started whose nested calls are all refused, and
+    # refusals of nested calls hide that urgent requests are served.
+    def test_nested_calls_count_apart(self):
+        shares = load_shedding.RefusedShares()
+        for _ in range(10):
+            shares.record(load_shedding.NESTED, True, 0.0)
+            shares.record(0, False, 0.0)
+        assert shares.shares(0.0) == {load_shedding.NESTED: 1.0}
+        dependencies = load_shedding.Dependencies()
+        dependencies.record_call("browse", "orders")
+        dependencies.record_shares("orders", shares.shares(0.0), 0.0)
+        assert dependencies.refused_share("browse", 0, 0.0) > 0.0
+
     def test_old_decisions_are_forgotten(self):
         shares = load_shedding.RefusedShares()
         for _ in range(10):
@@ -90,7 +103,7 @@
 
 
 class TestNode:
-    @pytest.mark.parametrize("shares", [{}, {0: 0.12, 2: 0.4}])
+    @pytest.mark.parametrize("shares", [{}, {0: 0.12, 2: 0.4}, {-1: 0.3}])
     def test_shares_travel_in_a_header(self, shares):
         text = hop_headers.encode_shares(shares)
         assert hop_headers.decode_shares(text) == shares
