Placement: the wait is reported and remembered by urgency

Cause: an exit reported the wait at the end of its whole queue. Beside a burst of long requests that is seconds, although an urgent request would wait for a tenth of that, so entries avoided endpoints whose queue they knew and preferred those without a report, the slow ones among them.

Change: the wait in an answer is that of a further request of the same urgency, and entries remember it by urgency. Where requests of one urgency are answered, nothing changes; the message has the same fields.

--- a/rattanridge/measure/depot_model.py
+++ b/rattanridge/measure/depot_model.py
@@ -87,6 +87,8 @@
     :param bound: name of the bound on the slots of less urgent requests.
     :param seconds: duration of the load in virtual seconds.
     :param endpoints: endpoints; rates are scaled to them.
+    :param entries: entries that send requests; 0 for two for each endpoint.
+    :param placement: name of the placement of entries.
     :param slow: number of endpoints that are slow while a burst lasts.
     :param accounts: usual share of the requests by account; empty if there are none.
     :param tagged: whether the queue is told the accounts.
@@ -99,6 +101,8 @@
     seconds: float = 16.0
     endpoints: int = 14
     slots: int = 9
+    entries: int = 0
+    placement: str = "expected-time"
     slow: int = 2
     bursts: tuple[Burst, ...] = ()
     kinds: tuple[Kind, ...] = KINDS
@@ -152,10 +156,11 @@
         active = any(item.start <= now < item.end for item in self.scenario.bursts)
         return (SLOW_FACTOR if self.slow and active else 1.0) / self.speed
 
-    def load(self) -> placement.Load:
-        """Return the load that the exit reports."""
+    def load(self, ticket: tickets.Ticket) -> placement.Load:
+        """Return the load that the exit reports with the answer to a request."""
         queue = self.queue
-        return placement.Load(queue.running, len(queue.waiting), queue.expected_wait())
+        wait = queue.expected_wait_behind(ticket)
+        return placement.Load(queue.running, len(queue.waiting), wait)
 
     async def serve(self, kind: Kind, ticket: tickets.Ticket) -> float:
         """Run one request; return the seconds at the endpoint."""
@@ -177,7 +182,8 @@
     """An entry, which places requests by what it has seen of the endpoints."""
 
     def __init__(self, zone: str, endpoints: list[Endpoint], rng: random.Random):
-        self.placer = placement.Placer(zone, rng)
+        kind = placement.PLACERS.get(endpoints[0].scenario.placement)
+        self.placer = kind(zone, rng)
         self.endpoints = {item.name: item for item in endpoints}
         self.tagged = endpoints[0].scenario.tagged
         self.candidates = [
@@ -202,7 +208,13 @@
         tried: list[placement.Candidate] = []
         while True:
             untried = [item for item in self.candidates if item not in tried]
-            chosen = self.placer.choose(untried, kind.route, kind.target, loop.time())
+            chosen = self.placer.choose(
+                untried,
+                kind.route,
+                kind.target,
+                loop.time(),
+                tickets.urgency_of(kind.rank, kind.nested),
+            )
             assert chosen is not None
             tried.append(chosen)
             ticket = tickets.Ticket(
@@ -233,10 +245,11 @@
             now = loop.time()
             self.placer.record_processing_time(chosen, kind.route, seconds, now)
         finally:
-            load = endpoint.load()
+            load = endpoint.load(ticket)
             await asyncio.sleep(HOP)
             chosen.end(True, loop.time())
-            chosen.record_load(load, loop.time())
+            urgency = tickets.urgency_of(kind.rank, kind.nested)
+            chosen.record_load(load, loop.time(), urgency)
 
 
 class Model:
@@ -265,7 +278,7 @@
         ]
         self.entries = [
             Entry(ZONES[number % len(ZONES)], endpoints, self.random)
-            for number in range(2 * count)
+            for number in range(scenario.entries or 2 * count)
         ]
         accounts = scenario.accounts or {"": 1.0}
         await asyncio.gather(
--- a/rattanridge/mesh/dispatcher.py
+++ b/rattanridge/mesh/dispatcher.py
@@ -14,7 +14,7 @@
     settings,
     shutdown as shutdowns,
 )
-from rattanridge.policies import placement, retry_budget
+from rattanridge.policies import placement, retry_budget, tickets
 
 MAX_EXIT_REFUSALS = 3  # attempts of one call that did not reach an upstream
 # Connections to upstreams that may break during one call; the call may be the cause.
@@ -170,7 +170,13 @@
         allowed = self.filter_candidates(call.service, all_candidates, bool(tried))
         untried = [item for item in allowed if item.node not in tried]
         now = asyncio.get_running_loop().time()
-        return self.placer.choose(untried, route.name, route.target_latency, now)
+        return self.placer.choose(
+            untried,
+            route.name,
+            route.target_latency,
+            now,
+            tickets.urgency_of(call.rank, call.nested),
+        )
 
     async def send(
         self, candidate: placement.Candidate, call: calls.Call
@@ -197,7 +203,8 @@
         """Record what an answer shows about its endpoint: load, time, failures."""
         now = asyncio.get_running_loop().time()
         if answer.load is not None:
-            candidate.record_load(answer.load, now)
+            urgency = tickets.urgency_of(call.rank, call.nested)
+            candidate.record_load(answer.load, now, urgency)
             self.record_announcement(candidate, answer, now)
             dependencies = self.exit.dependencies
             dependencies.record_shares(call.service, answer.refused_shares, now)
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -102,10 +102,11 @@
         """Return the number of requests at the upstream and in the queue."""
         return self.queue.running + len(self.queue.waiting)
 
-    def load(self) -> placement.Load:
-        """Return the load that is reported to other nodes."""
+    def load(self, call: calls.Call) -> placement.Load:
+        """Return the load that is reported with the answer to a call."""
         queue = self.queue
-        return placement.Load(queue.running, len(queue.waiting), queue.expected_wait())
+        wait = queue.expected_wait_behind(ticket_of(call))
+        return placement.Load(queue.running, len(queue.waiting), wait)
 
     async def run(self, call: calls.Call) -> calls.Answer:
         """Run a call and return the answer; failures become answers.
@@ -136,7 +137,7 @@
             answer = await self.run_in_slot(call)
         except codes.Failure as failure:
             answer = calls.refusal(failure, reached_upstream=call.sent)
-        answer.load = self.load()
+        answer.load = self.load(call)
         answer.announcement = self.announcements.current()
         now = asyncio.get_running_loop().time()
         answer.refused_shares = self.refused_shares.shares(now)
@@ -182,14 +183,7 @@
 
     async def acquire_slot(self, call: calls.Call) -> tickets.Ticket:
         """Wait for a slot and return its ticket; raise if there is none in time."""
-        ticket = tickets.Ticket(
-            call.route,
-            call.rank,
-            call.nested,
-            call.timely_until,
-            call.deadline,
-            call.account,
-        )
+        ticket = ticket_of(call)
         try:
             await self.queue.acquire(ticket)
         except codes.Failure as failure:
@@ -381,3 +375,15 @@
             reached_upstream=True,
             upstream_time=upstream_time,
         )
+
+
+def ticket_of(call: calls.Call) -> tickets.Ticket:
+    """Return the ticket with which a call waits for a slot."""
+    return tickets.Ticket(
+        call.route,
+        call.rank,
+        call.nested,
+        call.timely_until,
+        call.deadline,
+        call.account,
+    )
--- a/rattanridge/policies/demand.py
+++ b/rattanridge/policies/demand.py
@@ -24,7 +24,6 @@
 # urgent requests, and 0 makes 3 % more of the urgent ones late.
 SPREAD = 0.5
 MEMORY = 10.0  # seconds after which ranks and accounts that sent nothing do not count
-NESTED = -1  # urgency of nested calls
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,7 +64,7 @@
 
 
 class Demand:
-    """What arrives at a queue, by urgency: the rank, or ``NESTED``."""
+    """What arrives at a queue, by urgency: the rank, or ``tickets.NESTED``."""
 
     def __init__(self) -> None:
         self.ranks: dict[int, RankDemand] = {}
@@ -73,7 +72,7 @@
 
     def record(self, ticket: tickets.Ticket, now: float) -> None:
         """Record a request that arrives."""
-        urgency = NESTED if ticket.nested else ticket.rank
+        urgency = tickets.urgency_of(ticket.rank, ticket.nested)
         slack = ticket.timely_until - now - ticket.cost
         if ticket.account:
             self.account_at = now
@@ -91,12 +90,12 @@
         if len(self.ranks) < 2:
             return False
         recent = [rank for rank, item in self.ranks.items() if item.at >= since]
-        return len(recent) - (NESTED in recent) > 1
+        return len(recent) - (tickets.NESTED in recent) > 1
 
     def has_more_urgent(self, rank: int, now: float) -> bool:
         """Return whether more urgent new requests arrived recently."""
         return any(
-            NESTED < urgency < rank and item.slots(now)
+            tickets.NESTED < urgency < rank and item.slots(now)
             for urgency, item in self.ranks.items()
         )
 
--- a/rattanridge/policies/placement.py
+++ b/rattanridge/policies/placement.py
@@ -12,9 +12,9 @@
 import typing
 
 from rattanridge.kernel import registry
-from rattanridge.policies import rate_limit
+from rattanridge.policies import rate_limit, reported_waits
 
-LOAD_REPORT_TTL = 2.0  # seconds after which a reported load is ignored
+LOAD_REPORT_TTL = reported_waits.REPORT_TTL  # seconds until a load is ignored
 LATENCY_RATIO_WEIGHT = 0.2  # of one answer in an endpoint's moving average
 LATENCY_RATIO_RANGE = (0.2, 20.0)  # limits of an endpoint's moving average
 LATENCY_RATIO_HALF_LIFE = 3.0  # seconds
@@ -39,7 +39,7 @@
 
     :param running: requests that the endpoint runs.
     :param waiting: requests in the exit's queue.
-    :param wait: seconds that a new request would wait.
+    :param wait: seconds that a new request as urgent as the answered one would wait.
     """
 
     running: int
@@ -67,6 +67,7 @@
         other.
     :param limit: requests per second that it takes from all entries; None if it is
         not known to limit them.
+    :param waits: reported waits by urgency.
     :param lost: whether its node can't be reached; it gets no request until the node
         answers again.
     """
@@ -90,6 +91,9 @@
     failures: int = 0
     paused_until: float = 0.0
     limit: float | None = None
+    waits: reported_waits.ReportedWaits = dataclasses.field(
+        default_factory=reported_waits.ReportedWaits
+    )
     lost: bool = False
 
     def begin(self, now: float) -> None:
@@ -114,8 +118,12 @@
         """
         return now - self.last_answer_at if self.in_flight else 0.0
 
-    def record_load(self, load: Load, now: float) -> None:
-        """Record the load that was reported with an answer."""
+    def record_load(self, load: Load, now: float, urgency: int = 0) -> None:
+        """Record the load that was reported with an answer.
+
+        :param urgency: that of the answered request, see ``demand``.
+        """
+        self.waits.record(urgency, load.wait, now)
         self.load = load
         self.load_at = now
         self.load_in_flight = self.in_flight
@@ -166,11 +174,15 @@
         self.paused_until = 0.0
         self.lost = False
 
-    def expected_wait(self, processing_time: float, now: float) -> float:
+    def expected_wait(
+        self, processing_time: float, now: float, urgency: int = 0
+    ) -> float:
         """Return the seconds that a request would wait there for a slot.
 
         :param processing_time: expected seconds of one request.
         """
+        if self.limit is None and self.waits.is_mixed(now):
+            return self.expected_wait_of(urgency, processing_time, now)
         reported = limited = 0.0
         added = self.in_flight
         if self.load is not None and now - self.load_at < LOAD_REPORT_TTL:
@@ -187,6 +199,20 @@
             return limited
         return max(excess / self.slots * processing_time, reported, limited)
 
+    def expected_wait_of(
+        self, urgency: int, processing_time: float, now: float
+    ) -> float:
+        """Return the seconds that a request would wait beside others of several ranks.
+
+        Requests sent since the last report may run before it.
+        """
+        wait = self.waits.wait_of(urgency, now)
+        added = max(self.in_flight - self.load_in_flight, 0)
+        running = self.load.running if self.load is not None else 0
+        if not wait and running + added < self.slots:
+            return 0.0
+        return wait + added / self.slots * processing_time
+
 
 @dataclasses.dataclass(slots=True)
 class Mean:
@@ -235,12 +261,14 @@
         route: str,
         target: float,
         now: float,
+        urgency: int = 0,
     ) -> Candidate | None:
         """Return the candidate with the least cost, or None if all are lost.
 
         A paused candidate is chosen only if there is no other.
 
         :param target: target latency of the route in seconds.
+        :param urgency: that of the request, see ``demand``.
         """
         processing_time = self.mean(route).seconds or DEFAULT_PROCESSING_TIME
         best = None
@@ -250,19 +278,24 @@
                 continue
             cost = (
                 candidate.paused_until > now,
-                self.cost(candidate, processing_time, target, now),
+                self.cost(candidate, processing_time, target, now, urgency),
             )
             if cost < least:
                 best, least = candidate, cost
         return best
 
     def cost(
-        self, candidate: Candidate, processing_time: float, target: float, now: float
+        self,
+        candidate: Candidate,
+        processing_time: float,
+        target: float,
+        now: float,
+        urgency: int = 0,
     ) -> float:
         """Return the expected seconds of a request, plus penalties and jitter."""
         own_time = processing_time * candidate.latency_ratio(now)
         expected = own_time + max(
-            candidate.expected_wait(processing_time, now),
+            candidate.expected_wait(processing_time, now, urgency),
             candidate.unanswered_time(now) - SILENCE_TOLERANCE * own_time,
         )
         if candidate.zone != self.zone:
@@ -297,10 +330,17 @@
         self.mean(route).record(seconds)
 
     def cost(
-        self, candidate: Candidate, processing_time: float, target: float, now: float
+        self,
+        candidate: Candidate,
+        processing_time: float,
+        target: float,
+        now: float,
+        urgency: int = 0,
     ) -> float:
         """Return the expected seconds at an endpoint of average latency."""
-        expected = processing_time + candidate.expected_wait(processing_time, now)
+        expected = processing_time + candidate.expected_wait(
+            processing_time, now, urgency
+        )
         if candidate.zone != self.zone:
             expected += self.zone_penalty * target
         return expected + JITTER * target * self.random.random()
@@ -311,7 +351,12 @@
     """Chooses at random among the endpoints that are not paused."""
 
     def cost(
-        self, candidate: Candidate, processing_time: float, target: float, now: float
+        self,
+        candidate: Candidate,
+        processing_time: float,
+        target: float,
+        now: float,
+        urgency: int = 0,
     ) -> float:
         """Return a random number."""
         return self.random.random()
--- a/rattanridge/policies/queueing.py
+++ b/rattanridge/policies/queueing.py
@@ -10,6 +10,8 @@
 """
 
 import asyncio
+import dataclasses
+import math
 
 from rattanridge.kernel import codes
 from rattanridge.policies import (
@@ -235,6 +237,17 @@
         limited = self.rate_limit.delay(now, len(self.waiting))
         return max(self.wait_for_slot(), limited)
 
+    def expected_wait_behind(self, ticket: tickets.Ticket) -> float:
+        """Return the seconds that a further request like one would wait.
+
+        Among several ranks, only what goes before its rank's last request counts.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self.is_mixed(now):
+            return self.expected_wait()
+        further = dataclasses.replace(ticket, tag=math.inf)
+        return self.wait_in_place(further, False, now)
+
     def wait_for_slot(self) -> float:
         """Return the seconds until a slot is free at the end of the queue."""
         if self.running < self.slots:
--- a/rattanridge/policies/tickets.py
+++ b/rattanridge/policies/tickets.py
@@ -45,6 +45,14 @@
     ready: asyncio.Future = dataclasses.field(init=False, repr=False)
 
 
+NESTED = -1  # urgency of nested calls
+
+
+def urgency_of(rank: int, nested: bool) -> int:
+    """Return a request's urgency: its rank, or ``NESTED``; lower ones go first."""
+    return NESTED if nested else rank
+
+
 # Returns the sort key of a request; the flag says whether it would be late.
 Order = collections.abc.Callable[[Ticket, bool], tuple]
 ORDERS: registry.Registry[Order] = registry.Registry("queue order")
