--- a/rattanridge/mesh/accounts/authentication.py
+++ b/rattanridge/mesh/accounts/authentication.py
@@ -64,7 +64,7 @@
         raise codes.Failure(codes.NO_ACCOUNT, "no account has the request's key")
     attempt = fields.get(headers.ATTEMPT, "")
     parent = find_parent(attempt)
-    if parent is not None and parent.in_progress:
+    if not key and parent is not None and parent.in_progress:
         return Sender(parent.account, parent.rank, parent)
     if route.public:
         return Sender("", accounts.rank(None, route.priority), parent)
--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -285,15 +285,9 @@
     ) -> aiohttp.web.Response:
         """Run one request, which is recorded before anything else happens."""
         self.runs.append(run)
-        account = run.headers.get(headers.ACCOUNT, "")
-        authorization = run.headers.get(headers.AUTHORIZATION, "")
-        self.write_journal(
-            "run",
-            attempt=run.attempt,
-            key=run.key,
-            account=account,
-            authorization=authorization,
-        )
+        received = {"account": headers.ACCOUNT, "authorization": headers.AUTHORIZATION}
+        fields = {name: run.headers.get(field, "") for name, field in received.items()}
+        self.write_journal("run", attempt=run.attempt, key=run.key, **fields)
         self.counts["runs"] += 1
         affected = self.is_affected(run)
         self.running += 1
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -38,6 +38,7 @@
     ("open", "", "1", ("", 19, False)),
     ("open", "wrong", "1", ("", 19, False)),
     ("open", "", "gone.1", ("", 19, False)),
+    ("open", "wrong", "running.1", ("", 19, True)),
     ("open", "", "running.1", ("parent", 2, True)),
 ]
 
