A node does not load the application part of the HTTP library

Cause: importing aiohttp.web loads applications, routes of URLs, files and web sockets, which a node does not use.

Change: modules name the parts that they use (aiohttp.web_request, .web_response, .web_protocol, .web_server), and mesh/ports.py opens its listeners with asyncio. A test refuses aiohttp.web in a module that does not import it: it would work wherever another module has, as in tests, but not in a node.

--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -4,7 +4,8 @@
 import random
 
 import aiohttp.http
-import aiohttp.web
+import aiohttp.web_request
+import aiohttp.web_response
 import multidict
 
 from rattanridge.kernel import codes, routes
@@ -71,8 +72,8 @@
         return self.shutdown.closing
 
     async def serve(
-        self, request: aiohttp.web.BaseRequest
-    ) -> aiohttp.web.StreamResponse:
+        self, request: aiohttp.web_request.BaseRequest
+    ) -> aiohttp.web_response.StreamResponse:
         """Return the response to one request."""
         started_at = asyncio.get_running_loop().time()
         self.active += 1
@@ -118,7 +119,7 @@
         )
 
     async def read_call(
-        self, request: aiohttp.web.BaseRequest, started_at: float
+        self, request: aiohttp.web_request.BaseRequest, started_at: float
     ) -> tuple[calls.Call, routes.Route]:
         """Read a whole request and return it as a call with its route.
 
@@ -159,7 +160,7 @@
         return call, route
 
     async def find_route(
-        self, request: aiohttp.web.BaseRequest
+        self, request: aiohttp.web_request.BaseRequest
     ) -> tuple[routes.Configuration, routes.Route]:
         """Return the configuration in force and the route of a request.
 
@@ -198,7 +199,7 @@
             return None
         return current.match(host, target.partition("?")[0], method)
 
-    def respond(self, answer: calls.Answer) -> aiohttp.web.Response:
+    def respond(self, answer: calls.Answer) -> aiohttp.web_response.Response:
         """Return the response to send to the caller.
 
         A refusal with a server error becomes a 503 with Retry-After if the work
@@ -214,13 +215,13 @@
                 wait = max(answer.retry_after, MIN_RETRY_AFTER)
                 wait *= self.random.uniform(*RETRY_AFTER_JITTER)
                 response_headers["Retry-After"] = f"{wait:.2f}"
-        return aiohttp.web.Response(
+        return aiohttp.web_response.Response(
             status=status, headers=response_headers, body=answer.body
         )
 
     def record_answer(
         self,
-        request: aiohttp.web.BaseRequest,
+        request: aiohttp.web_request.BaseRequest,
         call: calls.Call | None,
         answer: calls.Answer,
         started_at: float,
--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -3,7 +3,8 @@
 import asyncio
 import collections.abc
 
-import aiohttp.web
+import aiohttp.web_request
+import aiohttp.web_response
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import (
@@ -58,7 +59,9 @@
         self.shutdown = shutdown
         self.meters = meters
 
-    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+    async def serve(
+        self, request: aiohttp.web_request.BaseRequest
+    ) -> aiohttp.web_response.Response:
         """Return the answer to a forwarded call, or a page for another node."""
         self.hop_auth.check(request)
         if own_headers.CALL not in request.headers:
@@ -78,7 +81,7 @@
         if answer.announcement is not None:
             text = hop_headers.encode_announcement(answer.announcement)
             response_headers.append((own_headers.ANNOUNCED, text))
-        response = aiohttp.web.Response(
+        response = aiohttp.web_response.Response(
             status=answer.status, headers=response_headers, body=answer.body
         )
         if self.shutdown.begun:
@@ -86,8 +89,8 @@
         return response
 
     async def answer_page_request(
-        self, request: aiohttp.web.BaseRequest
-    ) -> aiohttp.web.Response:
+        self, request: aiohttp.web_request.BaseRequest
+    ) -> aiohttp.web_response.Response:
         """Return the page that another node requested; 404 if there is none."""
         page = self.find_page(request.path)
         if page is not None:
@@ -96,11 +99,11 @@
             return await self.answer_coordinator(request)
         path, _, version = request.path.rpartition("/")
         if path != trials.BRAKE_PATH or request.method != "POST":
-            return aiohttp.web.Response(status=404)
+            return aiohttp.web_response.Response(status=404)
         self.exit.trial.brake(version)
-        return aiohttp.web.Response(body=b"{}", content_type=JSON)
+        return aiohttp.web_response.Response(body=b"{}", content_type=JSON)
 
-    def find_page(self, path: str) -> aiohttp.web.Response | None:
+    def find_page(self, path: str) -> aiohttp.web_response.Response | None:
         """Return a page of what this node knows; None if there is none at the path."""
         if path == directories.PATH:
             body = self.directory.encode_records()
@@ -109,28 +112,28 @@
         elif path == configurations.STATE_PATH:
             body = self.configs.state()
         elif path == configurations.PATH:
-            return aiohttp.web.Response(body=self.configs.compressed())
+            return aiohttp.web_response.Response(body=self.configs.compressed())
         else:
             return None
-        return aiohttp.web.Response(body=body, content_type=JSON)
+        return aiohttp.web_response.Response(body=body, content_type=JSON)
 
     async def answer_coordinator(
-        self, request: aiohttp.web.BaseRequest
-    ) -> aiohttp.web.Response:
+        self, request: aiohttp.web_request.BaseRequest
+    ) -> aiohttp.web_response.Response:
         """Apply the permit in a POST, if any, and return the exit's evidence."""
         if request.method == "POST":
             data = await bodies.read_body(request, MAX_PERMIT_BYTES)
             permit = trials.decode_permit(data)
             if permit is None:
-                return aiohttp.web.Response(status=400)
+                return aiohttp.web_response.Response(status=400)
             self.exit.trial.apply_permit(permit)
         usable_slots = self.exit.queue.usable_slots()
         braked = self.exit.trial.is_braked()
         order = self.versions.running_order(self.exit.monitor.upstream.service)
         report = self.exit.monitor.report(usable_slots, braked, order)
-        return aiohttp.web.Response(body=report, content_type=JSON)
+        return aiohttp.web_response.Response(body=report, content_type=JSON)
 
-    async def read_call(self, request: aiohttp.web.BaseRequest) -> calls.Call:
+    async def read_call(self, request: aiohttp.web_request.BaseRequest) -> calls.Call:
         """Return the forwarded call in a request; raise if it is unreadable."""
         body = await bodies.read_body(request, self.config.limits.body_bytes)
         call = hop_headers.decode_call(
@@ -164,19 +167,21 @@
         self.log = log
         self.meters = meters
 
-    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+    async def serve(
+        self, request: aiohttp.web_request.BaseRequest
+    ) -> aiohttp.web_response.Response:
         """Return the acknowledgement of a heartbeat or a farewell."""
         endpoint = request.path.removeprefix(heartbeats.PREFIX)
         if endpoint == request.path or not endpoint or "/" in endpoint:
-            return aiohttp.web.Response(status=404)
+            return aiohttp.web_response.Response(status=404)
         data = await bodies.read_body(request, heartbeats.MAX_BYTES)
         try:
             await self.apply(request.method, endpoint, data)
         except codes.Failure as failure:
             self.meters.add("heartbeat-unreadable")
             self.log.note("heartbeat-unreadable", endpoint=endpoint, why=str(failure))
-            return aiohttp.web.Response(status=failure.code.status)
-        return aiohttp.web.Response(body=b"{}", content_type=JSON)
+            return aiohttp.web_response.Response(status=failure.code.status)
+        return aiohttp.web_response.Response(body=b"{}", content_type=JSON)
 
     async def apply(self, method: str, endpoint: str, data: bytes) -> None:
         """Apply a heartbeat or a farewell.
@@ -205,11 +210,13 @@
     def __init__(self, ready: collections.abc.Callable[[], bool]):
         self.ready = ready
 
-    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+    async def serve(
+        self, request: aiohttp.web_request.BaseRequest
+    ) -> aiohttp.web_response.Response:
         """Return status 200 if the node is ready, else 503."""
         if request.path != heartbeats.READY_PATH:
-            return aiohttp.web.Response(status=404)
-        return aiohttp.web.Response(status=200 if self.ready() else 503)
+            return aiohttp.web_response.Response(status=404)
+        return aiohttp.web_response.Response(status=200 if self.ready() else 503)
 
 
 class MetricsHandler:
@@ -230,7 +237,9 @@
         self.upstream = upstream
         self.health = health
 
-    async def serve(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.Response:
+    async def serve(
+        self, request: aiohttp.web_request.BaseRequest
+    ) -> aiohttp.web_response.Response:
         """Return all metrics, with the gauges set to their present values."""
         now = asyncio.get_running_loop().time()
         self.meters.running.set(self.exit.queue.running)
@@ -239,6 +248,6 @@
             self.meters.data_age.labels(watch.kind).set(now - watch.current_at)
         self.meters.data_age.labels("store").set(now - self.health.answered_at)
         self.meters.data_age.labels("heartbeat").set(now - self.upstream.heartbeat_at)
-        return aiohttp.web.Response(
+        return aiohttp.web_response.Response(
             body=self.meters.render(), content_type="text/plain"
         )
--- a/rattanridge/mesh/hop_auth.py
+++ b/rattanridge/mesh/hop_auth.py
@@ -3,7 +3,7 @@
 import hashlib
 import hmac
 
-import aiohttp.web
+import aiohttp.web_request
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import settings
@@ -31,7 +31,7 @@
                 (headers.TOKEN, sign(self.key, config.name)),
             ]
 
-    def check(self, request: aiohttp.web.BaseRequest) -> None:
+    def check(self, request: aiohttp.web_request.BaseRequest) -> None:
         """Raise ``hop-refused`` if a request does not prove the shared key."""
         if not self.key:
             return
--- a/rattanridge/mesh/ports.py
+++ b/rattanridge/mesh/ports.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import aiohttp.web
-
 from rattanridge.kernel import addresses, codes
 from rattanridge.mesh import events, settings
 from rattanridge.web import pipelining, server as servers
@@ -13,6 +11,32 @@
 CANCEL_TIMEOUT = 0.01
 
 
+class Port:
+    """One HTTP port.
+
+    :param served: handles its connections.
+    :param listener: accepts them; None once the port is closed to new ones.
+    """
+
+    def __init__(self, served: servers.Server, listener: asyncio.Server):
+        self.served = served
+        self.listener: asyncio.Server | None = listener
+
+    def stop_listening(self) -> None:
+        """Accept no new connections; requests on open ones are still answered."""
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
+    async def close(self) -> None:
+        """Close all connections; requests that are still in progress are cut."""
+        self.stop_listening()
+        # Requests that have arrived are started, so that they are counted as cut.
+        await asyncio.sleep(0)
+        self.served.pre_shutdown()
+        await self.served.shutdown(CANCEL_TIMEOUT)
+
+
 class Ports:
     """All HTTP ports of one node.
 
@@ -25,8 +49,7 @@
         self.config = config
         self.meters = meters
         self.log = log
-        self.servers: list[servers.Server] = []
-        self.runners: list[aiohttp.web.ServerRunner] = []
+        self.ports: list[Port] = []
 
     async def listen(
         self,
@@ -40,27 +63,25 @@
         """
         host, _, port = address.rpartition(":")
         served = servers.Server(handler, self.config, self.meters, self.log, pipeline)
-        runner = aiohttp.web.ServerRunner(served, shutdown_timeout=CANCEL_TIMEOUT)
-        await runner.setup()
-        self.servers.append(served)
-        self.runners.append(runner)
-        site = aiohttp.web.TCPSite(runner, host, int(port), backlog=BACKLOG)
+        loop = asyncio.get_running_loop()
         try:
-            await site.start()
+            listener = await loop.create_server(
+                served, host, int(port), backlog=BACKLOG
+            )
         except OSError as error:
             where = addresses.join_host_port(host, int(port))
             raise codes.Failure(codes.CANNOT_LISTEN, error.strerror or "", where=where)
+        self.ports.append(Port(served, listener))
 
     def busy_connections(self) -> int:
         """Return how many connections have a request or an answer in progress."""
-        return sum(served.busy_connections() for served in self.servers)
+        return sum(port.served.busy_connections() for port in self.ports)
 
     async def stop_listening(self) -> None:
         """Accept no new connections; requests on open ones are still answered."""
-        for runner in self.runners:
-            for site in list(runner.sites):
-                await site.stop()
+        for port in self.ports:
+            port.stop_listening()
 
     async def close(self) -> None:
         """Close all connections; requests that are still in progress are cut."""
-        await asyncio.gather(*(runner.cleanup() for runner in self.runners))
+        await asyncio.gather(*(port.close() for port in self.ports))
--- a/rattanridge/web/bodies.py
+++ b/rattanridge/web/bodies.py
@@ -4,18 +4,23 @@
 
 import aiohttp
 import aiohttp.hdrs
-import aiohttp.web
+import aiohttp.web_protocol
+import aiohttp.web_request
 
 from rattanridge.kernel import codes
 from rattanridge.web import memory
 
 PART_SECONDS = 10.0  # time limit for each part of a body
-CONNECTION_ERRORS = (aiohttp.ClientError, aiohttp.web.RequestPayloadError, OSError)
+CONNECTION_ERRORS = (
+    aiohttp.ClientError,
+    aiohttp.web_protocol.RequestPayloadError,
+    OSError,
+)
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 async def read_body(
-    request: aiohttp.web.BaseRequest,
+    request: aiohttp.web_request.BaseRequest,
     limit: int,
     held: memory.MemoryBudget | None = None,
 ) -> bytes:
@@ -54,7 +59,7 @@
     return b"".join(parts)
 
 
-async def read_part(request: aiohttp.web.BaseRequest) -> bytes:
+async def read_part(request: aiohttp.web_request.BaseRequest) -> bytes:
     """Return the next part of a body; empty at the end of the body."""
     try:
         async with asyncio.timeout(PART_SECONDS):
@@ -63,7 +68,7 @@
         raise codes.Failure(codes.BODY_CUT, "it came too slowly")
 
 
-async def send_continue(request: aiohttp.web.BaseRequest) -> None:
+async def send_continue(request: aiohttp.web_request.BaseRequest) -> None:
     """Answer ``Expect: 100-continue``; raise ``bad-request`` for other expectations."""
     if request.headers[aiohttp.hdrs.EXPECT].lower() != "100-continue":
         raise codes.Failure(codes.BAD_REQUEST, "expectation")
--- a/rattanridge/web/pipelining.py
+++ b/rattanridge/web/pipelining.py
@@ -9,13 +9,13 @@
 import typing
 
 import aiohttp.http
-import aiohttp.web
+import aiohttp.web_response
 
 MAX_AHEAD = 8  # requests of one connection that run or wait for their turn
 
 Run = collections.abc.Callable[
     [aiohttp.http.RawRequestMessage],
-    collections.abc.Coroutine[None, None, aiohttp.web.StreamResponse],
+    collections.abc.Coroutine[None, None, aiohttp.web_response.StreamResponse],
 ]
 
 
--- a/rattanridge/web/server.py
+++ b/rattanridge/web/server.py
@@ -12,8 +12,10 @@
 import aiohttp
 import aiohttp.abc
 import aiohttp.streams
-import aiohttp.web
 import aiohttp.web_protocol
+import aiohttp.web_request
+import aiohttp.web_response
+import aiohttp.web_server
 import multidict
 import yarl
 
@@ -28,7 +30,8 @@
 DOT_SEGMENTS = frozenset((".", ".."))
 
 Handler = collections.abc.Callable[
-    [aiohttp.web.BaseRequest], collections.abc.Awaitable[aiohttp.web.StreamResponse]
+    [aiohttp.web_request.BaseRequest],
+    collections.abc.Awaitable[aiohttp.web_response.StreamResponse],
 ]
 
 
@@ -65,16 +68,18 @@
     def error(self, event: str, **fields: object) -> None: ...
 
 
-class Request(aiohttp.web.BaseRequest):
+class Request(aiohttp.web_request.BaseRequest):
     """A request whose response does not name the HTTP library."""
 
-    async def _prepare_hook(self, response: aiohttp.web.StreamResponse) -> None:
+    async def _prepare_hook(
+        self, response: aiohttp.web_response.StreamResponse
+    ) -> None:
         # The library has no other hook after it has added its own headers.
         if response.headers.get("Server") == aiohttp.http.SERVER_SOFTWARE:
             del response.headers["Server"]
 
 
-class Protocol(aiohttp.web.RequestHandler):
+class Protocol(aiohttp.web_protocol.RequestHandler):
     """One connection; answers malformed requests with a result code."""
 
     __slots__ = ("ahead", "server", "timer")
@@ -120,7 +125,7 @@
 
     async def run_early(
         self, message: aiohttp.http.RawRequestMessage
-    ) -> aiohttp.web.StreamResponse:
+    ) -> aiohttp.web_response.StreamResponse:
         """Return the answer to a request that waits for its turn."""
         writer = aiohttp.http.StreamWriter(self, self._loop)
         # The library has it as long as the connection is open.
@@ -148,11 +153,11 @@
 
     def handle_error(
         self,
-        request: aiohttp.web.BaseRequest,
+        request: aiohttp.web_request.BaseRequest,
         status: int = 500,
         exc: BaseException | None = None,
         message: str | None = None,
-    ) -> aiohttp.web.StreamResponse:
+    ) -> aiohttp.web_response.StreamResponse:
         """Return the coded answer to a malformed request or a failed handler.
 
         Raise ``ConnectionError`` if part of an answer was already sent.
@@ -170,7 +175,7 @@
         self.server.log.error("http-failed", why=describe(error or args))
 
 
-class Server(aiohttp.web.Server):
+class Server(aiohttp.web_server.Server):
     """HTTP server of one port.
 
     :param handler: answers well-formed requests.
@@ -209,8 +214,8 @@
         )
 
     async def handle(
-        self, request: aiohttp.web.BaseRequest
-    ) -> aiohttp.web.StreamResponse:
+        self, request: aiohttp.web_request.BaseRequest
+    ) -> aiohttp.web_response.StreamResponse:
         """Return the answer to the request whose turn it is on its connection.
 
         While ``pipeline`` is closing, the last answer of a connection closes it:
@@ -228,7 +233,9 @@
             response.force_close()
         return response
 
-    async def run(self, request: aiohttp.web.BaseRequest) -> aiohttp.web.StreamResponse:
+    async def run(
+        self, request: aiohttp.web_request.BaseRequest
+    ) -> aiohttp.web_response.StreamResponse:
         """Check the request target, then call the handler."""
         check_target(request)
         return await self.handler(request)
@@ -249,10 +256,10 @@
         self,
         message: aiohttp.http.RawRequestMessage,
         payload: aiohttp.StreamReader,
-        protocol: aiohttp.web.RequestHandler,
+        protocol: aiohttp.web_protocol.RequestHandler,
         writer: aiohttp.abc.AbstractStreamWriter,
         task: asyncio.Task,
-    ) -> aiohttp.web.BaseRequest:
+    ) -> aiohttp.web_request.BaseRequest:
         """Build a request; convert a target in absolute form to origin form."""
         if not message.path.startswith("/") and message.url.scheme in SCHEMES:
             message = to_origin_form(message)
@@ -260,7 +267,7 @@
 
     def record_failure(
         self,
-        request: aiohttp.web.BaseRequest,
+        request: aiohttp.web_request.BaseRequest,
         status: int,
         error: BaseException | None,
     ) -> codes.Failure:
@@ -307,7 +314,7 @@
     return codes.Failure(codes.BAD_REQUEST)
 
 
-def check_target(request: aiohttp.web.BaseRequest) -> None:
+def check_target(request: aiohttp.web_request.BaseRequest) -> None:
     """Raise ``bad-request`` for a target that programs may resolve differently.
 
     Dot segments, backslashes and control characters are interpreted differently by
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -144,8 +144,8 @@
 
     async def test_an_unreachable_node_is_skipped(self, world):
         await world.start("workshop", "registry", "registry")
-        for runner in world.nodes[1].ports.runners:
-            await runner.cleanup()
+        for port in world.nodes[1].ports.ports:
+            await port.close()
         results = [await world.call("/lookup/1") for _ in range(5)]
         assert {status for status, _, _ in results} == {200}
 
@@ -155,8 +155,8 @@
         """The lost node's upstream was replaced while the node was unreachable."""
         await world.start("workshop", "registry")
         entry, lost = world.nodes
-        for runner in lost.ports.runners[1:2]:
-            await runner.cleanup()
+        for port in lost.ports.ports[1:2]:
+            await port.close()
         assert (await world.call("/lookup/1"))[0] == 503
         first = entry.directory.candidates_of("registry")[0]
         assert first.lost
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -32,6 +32,16 @@
                 importlib.import_module(f"{node.module}.{item.name}")
 
 
+class TestLibraryImports:
+    # Guards against: a module that uses ``aiohttp.web`` without importing it. A node
+    # does not load that part of the library, but the stand-ins in tests do, so only
+    # the node's own process would fail.
+    @pytest.mark.parametrize("path", SOURCES, ids=file_id)
+    def test_web_part_of_the_library_is_imported_where_it_is_used(self, path):
+        text = path.read_text()
+        assert "aiohttp.web." not in text or "import aiohttp.web\n" in text
+
+
 class TestDocstrings:
     @pytest.mark.parametrize("path", SOURCES + TESTS, ids=file_id)
     def test_module(self, path):
