Evacuations: changes travel with calls and by exchange

Cause: a node whose watch gets no answer passes the store's checks, and heard of an order only when its watch ended, after up to 18.8 s. Change: calls and answers carry the revision of the last known change, if there ever was one; while a zone is evacuated each node exchanges what it knows with one other node a second.

--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -36,6 +36,8 @@
     :param version: version of the configuration at its entry.
     :param entry: address at which its entry accepts calls of other nodes.
     :param announcement: what its entry knows that the endpoint announced.
+    :param zones: revision of the last change of an evacuation that its entry knows; 0
+        if there was none.
     :param sent: whether any byte of it was sent to an upstream.
     """
 
@@ -57,6 +59,7 @@
     from_upstream: bool = False
     is_retry: bool = False
     announcement: announcements.Announcement | None = None
+    zones: int = 0
     sent: bool = False
 
 
@@ -75,6 +78,7 @@
     :param version: version of the configuration at the exit.
     :param refused_shares: how often the exit refuses new requests, by rank.
     :param announcement: what the endpoint announced in its answers.
+    :param zones: revision of the last change of an evacuation that the exit knows.
     :param room: requests that the endpoint may get, if it is cold; None if it is not.
     """
 
@@ -94,6 +98,7 @@
     refused_shares: load_shedding.Shares = dataclasses.field(default_factory=dict)
     announcement: announcements.Announcement | None = None
     room: cold_rate.Room | None = None
+    zones: int = 0
 
 
 def refusal(failure: codes.Failure, reached_upstream: bool = False) -> Answer:
--- a/rattanridge/mesh/dispatcher.py
+++ b/rattanridge/mesh/dispatcher.py
@@ -8,6 +8,7 @@
 from rattanridge.mesh import (
     calls,
     directory as directories,
+    evacuation,
     events,
     exit as exits,
     peers as peer_clients,
@@ -85,8 +86,7 @@
         retry budget is divided; 0 if this node has no share of it.
     :param record_peer_version: called with the version of the configuration at each
         exit that answers, and the exit's address.
-    :param record_evacuated: called with the address of each exit that refused a call
-        because its zone is evacuated.
+    :param evacuations: learns from the answers of other nodes.
     :param peers: forwards calls to other nodes.
     :param shutdown: tells which calls can still end in time.
     """
@@ -99,7 +99,7 @@
         filter_candidates: CandidateFilter,
         count_budget_nodes: BudgetNodeCount,
         record_peer_version: collections.abc.Callable[[int, str], None],
-        record_evacuated: collections.abc.Callable[[str], None],
+        evacuations: evacuation.Evacuations,
         peers: peer_clients.PeerClient,
         shutdown: shutdowns.Shutdown,
         log: events.Events,
@@ -111,7 +111,7 @@
         self.filter_candidates = filter_candidates
         self.count_budget_nodes = count_budget_nodes
         self.record_peer_version = record_peer_version
-        self.record_evacuated = record_evacuated
+        self.evacuations = evacuations
         self.log = log
         self.meters = meters
         self.peers = peers
@@ -220,6 +220,7 @@
         loop = asyncio.get_running_loop()
         candidate.begin(loop.time())
         self.rooms.record_sent(candidate.node)
+        call.zones = self.evacuations.newest
         call.announcement = self.directory.announcement_of(candidate.node, loop.time())
         answered = False
         try:
@@ -245,8 +246,7 @@
             dependencies = self.exit.dependencies
             dependencies.record_shares(call.service, answer.refused_shares, now)
         self.record_peer_version(answer.version, candidate.hop)
-        if answer.code is codes.ZONE_EVACUATED:
-            self.record_evacuated(candidate.hop)
+        self.evacuations.record_peer(answer.zones, candidate.hop)
         if answer.code in UNUSABLE_CODES:
             candidate.record_unreachable(now)
             if answer.load is None:
--- a/rattanridge/mesh/evacuation.py
+++ b/rattanridge/mesh/evacuation.py
@@ -17,6 +17,7 @@
 PATH = "/evacuations"
 NODE = "node"  # query parameter: address of the node that asks
 VERSION = "version"  # query parameter: its configuration
+NEWEST = "zones"  # query parameter: revision of the last change that it knows
 MAX_ENDED = 16  # ended evacuations of a zone that are remembered
 MAX_ZONES = 256  # zones that are remembered, also as no longer evacuated
 LEARN_INTERVAL = 1.0  # seconds between two requests for what other nodes know
@@ -75,6 +76,7 @@
         # Whether they are known, from the store or from another node.
         self.known = not self.enabled
         self.zones: dict[str, Zone] = {}
+        self.newest = 0  # revision of the last change; 0 if there was none
         # Zones whose object the store has lost, and zones of which it has one again
         # that was deleted, by that object's revision.
         self.lost: set[str] = set()
@@ -159,6 +161,7 @@
         if name not in self.zones and len(self.zones) >= MAX_ZONES:
             self.forget_one()
         self.zones[name] = zone
+        self.newest = max(self.newest, zone.revision)
         self.meters.zone_evacuated.labels(name).set(zone.evacuated)
         if zone.evacuated != before:
             event = "zone-evacuated" if zone.evacuated else "zone-restored"
@@ -199,15 +202,16 @@
             self.notify()
 
     async def exchange(self, address: str, own_address: str, version: int) -> None:
-        """Exchange with another node what both know, while the store is lost.
+        """Ask another node what it knows, and let it ask this one for what is newer.
 
-        Nobody sends calls to a node of an evacuated zone. One that has just started
-        has no other way to hear whom it can ask.
+        Nobody sends calls to a node of an evacuated zone. If its watch is late, or if
+        it has started without the store, it has no other way to hear of a change.
 
         :param own_address: at which this node accepts calls of others.
         :param version: of the configuration in force here.
         """
-        await self.learn(address, f"{PATH}?{NODE}={own_address}&{VERSION}={version}")
+        query = f"{NODE}={own_address}&{VERSION}={version}&{NEWEST}={self.newest}"
+        await self.learn(address, f"{PATH}?{query}")
 
     def merge(self, name: str, zone: Zone, source: str) -> None:
         """Take over what another node knows of a zone, if it is newer.
@@ -232,10 +236,17 @@
         self.revived.pop(name, None)
         self.set_zone(name, zone, source)
 
-    def record_refusal(self, address: str) -> None:
-        """Ask a node what it knows, as its exit refused a request for its zone."""
+    def record_peer(self, newest: int, address: str) -> None:
+        """Ask a node what it knows if it knows of a later change.
+
+        The watch of this node may be late, or the store out of its reach.
+
+        :param newest: revision of the last change that the other node knows.
+        """
+        if not self.enabled or newest <= self.newest or not address:
+            return
         now = asyncio.get_running_loop().time()
-        if not self.enabled or now - self.learnt_at < LEARN_INTERVAL:
+        if now - self.learnt_at < LEARN_INTERVAL:
             return
         self.learnt_at = now
         self.learn_task = asyncio.create_task(self.learn(address))
--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -84,6 +84,9 @@
         if answer.room is not None:
             text = hop_headers.encode_room(answer.room)
             response_headers.append((own_headers.COLD, text))
+        if self.evacuations.newest:
+            text = str(self.evacuations.newest)
+            response_headers.append((own_headers.ZONES, text))
         response = aiohttp.web.Response(
             status=answer.status, headers=response_headers, body=answer.body
         )
@@ -108,11 +111,16 @@
         return aiohttp.web.Response(body=b"{}", content_type=JSON)
 
     def record_asker(self, request: aiohttp.web.BaseRequest) -> None:
-        """Record the configuration of a node that says who it is when it asks."""
-        version = request.query.get(evacuation.VERSION, "")
-        if version.isdecimal():
-            address = request.query.get(evacuation.NODE, "")
-            self.configs.record_peer_version(int(version), address)
+        """Record what a node has that says who it is when it asks."""
+        address = request.query.get(evacuation.NODE, "")
+        if not address:
+            return
+        version, newest = (
+            hop_headers.decode_revision(request.query.get(name, ""))
+            for name in (evacuation.VERSION, evacuation.NEWEST)
+        )
+        self.configs.record_peer_version(version, address)
+        self.evacuations.record_peer(newest, address)
 
     def find_page(self, path: str) -> aiohttp.web.Response | None:
         """Return a page of what this node knows; None if there is none at the path."""
@@ -158,6 +166,7 @@
         )
         call.headers = calls.forwardable(request.headers)
         self.configs.record_peer_version(call.version, call.entry)
+        self.evacuations.record_peer(call.zones, call.entry)
         return call
 
 
--- a/rattanridge/mesh/hop_headers.py
+++ b/rattanridge/mesh/hop_headers.py
@@ -14,6 +14,7 @@
 ANSWER_FIELDS = 10
 ANNOUNCEMENT_FIELDS = 4
 MAX_DEADLINE_SECONDS = 3600.0
+MAX_REVISION_DIGITS = 30
 
 
 def encode_call(call: calls.Call) -> str:
@@ -78,6 +79,7 @@
         entry=parts[8],
         is_retry=bool(is_retry),
         announcement=decode_announcement(received.get(own_headers.ANNOUNCED, "")),
+        zones=decode_revision(received.get(own_headers.ZONES, "")),
     )
 
 
@@ -152,6 +154,11 @@
     return cold_rate.Room(int(left), min(int(wait) / 1000, cold_rate.WINDOW))
 
 
+def decode_revision(text: str) -> int:
+    """Return the revision in a header; 0 if it is absent or unreadable."""
+    return int(text) if text.isdecimal() and len(text) <= MAX_REVISION_DIGITS else 0
+
+
 def encode_announcement(announcement: announcements.Announcement) -> str:
     """Return an announcement as a header, such as ``i-7f,1700000000000,12.5,0``.
 
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -127,7 +127,7 @@
             self.versions.filter_candidates,
             self.membership.count_budget_nodes,
             self.configs.record_peer_version,
-            self.evacuations.record_refusal,
+            self.evacuations,
             forwarders.PeerClient(self.hop_auth, self.memory_budget),
             self.shutdown,
             self.log,
@@ -211,8 +211,8 @@
             await self.fetch_orders(address)
 
     async def exchange_evacuations(self) -> None:
-        """Exchange the evacuations with another node while the store is lost."""
-        if self.health.up.is_set() or not self.directory.evacuated:
+        """Exchange what is known with another node while a zone is evacuated."""
+        if not self.directory.evacuated:
             return
         address = self.membership.draw_other_address()
         if address:
--- a/rattanridge/mesh/peers.py
+++ b/rattanridge/mesh/peers.py
@@ -78,6 +78,8 @@
         if call.announcement is not None:
             text = hop_headers.encode_announcement(call.announcement)
             request_headers.append((own_headers.ANNOUNCED, text))
+        if call.zones:
+            request_headers.append((own_headers.ZONES, str(call.zones)))
         data = connections.write_request(
             call.method, call.path, request_headers, call.body
         )
@@ -128,5 +130,8 @@
         answer.room = hop_headers.decode_room(
             response.headers.get(own_headers.COLD, "")
         )
+        answer.zones = hop_headers.decode_revision(
+            response.headers.get(own_headers.ZONES, "")
+        )
         answer.headers = calls.forwardable(response.headers)
         return answer
--- a/rattanridge/web/headers.py
+++ b/rattanridge/web/headers.py
@@ -13,6 +13,8 @@
 ANNOUNCED = "Rattanridge-Announced"
 # Between nodes: what a cold endpoint may still get, only while it is cold.
 COLD = "Rattanridge-Cold"
+# Between nodes: revision of the last change of an evacuation that the sender knows.
+ZONES = "Rattanridge-Zones"
 NODE = "Rattanridge-Node"  # between nodes: name of the sending node
 TOKEN = "Rattanridge-Token"  # between nodes: proof of the shared key
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -8,7 +8,7 @@
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import evacuation
-from rattanridge.platform import store_objects
+from rattanridge.platform import evacuations, store_objects
 from tests import evacuated_zones as zones, mesh_world, silent_log, test_restarts
 
 
@@ -53,6 +53,16 @@
 
 
 class TestFaults:
+    # Guards against: a node whose watch gets no answer does not hear of the order,
+    # although the store answers its checks.
+    async def test_node_without_a_watch_hears_it_from_others(self, world):
+        await world.start("registry", "registry", slots=12, **zones.SETTINGS)
+        watch = world.nodes[0].watches[3]
+        watch.apply = watch.apply_all = lambda *ignored: None
+        await world.store.put(evacuations.KIND, "a", evacuations.SPEC)
+        await zones.wait_for(world, True)
+        assert not await zones.serve_all(world)
+
     # Guards against: nobody calls the new process, so it never hears whom to ask.
     @pytest.mark.parametrize("fault", ["down", "silent"])
     async def test_it_holds_without_the_store_also_over_a_restart(self, world, fault):
