--- /dev/null
+++ b/rattanridge/policies/quota_ledger.py
@@ -0,0 +1,331 @@
+"""The allocator's ledger: which node may hold which share of a quota. Needs no network.
+
+The ledger counts what may still be held: of each node the larger of what it reported and
+what it was granted since, until it reports again or the grant has ended. It grants only
+what is certainly free. What is free is a bucket of its own, whose tokens serve requests
+that cannot wait for a share.
+
+Addresses demand that moves between 88 nodes, accounts that are too small to be divided
+among all nodes that serve them, and allocators that die while shares are held.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+from rattanridge.policies import quota
+
+HEADROOM = 1.1  # rate granted for each request per second while the demand fits
+MIN_RATE = 1.0  # requests per second that a node gets at least while that fits
+# Parts of the rate and of the depth that are kept for requests that cannot wait. While
+# the demand is low, more of the rate is kept: a node with few requests uses its share
+# unevenly, and each of its requests lacks a third of a token on average.
+RATE_RESERVE = 0.1
+LOW_RATE_RESERVE = 0.3
+DEPTH_RESERVE = 0.3
+# Part of the free depth whose tokens are only for requests that wait: tokens stored at
+# nodes whose buckets fill up by themselves are lost.
+STOCK_KEPT = 0.5
+STOCK_PART = 0.25  # of the other free tokens that a node may store at once
+MIN_DEMAND = 0.02  # requests per second that count as demand
+# Requests per second from which a node gets a share. Below, each request is admitted by
+# a report: a share would lie idle while other nodes lack it.
+MIN_SHARE_DEMAND = 0.25
+MIN_WAIT = 0.05  # seconds
+EXHAUSTED_WAIT = 0.25  # seconds, for each time the rate that the demand is
+MAX_DEMAND_RATIO = 4.0  # beyond which the wait does not grow
+CONFIRM_INTERVAL = 0.5  # seconds to the report that frees what others need
+
+
+@dataclasses.dataclass(slots=True)
+class Hold:
+    """What one node may hold of an account.
+
+    :param rate: share of the rate, 0 to 1.
+    :param depth: share of the depth, 0 to 1.
+    :param demand: requests per second that it reported.
+    """
+
+    rate: float
+    depth: float
+    demand: float
+    expires_at: float
+
+
+class AccountLedger:
+    """The shares and the free tokens of one account.
+
+    :param tokens: free tokens at the start.
+    """
+
+    def __init__(self, limit: quota.Limit, tokens: float, now: float):
+        self.limit = limit
+        self.tokens = min(tokens, limit.depth())
+        self.updated_at = now
+        self.holds: dict[str, Hold] = {}
+        # Shares that reports have shown to be held by nobody else.
+        self.known_rate = 0.0
+        self.known_depth = 0.0
+        self.free_rate = 0.0
+        self.free_depth = 0.0
+        # Tokens on the way to a node: until when, and how many.
+        self.on_the_way: collections.deque[tuple[float, float]] = collections.deque()
+
+    def advance(self, now: float) -> None:
+        """Add free tokens for the time since the last call, and drop ended holds."""
+        elapsed = max(now - self.updated_at, 0.0)
+        self.updated_at = max(now, self.updated_at)
+        while self.on_the_way and self.on_the_way[0][0] <= now:
+            self.on_the_way.popleft()
+        self.tokens += self.free_rate * self.limit.rate * elapsed
+        self.cut_tokens()
+        ended = [name for name, hold in self.holds.items() if hold.expires_at <= now]
+        for name in ended:
+            del self.holds[name]
+
+    def cut_tokens(self) -> None:
+        """Drop the tokens for which there is no room."""
+        room = self.free_depth * self.limit.depth()
+        room -= sum(amount for _, amount in self.on_the_way)
+        self.tokens = max(min(self.tokens, room), 0.0)
+
+    def recount(self, settled: bool) -> None:
+        """Count again what is free.
+
+        :param settled: whether all that may be held is known.
+        """
+        rate = 1.0 if settled else self.known_rate
+        depth = 1.0 if settled else self.known_depth
+        for hold in self.holds.values():
+            rate -= hold.rate
+            depth -= hold.depth
+        self.free_rate = max(rate, 0.0)
+        self.free_depth = max(depth, 0.0)
+        self.cut_tokens()
+
+    def apply_limit(self, limit: quota.Limit) -> None:
+        """Apply the quota of a newer configuration."""
+        if limit != self.limit:
+            self.limit = limit
+            self.cut_tokens()
+
+    def free(self, node: str) -> None:
+        """Drop what a node may hold, as its process has ended."""
+        self.holds.pop(node, None)
+
+    def demand(self) -> float:
+        """Return the requests per second at all nodes."""
+        return sum(hold.demand for hold in self.holds.values())
+
+    def grant(
+        self, node: str, entry: quota.Entry, settled: bool, now: float
+    ) -> quota.Grant:
+        """Return what a node gets, and count it as held."""
+        expires_at = now + quota.SHARE_LIFETIME
+        hold = Hold(entry.rate, entry.depth, entry.demand, expires_at)
+        self.holds[node] = hold
+        self.recount(settled)
+        spare_depth = self.free_depth + hold.depth - DEPTH_RESERVE
+        spare_rate = self.free_rate + hold.rate - (1 - self.rate_budget())
+        depth = max(min(self.target_depth(hold), spare_depth), 0.0)
+        rate = max(min(self.target_rate(hold), spare_rate), 0.0)
+        if depth * self.limit.depth() < 1 - quota.ROUNDING:
+            # Such a bucket admits nothing.
+            depth = rate = 0.0
+        hold.rate = max(rate, hold.rate)
+        hold.depth = max(depth, hold.depth)
+        self.recount(settled)
+        tokens = self.take_tokens(entry, depth, now)
+        own = min(entry.tokens, depth * self.limit.depth())
+        wait = self.wait(entry.waiting - own - tokens)
+        if not hold.depth and hold.demand < MIN_DEMAND:
+            del self.holds[node]
+        settling = not settled and wait > 0
+        return quota.Grant(entry.account, rate, depth, tokens, wait, settling)
+
+    def rate_budget(self) -> float:
+        """Return the part of the rate, 0 to 1, that is divided into shares."""
+        load = self.demand() / self.limit.rate
+        return min(max(load, 1 - LOW_RATE_RESERVE), 1 - RATE_RESERVE)
+
+    def target_rate(self, hold: Hold) -> float:
+        """Return the share of the rate that a node should have."""
+        if hold.demand < MIN_SHARE_DEMAND:
+            return 0.0
+        demands = [item.demand * HEADROOM for item in self.holds.values()]
+        budget = self.limit.rate * self.rate_budget()
+        wanted = hold.demand * HEADROOM
+        if sum(max(demand, MIN_RATE) for demand in demands) <= budget:
+            return max(wanted, MIN_RATE) / self.limit.rate
+        return wanted * min(budget / sum(demands), 1.0) / self.limit.rate
+
+    def target_depth(self, hold: Hold) -> float:
+        """Return the share of the depth that a node should have.
+
+        Each node gets at least one token if that fits. Otherwise the nodes that cannot
+        have one by their demand share what is left in the order in which they ask.
+        """
+        total = self.demand()
+        if hold.demand < MIN_SHARE_DEMAND:
+            return 0.0
+        whole = self.limit.depth()
+        budget = whole * (1 - DEPTH_RESERVE)
+        nodes = sum(item.demand >= MIN_SHARE_DEMAND for item in self.holds.values())
+        if nodes <= budget:
+            return (1 + (budget - nodes) * hold.demand / total) / whole
+        if budget * hold.demand / total >= 1:
+            return budget * hold.demand / total / whole
+        small = [
+            item
+            for item in self.holds.values()
+            if item is not hold and budget * item.demand / total < 1
+        ]
+        part = sum(item.demand for item in small) + hold.demand
+        held = sum(item.depth for item in small) * whole
+        return 1 / whole if held + 1 <= budget * part / total else 0.0
+
+    def take_tokens(self, entry: quota.Entry, depth: float, now: float) -> float:
+        """Return free tokens for waiting requests, and to store in the node's bucket."""
+        room = depth * self.limit.depth()
+        own = min(entry.tokens, room)
+        served = min(entry.waiting, int(own + self.tokens + quota.ROUNDING))
+        taken = min(max(served - own, 0.0), self.tokens)
+        if served == entry.waiting and self.demand() < self.limit.rate:
+            kept = self.free_depth * self.limit.depth() * STOCK_KEPT
+            spare = self.tokens - taken - kept
+            taken += max(min(room - own, spare * STOCK_PART), 0.0)
+        if taken:
+            self.tokens = max(self.tokens - taken, 0.0)
+            self.on_the_way.append((now + quota.TOKENS_LIFETIME, taken))
+        return taken
+
+    def wait(self, lacking: float) -> float:
+        """Return the seconds in which a node cannot get more tokens.
+
+        :param lacking: waiting requests that got no token.
+        """
+        if lacking <= quota.ROUNDING:
+            return 0.0
+        ratio = self.demand() / self.limit.rate
+        if ratio >= 1:
+            return EXHAUSTED_WAIT * (1 + min(ratio, MAX_DEMAND_RATIO))
+        refill = self.free_rate * self.limit.rate
+        return min(max(1 / refill, MIN_WAIT), EXHAUSTED_WAIT) if refill else MIN_WAIT
+
+    def is_tight(self) -> bool:
+        """Return whether others need what a node does not use."""
+        return self.demand() * HEADROOM > self.limit.rate * self.rate_budget()
+
+
+@dataclasses.dataclass(slots=True)
+class Reporter:
+    """The last report of a node.
+
+    :param incarnation: of its process.
+    :param sequence: number of the report.
+    """
+
+    incarnation: int
+    sequence: int
+
+
+class Ledger:
+    """The shares of all accounts, as one allocator grants them in its term.
+
+    :param settled_at: when the last grant of the former term has ended.
+    :param unheard: nodes that may hold grants of a former term.
+    """
+
+    def __init__(
+        self, settled_at: float, unheard: collections.abc.Collection[str] = ()
+    ):
+        self.settled_at = settled_at
+        self.unheard = set(unheard)
+        self.accounts: dict[str, AccountLedger] = {}
+        self.reporters: dict[str, Reporter] = {}
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether all that may be held is known."""
+        if self.unheard and now < self.settled_at:
+            return False
+        if self.unheard:
+            self.unheard.clear()
+        # Tokens of all accounts grow from this moment on.
+        self.settled_at = min(self.settled_at, now)
+        return True
+
+    def record_report(self, node: str, incarnation: int, sequence: int) -> bool:
+        """Record a report; return False if it is older than one that has come before.
+
+        A new incarnation frees what the former process held.
+        """
+        known = self.reporters.get(node)
+        if known is not None:
+            if (incarnation, sequence) <= (known.incarnation, known.sequence):
+                return False
+            if incarnation > known.incarnation:
+                for account in self.accounts.values():
+                    account.free(node)
+        self.reporters[node] = Reporter(incarnation, sequence)
+        return True
+
+    def incarnation_of(self, node: str) -> int:
+        """Return the highest incarnation of a node that has reported."""
+        known = self.reporters.get(node)
+        return known.incarnation if known is not None else 0
+
+    def answer(
+        self,
+        node: str,
+        incarnation: int,
+        sequence: int,
+        entries: list[quota.Entry],
+        now: float,
+    ) -> list[quota.Grant] | None:
+        """Return the grants for a report; None if a newer one has come before."""
+        first = node not in self.reporters
+        if not self.record_report(node, incarnation, sequence):
+            return None
+        for entry in entries:
+            account = self.account_of(entry, now)
+            account.advance(now)
+            if first:
+                account.known_rate = min(account.known_rate + entry.rate, 1.0)
+                account.known_depth = min(account.known_depth + entry.depth, 1.0)
+        self.unheard.discard(node)
+        settled = self.is_settled(now)
+        return [
+            self.accounts[entry.account].grant(node, entry, settled, now)
+            for entry in entries
+        ]
+
+    def account_of(self, entry: quota.Entry, now: float) -> AccountLedger:
+        """Return the ledger of an account, under the quota that the entry names."""
+        account = self.accounts.get(entry.account)
+        if account is None:
+            settled = self.is_settled(now)
+            tokens = entry.limit.rate * (now - self.settled_at) if settled else 0.0
+            account = AccountLedger(entry.limit, tokens, now)
+            account.recount(settled)
+            self.accounts[entry.account] = account
+        account.apply_limit(entry.limit)
+        return account
+
+    def interval(self, entries: list[quota.Entry], grants: list[quota.Grant]) -> float:
+        """Return the seconds until a node should report again.
+
+        A node that holds less than before must confirm it before others get it.
+        """
+        for entry, grant in zip(entries, grants, strict=True):
+            shrunk = grant.rate < entry.rate or grant.depth < entry.depth
+            if shrunk and self.accounts[entry.account].is_tight():
+                return CONFIRM_INTERVAL
+        return quota.REPORT_INTERVAL
+
+    def holders(self, now: float) -> set[str]:
+        """Return the nodes that may hold a share, of this term or a former one."""
+        found = set() if self.is_settled(now) else set(self.unheard)
+        for account in self.accounts.values():
+            account.advance(now)
+            found.update(account.holds)
+        return found
