--- a/rattanridge/kernel/presets.py
+++ b/rattanridge/kernel/presets.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes, documents, routes, settings
+from rattanridge.kernel import accounts, codes, documents, routes, settings
 
 Prefix = typing.Annotated[str, msgspec.Meta(pattern=r"^/", max_length=512)]
 Host = typing.Annotated[
@@ -15,9 +15,11 @@
 ]
 Method = typing.Annotated[str, msgspec.Meta(pattern=r"^([A-Z]{1,16}|\*)$")]
 Attempts = typing.Annotated[int, msgspec.Meta(ge=1, le=10)]
+AccountPriority = typing.Annotated[int, msgspec.Meta(ge=0, le=1000)]
 
 PRIORITIES = ("high", "normal", "low")  # highest first; the index is the rank
 ANY_METHOD = "*"
+HIDDEN_KEY = "***"
 # Target latency of a route that sets none, as a fraction of its timeout.
 DEFAULT_TARGET_RATIO = 0.5
 
@@ -50,6 +52,7 @@
     :param key: source of the idempotency key, for work that must run at most once
         even if the caller sends the request again.
     :param large: whether its answers are large; needs ``idempotent``.
+    :param public: whether requests need no key even if there are accounts.
     """
 
     host: Host = routes.ANY_HOST
@@ -65,6 +68,25 @@
     attempts: Attempts = 3
     key: routes.KeySource | None = None
     large: bool = False
+    public: bool = False
+
+
+class Account(settings.Struct, kw_only=True):
+    """A client account.
+
+    :param name: name that the endpoints receive.
+    :param keys: keys that identify its requests.
+    :param priority: ``high``, ``normal``, ``low``, or a whole number of which 0 is the
+        highest; None for ``normal``.
+    :param rate: requests per second over all nodes; 0 for no limit.
+    :param burst: requests that may exceed the rate at once.
+    """
+
+    name: str
+    keys: list[str] = msgspec.field(default_factory=list)
+    priority: typing.Literal["high", "normal", "low"] | AccountPriority | None = None
+    rate: float = 0.0
+    burst: float = 0.0
 
 
 class Preset(settings.Struct, kw_only=True):
@@ -73,6 +95,7 @@
     name: settings.Name
     services: typing.Annotated[dict[settings.Name, Service], msgspec.Meta(min_length=1)]
     routes: typing.Annotated[list[Route], msgspec.Meta(min_length=1, max_length=10_000)]
+    accounts: list[Account] = msgspec.field(default_factory=list)
 
 
 def load(path: str) -> Preset:
@@ -93,9 +116,12 @@
 def validate(preset: Preset, where: str = "preset") -> None:
     """Raise on errors that field types do not catch.
 
-    These are routes to undefined services, invalid key sources, large answers of
-    routes that are not idempotent, and two routes that match the same requests.
+    These are invalid accounts, routes to undefined services, invalid key sources,
+    large answers of routes that are not idempotent, and two routes that match the same
+    requests.
     """
+    accounts.by_name(map(make_account, preset.accounts), where)
+    check_hidden_keys(preset, where)
     seen: set[tuple[str, str, str]] = set()
     for index, route in enumerate(preset.routes):
         location = f"{where}: routes[{index}]"
@@ -113,6 +139,15 @@
             seen.add(match)
 
 
+def check_hidden_keys(preset: Preset, where: str) -> None:
+    """Raise ``bad-account`` if a preset was copied from one whose keys are hidden."""
+    for index, item in enumerate(preset.accounts):
+        if HIDDEN_KEY in item.keys:
+            detail = f"the keys of account {item.name!r} are hidden"
+            location = f"{where}: accounts[{index}]"
+            raise codes.Failure(codes.BAD_ACCOUNT, detail, where=location)
+
+
 def check_key(key: routes.KeySource | None, location: str) -> None:
     """Raise ``bad-field`` if a key source is not registered or has no name."""
     if key is None:
@@ -135,7 +170,31 @@
     converted = [
         make_route(f"r{index:05}", item) for index, item in enumerate(preset.routes)
     ]
-    return routes.Configuration(version, routes.group_by_host(converted), services)
+    return routes.Configuration(
+        version,
+        routes.group_by_host(converted),
+        services,
+        accounts=accounts.by_name(map(make_account, preset.accounts), preset.name),
+    )
+
+
+def make_account(item: Account) -> accounts.Account:
+    """Return a preset's account as an account of a configuration."""
+    priority = item.priority
+    if isinstance(priority, str):
+        priority = PRIORITIES.index(priority)
+    return accounts.Account(
+        item.name, tuple(item.keys), priority, item.rate, item.burst
+    )
+
+
+def hide_keys(preset: Preset) -> Preset:
+    """Return a preset with ``HIDDEN_KEY`` in place of each key of its accounts."""
+    hidden = [
+        msgspec.structs.replace(item, keys=[HIDDEN_KEY] * len(item.keys))
+        for item in preset.accounts
+    ]
+    return msgspec.structs.replace(preset, accounts=hidden)
 
 
 def make_route(name: str, item: Route) -> routes.Route:
@@ -155,4 +214,5 @@
         bare=True,
         key=item.key,
         large=item.large,
+        public=item.public,
     )
