Quotas: lease, allocator, client, and the hook at the entry

Cause: requests of accounts were not limited. Change: mesh/quota/ with the lease in the store, messages on the port for hops, and the admission before a call is dispatched; codes 5041 and 5042.

--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -256,6 +256,18 @@
     503,
     "A call without a key names a request that is not in progress at this node",
 )
+QUOTA_EXCEEDED = define(
+    5041,
+    "quota-exceeded",
+    429,
+    "The account's requests are beyond its rate and burst",
+)
+QUOTA_UNAVAILABLE = define(
+    5042,
+    "quota-unavailable",
+    503,
+    "The node has no share of the account's quota and cannot get one now",
+)
 INTERNAL = define(5034, "internal", 500, "The node itself failed; see its log")
 
 # 6xxx: rollouts.
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -19,6 +19,7 @@
     suspects as suspecting,
 )
 from rattanridge.mesh.accounts import authentication
+from rattanridge.mesh.quota import service
 from rattanridge.platform import headers
 from rattanridge.policies import splitting
 from rattanridge.web import bodies, headers as own_headers, memory, pipelining
@@ -39,6 +40,7 @@
     :param dispatcher: sends calls to endpoints.
     :param claims: runs calls that carry an idempotency key at most once.
     :param suspects: refuses requests that crash upstreams.
+    :param quota: refuses requests beyond the quotas of their accounts.
     :param shutdown: tells what is still accepted, and when answers close connections.
     :param memory_budget: limits the bytes of bodies that the node holds in memory.
     """
@@ -50,6 +52,7 @@
         dispatcher: dispatcher.Dispatcher,
         claims: claims.Claims,
         suspects: suspecting.Suspects,
+        quota: service.Quota,
         shutdown: shutdowns.Shutdown,
         memory_budget: memory.MemoryBudget,
         log: events.Events,
@@ -60,6 +63,7 @@
         self.dispatcher = dispatcher
         self.claims = claims
         self.suspects = suspects
+        self.quota = quota
         self.shutdown = shutdown
         self.memory_budget = memory_budget
         self.log = log
@@ -114,12 +118,25 @@
         if self.shutdown.refusing:
             raise self.shutdown.failure()
         self.suspects.check(call)
+        await self.admit(call)
         if route.key is None or route.idempotent:
             return await self.dispatcher.run(call, route)
         return await self.claims.guard(
             call, route, lambda: self.dispatcher.run(call, route)
         )
 
+    async def admit(self, call: calls.Call) -> None:
+        """Admit a caller's request by its account's quota; raise if it is refused.
+
+        Requests that an upstream makes belong to their parent, which was admitted.
+        """
+        current = self.configs.current
+        if not call.account or call.from_upstream or current is None:
+            return
+        account = current.accounts.get(call.account)
+        if account is not None:
+            await self.quota.admit(account, call.attempt)
+
     async def read_call(
         self, request: aiohttp.web.BaseRequest, started_at: float
     ) -> tuple[calls.Call, routes.Route]:
@@ -266,6 +283,9 @@
                 wait = max(answer.retry_after, MIN_RETRY_AFTER)
                 wait *= self.random.uniform(*RETRY_AFTER_JITTER)
                 response_headers["Retry-After"] = f"{wait:.2f}"
+            if answer.code is codes.QUOTA_EXCEEDED:
+                wait = max(answer.retry_after, MIN_RETRY_AFTER)
+                response_headers["Retry-After"] = f"{wait:.2f}"
             if answer.code is codes.NO_ACCOUNT:
                 response_headers["WWW-Authenticate"] = headers.KEY_SCHEME
         return aiohttp.web.Response(
--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -22,6 +22,7 @@
     upstream as upstreams,
     versions as versioning,
 )
+from rattanridge.mesh.quota import service as quotas
 from rattanridge.platform import headers, heartbeats
 from rattanridge.web import bodies, headers as own_headers
 
@@ -34,6 +35,7 @@
 class HopHandler:
     """Handles calls that other nodes forward to the local exit, and page requests.
 
+    :param quota: answers messages about the quotas of accounts.
     :param hop_auth: checks that the sender is a node.
     :param shutdown: once it has begun, each response closes its connection.
     """
@@ -45,6 +47,7 @@
         configs: configurations.Configs,
         directory: directories.Directory,
         versions: versioning.Versions,
+        quota: quotas.Quota,
         hop_auth: hop_auth.HopAuth,
         shutdown: shutdowns.Shutdown,
         meters: events.Meters,
@@ -54,6 +57,7 @@
         self.config = config
         self.exit = exit
         self.configs = configs
+        self.quota = quota
         self.hop_auth = hop_auth
         self.shutdown = shutdown
         self.meters = meters
@@ -94,6 +98,9 @@
             return page
         if request.path == monitoring.REPORT_PATH:
             return await self.answer_coordinator(request)
+        answer = await self.quota.answer(request)
+        if answer is not None:
+            return answer
         path, _, version = request.path.rpartition("/")
         if path != trials.BRAKE_PATH or request.method != "POST":
             return aiohttp.web.Response(status=404)
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -1,7 +1,6 @@
 """One node: assembles all parts that run on a host."""
 
 import asyncio
-import collections.abc
 import gc
 import time
 import typing
@@ -26,10 +25,12 @@
     shutdown as shutdowns,
     store_health,
     suspects as suspecting,
+    tasks as tasking,
     upstream as upstreams,
     versions,
     watching,
 )
+from rattanridge.mesh.quota import service as quotas
 from rattanridge.platform import (
     configs as wire_configs,
     orders,
@@ -129,12 +130,23 @@
         self.claims = claims.Claims(
             config, self.store, self.membership.is_first, self.log, self.meters
         )
+        self.quota = quotas.Quota(
+            config,
+            self.store,
+            self.health,
+            self.configs,
+            self.directory,
+            self.dispatcher.peers,
+            self.log,
+            self.meters,
+        )
         self.entry = entry.Entry(
             config,
             self.configs,
             self.dispatcher,
             self.claims,
             self.suspects,
+            self.quota,
             self.shutdown,
             self.memory_budget,
             self.log,
@@ -146,6 +158,7 @@
             self.configs,
             self.directory,
             self.versions,
+            self.quota,
             self.hop_auth,
             self.shutdown,
             self.meters,
@@ -188,7 +201,7 @@
             self.log,
         )
         self.store.era_listeners.append(self.apply_new_era)
-        self.tasks: list[asyncio.Task] = []
+        self.tasks = tasking.Tasks(self.log)
 
     def apply_new_era(self) -> None:
         """List all kinds again: the store has returned from an older copy."""
@@ -272,11 +285,12 @@
             await self.ports.listen(metrics.serve, listen.metrics)
         self.log.start()
         for watch in self.watches:
-            self.start_task(watch.run())
-        self.start_task(self.membership.publisher.run(RECORD_RETRY_DELAY))
-        self.start_task(self.coordinator.run())
-        self.start_task(self.claims.sweep())
-        self.start_task(self.maintain())
+            self.tasks.start(watch.run())
+        self.tasks.start(self.membership.publisher.run(RECORD_RETRY_DELAY))
+        self.tasks.start(self.coordinator.run())
+        self.tasks.start(self.claims.sweep())
+        self.tasks.start(self.quota.run())
+        self.tasks.start(self.maintain())
         gc.collect()
         gc.freeze()
         self.log.info(
@@ -287,16 +301,6 @@
             store=self.config.store,
         )
 
-    def start_task(self, work: collections.abc.Coroutine) -> None:
-        """Run a coroutine until the node is closed; log its failure."""
-        task = asyncio.create_task(work)
-        task.add_done_callback(self.log_failure)
-        self.tasks.append(task)
-
-    def log_failure(self, task: asyncio.Task) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self.log.error("task-failed", why=repr(task.exception()))
-
     def ready(self) -> bool:
         """Return whether the node can serve callers."""
         return (
@@ -362,9 +366,10 @@
         self.log.info("node-stopping", requests=self.request_count())
         self.shutdown.begin(last)
         self.membership.publish()
-        await sleep_until(min(began + CLOSE_CONNECTIONS_AFTER, last))
+        await self.quota.allocator.stop()
+        await shutdowns.sleep_until(min(began + CLOSE_CONNECTIONS_AFTER, last))
         self.shutdown.advance(shutdowns.Phase.CLOSING)
-        await sleep_until(min(began + READINESS_WAIT, last))
+        await shutdowns.sleep_until(min(began + READINESS_WAIT, last))
         await self.wait_idle(last)
         # Nothing may run between the last look and this.
         self.shutdown.advance(shutdowns.Phase.REFUSING)
@@ -384,7 +389,8 @@
         """Close all connections and cancel all tasks."""
         self.log.info("node-stopped", requests=self.request_count())
         await self.ports.close()
-        for task in (*self.tasks, *self.dispatcher.poll_tasks):
+        self.tasks.cancel()
+        for task in self.dispatcher.poll_tasks:
             task.cancel()
         self.confirmation.stop()
         self.health.close()
@@ -392,8 +398,3 @@
         self.dispatcher.peers.pool.close()
         await self.store.close()
         self.log.stop()
-
-
-async def sleep_until(deadline: float) -> None:
-    """Sleep until monotonic seconds."""
-    await asyncio.sleep(deadline - asyncio.get_running_loop().time())
--- /dev/null
+++ b/rattanridge/mesh/quota/messages.py
@@ -0,0 +1,72 @@
+"""Messages between the nodes and the allocator of quotas, on the port for hops."""
+
+import typing
+
+import msgspec
+
+from rattanridge.policies import quota
+
+REPORT_PATH = "/quota/report"
+ANNOUNCEMENT_PATH = "/quota/allocator"
+MAX_BYTES = 1_048_576
+
+T = typing.TypeVar("T")
+
+
+class Report(msgspec.Struct, array_like=True):
+    """What one node reports: its active accounts, and the shares that it holds.
+
+    :param incarnation: of the node's process.
+    :param sequence: number of the report, counted by that process.
+    :param term: highest term of an allocator that the node knows.
+    :param version: version of the configuration at the node.
+    :param address: at which the node accepts calls of other nodes.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    term: int
+    version: int
+    address: str
+    entries: list[quota.Entry]
+
+
+class Response(msgspec.Struct, array_like=True):
+    """The answer to a report.
+
+    :param holder: whether the node that answers is the allocator.
+    :param address: of the allocator, as far as the node knows; empty if it does not.
+    :param version: version of the configuration at the node that answers.
+    :param incarnation: highest incarnation of the reporting node that is known; the
+        report is refused if that is not its own.
+    :param interval: seconds until the next report is wanted.
+    """
+
+    holder: bool
+    term: int
+    address: str
+    version: int
+    incarnation: int = 0
+    interval: float = quota.REPORT_INTERVAL
+    grants: list[quota.Grant] = []
+
+
+class Announcement(msgspec.Struct, array_like=True):
+    """A new allocator asks all nodes to report to it what they hold."""
+
+    term: int
+    address: str
+
+
+def encode(message: msgspec.Struct) -> bytes:
+    """Return a message as MessagePack."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode(data: bytes, kind: type[T]) -> T | None:
+    """Return a decoded message; None if it is unreadable."""
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+        return None
--- a/rattanridge/mesh/shutdown.py
+++ b/rattanridge/mesh/shutdown.py
@@ -76,3 +76,8 @@
         """Return the refusal of a caller's request."""
         wait = RESTART_TIME if self.refusing else max(self.time_left(), 0.0)
         return codes.Failure(codes.STOPPING, retry_after=wait)
+
+
+async def sleep_until(deadline: float) -> None:
+    """Sleep until monotonic seconds."""
+    await asyncio.sleep(deadline - asyncio.get_running_loop().time())
--- a/rattanridge/policies/quota.py
+++ b/rattanridge/policies/quota.py
@@ -1,13 +1,13 @@
 """A node's shares of the accounts' quotas. Needs no network.
 
-Each account has a rate and a burst over all nodes. A node holds a share of both for each
-account that it serves, and admits requests from a token bucket of that size. The
+Each account has a rate and a burst over all nodes. A node holds a share of both for
+each account that it serves, and admits requests from a token bucket of that size. The
 allocator (see ``quota_ledger``) never grants shares that add up to more than the whole,
 so the sum over all nodes holds whatever messages are lost or delayed.
 
-Addresses 86 accounts on 88 nodes, where a node sees less than one request per second of
-a small account, and accounts at 3 to 7 times their usual rate while a third of the nodes
-is cut off from the store and the allocator.
+Addresses 86 accounts on 88 nodes, where a node sees less than one request per second
+of a small account, and accounts at 3 to 7 times their usual rate while a third of the
+nodes is cut off from the store and the allocator.
 
 All times are in seconds of a clock that keeps running while the host is suspended.
 """
@@ -25,7 +25,7 @@
 MIN_REPORT_INTERVAL = 1.0  # seconds between two reports that no request waits for
 FORGET_AFTER = 10.0  # seconds without a request after which a share is given up
 DEMAND_SPAN = 3.0  # time constant in seconds of the estimate of the demand
-MAX_RETRY_AFTER = 5.0  # seconds that a refused caller is asked to wait at most
+MAX_RETRY_AFTER = 2.0  # seconds that a refused caller is asked to wait at most
 MIN_DEMAND_AGE = 1.0  # seconds that a first request counts for at least
 DEMAND_CHANGE = 0.2  # relative change of the demand that is reported at once
 # The bound for a window of 5 s is 1.1 times (5 x rate + burst) plus 20. Half of that
@@ -132,14 +132,18 @@
         self.tokens = max(self.tokens - tokens, 0.0)
         return True
 
-    def delay(self, now: float) -> float:
-        """Return the seconds until there is a token; infinite if never."""
+    def delay(self, now: float, ahead: int = 0) -> float:
+        """Return the seconds until there is a token; infinite if never.
+
+        :param ahead: requests that take a token before.
+        """
         self.advance(now)
-        if self.tokens >= 1 - ROUNDING:
+        lacking = 1 + ahead - self.tokens
+        if lacking <= ROUNDING:
             return 0.0
         if not self.rate or self.depth < 1 - ROUNDING:
             return float("inf")
-        return (1 - self.tokens) / self.rate
+        return lacking / self.rate
 
 
 class Demand:
@@ -263,14 +267,17 @@
         return not self.waiting and now >= self.requested_at + FORGET_AFTER
 
     def has_grown(self, now: float) -> bool:
-        """Return whether the demand is larger than reported, beyond what chance does."""
+        """Return whether the demand has grown since the report, beyond chance."""
         known = self.reported_demand
         noise = math.sqrt(known / DEMAND_SPAN)
         return self.demand.rate(now) > known * (1 + DEMAND_CHANGE) + noise
 
-    def delay(self, now: float) -> float:
-        """Return the seconds until there may be a token, of its own or of a report."""
-        return min(self.bucket.delay(now), max(self.not_before - now, 0.0))
+    def delay(self, now: float, ahead: int = 0) -> float:
+        """Return the seconds until there may be a token, of its own or of a report.
+
+        :param ahead: requests that waited before.
+        """
+        return min(self.bucket.delay(now, ahead), max(self.not_before - now, 0.0))
 
     def retry_after(self, now: float) -> float:
         """Return the seconds after which a refused request is likely to be admitted.
--- a/rattanridge/policies/quota_ledger.py
+++ b/rattanridge/policies/quota_ledger.py
@@ -1,9 +1,9 @@
-"""The allocator's ledger: which node may hold which share of a quota. Needs no network.
+"""The allocator's ledger: which node may hold which share. Needs no network.
 
-The ledger counts what may still be held: of each node the larger of what it reported and
-what it was granted since, until it reports again or the grant has ended. It grants only
-what is certainly free. What is free is a bucket of its own, whose tokens serve requests
-that cannot wait for a share.
+The ledger counts what may still be held: of each node the larger of what it reported
+and what it was granted since, until it reports again or the grant has ended. It grants
+only what is certainly free. What is free is a bucket of its own, whose tokens serve
+requests that cannot wait for a share.
 
 Addresses demand that moves between 88 nodes, accounts that are too small to be divided
 among all nodes that serve them, and allocators that die while shares are held.
@@ -185,7 +185,7 @@
         return 1 / whole if held + 1 <= budget * part / total else 0.0
 
     def take_tokens(self, entry: quota.Entry, depth: float, now: float) -> float:
-        """Return free tokens for waiting requests, and to store in the node's bucket."""
+        """Return free tokens for waiting requests, and for the node's bucket."""
         room = depth * self.limit.depth()
         own = min(entry.tokens, room)
         served = min(entry.waiting, int(own + self.tokens + quota.ROUNDING))
--- a/tests/test_quota_policy.py
+++ b/tests/test_quota_policy.py
@@ -1,10 +1,8 @@
 """The quota over all nodes: buckets, shares and the allocator's ledger."""
 
 import hypothesis
-import pytest
 from hypothesis import strategies
 
-from rattanridge.policies import quota, quota_ledger
 from tests import quota_model
 
 plans = strategies.builds(
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -271,7 +271,7 @@
             rollout.current_status(), state=orders.COMPLETED, share=1.0
         )
         for node in world.nodes:
-            for task in node.tasks:
+            for task in node.tasks.items:
                 if "Coordinator" in repr(task.get_coro()):
                     task.cancel()
         stored = await world.nodes[0].store.replace_status(
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -25,7 +25,7 @@
 def pause_coordinators(world):
     """Stop all nodes from coordinating rollouts."""
     for node in world.nodes:
-        for task in node.tasks:
+        for task in node.tasks.items:
             if "Coordinator" in repr(task.get_coro()):
                 task.cancel()
 
