--- a/rattanridge/policies/quota_ledger.py
+++ b/rattanridge/policies/quota_ledger.py
@@ -23,6 +23,9 @@
 RATE_RESERVE = 0.1
 LOW_RATE_RESERVE = 0.3
 DEPTH_RESERVE = 0.3
+# Seconds of a node's rate that its depth is at most: the first node that reports must
+# not take all that the others will need before it reports again.
+DEPTH_SECONDS = 2.0
 # Part of the free depth whose tokens are only for requests that wait: tokens stored at
 # nodes whose buckets fill up by themselves are lost.
 STOCK_KEPT = 0.5
@@ -83,14 +86,17 @@
         for name in ended:
             del self.holds[name]
 
+    def room(self) -> float:
+        """Return the most free tokens that there may be."""
+        on_the_way = sum(amount for _, amount in self.on_the_way)
+        return max(self.free_depth * self.limit.depth() - on_the_way, 0.0)
+
     def cut_tokens(self) -> None:
         """Drop the tokens for which there is no room."""
-        room = self.free_depth * self.limit.depth()
-        room -= sum(amount for _, amount in self.on_the_way)
-        self.tokens = max(min(self.tokens, room), 0.0)
+        self.tokens = min(self.tokens, self.room())
 
     def recount(self, settled: bool) -> None:
-        """Count again what is free.
+        """Count again what is free. Tokens without room are not dropped yet.
 
         :param settled: whether all that may be held is known.
         """
@@ -101,7 +107,6 @@
             depth -= hold.depth
         self.free_rate = max(rate, 0.0)
         self.free_depth = max(depth, 0.0)
-        self.cut_tokens()
 
     def apply_limit(self, limit: quota.Limit) -> None:
         """Apply the quota of a newer configuration."""
@@ -136,6 +141,7 @@
         hold.depth = max(depth, hold.depth)
         self.recount(settled)
         tokens = self.take_tokens(entry, depth, now)
+        self.cut_tokens()
         own = min(entry.tokens, depth * self.limit.depth())
         wait = self.wait(entry.waiting - own - tokens)
         if not hold.depth and hold.demand < MIN_DEMAND:
@@ -171,18 +177,20 @@
         whole = self.limit.depth()
         budget = whole * (1 - DEPTH_RESERVE)
         nodes = sum(item.demand >= MIN_SHARE_DEMAND for item in self.holds.values())
+        most = 1 + DEPTH_SECONDS * HEADROOM * hold.demand
+        part = budget * hold.demand / total
         if nodes <= budget:
-            return (1 + (budget - nodes) * hold.demand / total) / whole
-        if budget * hold.demand / total >= 1:
-            return budget * hold.demand / total / whole
+            part = 1 + (budget - nodes) * hold.demand / total
+        if part >= 1:
+            return min(part, most) / whole
         small = [
             item
             for item in self.holds.values()
             if item is not hold and budget * item.demand / total < 1
         ]
-        part = sum(item.demand for item in small) + hold.demand
+        demand = sum(item.demand for item in small) + hold.demand
         held = sum(item.depth for item in small) * whole
-        return 1 / whole if held + 1 <= budget * part / total else 0.0
+        return 1 / whole if held + 1 <= budget * demand / total else 0.0
 
     def take_tokens(self, entry: quota.Entry, depth: float, now: float) -> float:
         """Return free tokens for waiting requests, and for the node's bucket."""
@@ -190,10 +198,12 @@
         own = min(entry.tokens, room)
         served = min(entry.waiting, int(own + self.tokens + quota.ROUNDING))
         taken = min(max(served - own, 0.0), self.tokens)
+        left = self.tokens - taken
+        spare = left - self.room()  # would be dropped as the share has grown
         if served == entry.waiting and self.demand() < self.limit.rate:
             kept = self.free_depth * self.limit.depth() * STOCK_KEPT
-            spare = self.tokens - taken - kept
-            taken += max(min(room - own, spare * STOCK_PART), 0.0)
+            spare = max(spare, (left - kept) * STOCK_PART)
+        taken += max(min(room - own, spare), 0.0)
         if taken:
             self.tokens = max(self.tokens - taken, 0.0)
             self.on_the_way.append((now + quota.TOKENS_LIFETIME, taken))
