--- a/rattanridge/mesh/quota/allocator.py
+++ b/rattanridge/mesh/quota/allocator.py
@@ -1,4 +1,4 @@
-"""The allocator: grants shares of the accounts' quotas while this node has the lease."""
+"""The allocator: grants shares of quotas while this node has the lease."""
 
 import asyncio
 import collections.abc
--- a/rattanridge/mesh/quota/client.py
+++ b/rattanridge/mesh/quota/client.py
@@ -72,9 +72,9 @@
         share.record_request(now)
         # Requests that wait already come first.
         if not share.waiting and share.try_take(now):
-            if now > self.shares.sent_at + quota.MIN_REPORT_INTERVAL:
-                if share.has_grown(now):
-                    self.wanted.set()
+            rested = now > self.shares.sent_at + quota.MIN_REPORT_INTERVAL
+            if rested and share.has_grown(now):
+                self.wanted.set()
             return
         if await self.wait_for_token(share):
             took = self.keeper.now() - now
