Tests of trials: pause the task that starts the coordinator, too

Cause: the coordinator is now run by Coordination.run, whose name the tests did not match, so it went on to write statuses. Measured: tests/test_trial.py failed 2 of 2 before.

--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -26,7 +26,7 @@
     """Stop all nodes from coordinating rollouts."""
     for node in world.nodes:
         for task in node.tasks.items:
-            if "Coordinator" in repr(task.get_coro()):
+            if "Coordinat" in repr(task.get_coro()):
                 task.cancel()
 
 
