--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 
 test: check
 	$(BIN)/pytest
+	$(BIN)/pytest -n 0 -m crowd
 
 clean:
 	rm -rf .venv build *.egg-info
