MIXED: an answer with a status that HTTP does not define is a failed attempt

Cause: aiohttp's parser accepts any three digits, and nothing after it checked the status. An endpoint's 'HTTP/1.1 000 Oops' reached the caller as 'HTTP/1.1 0 ' where its node was the entry, and 600 to 999 passed everywhere. Change: a response with a status outside 100 to 599 fails the exchange: upstream-failed with unknown execution, so it is sent again only where that is allowed, and the connection is closed. The upstream's stand-in has the fault.

--- a/rattanridge/mesh/connections.py
+++ b/rattanridge/mesh/connections.py
@@ -153,6 +153,7 @@
             if not payload.is_eof() or payload.exception() is not None:
                 return
             current.pending.popleft()
+            response_limits.check_status(message.code)
             response = Response(
                 message.code,
                 message.headers,
--- a/rattanridge/mesh/response_limits.py
+++ b/rattanridge/mesh/response_limits.py
@@ -7,6 +7,7 @@
 # Bytes of heads, chunk framing and other responses, in addition to the bodies.
 MAX_FRAMING_BYTES = 262_144
 BODY_BYTES_PER_FRAMING_BYTE = 16  # each 16 bytes of a body allow one more of framing
+STATUSES = range(100, 600)
 MAX_UNMATCHED_RESPONSES = 64  # to other requests, or interim ones
 
 
@@ -66,6 +67,15 @@
         self.reserved = 0
 
 
+def check_status(status: int) -> None:
+    """Raise ``upstream-failed`` for a status that HTTP does not define.
+
+    The parser accepts any three digits.
+    """
+    if status not in STATUSES:
+        raise response_failure(f"response has the invalid status {status:03}")
+
+
 def response_failure(reason: str) -> codes.Failure:
     """Return the failure for a response that was not accepted."""
     return codes.Failure(codes.UPSTREAM_FAILED, reason, ran=codes.Execution.UNKNOWN)
--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -372,6 +372,10 @@
             transport = faults.transport_of(request)
             transport.write(upstream_faults.encode_answer(fields, b"half", 100))
             transport.close()
+        if self.faults.invalid_status:
+            transport = faults.transport_of(request)
+            transport.write(upstream_faults.encode_answer(fields, b"", 0, "000 Oops"))
+            transport.close()
         if self.faults.stray:
             other = {headers.ATTEMPT: "another", headers.SIGNATURE: "other"}
             wrong = upstream_faults.encode_answer(other, b"wrong", 5)
--- a/rattanridge/standin/upstream_faults.py
+++ b/rattanridge/standin/upstream_faults.py
@@ -18,6 +18,7 @@
     :param cut: end the answer before its body is complete.
     :param unproved: leave the signature out of the answer.
     :param stray: send the answer to another request before the right one.
+    :param invalid_status: answer with status 000, which HTTP does not define.
     :param silent: start the request and never finish it.
     :param limit: value of the header that limits the rate of requests, in all answers;
         empty for none.
@@ -39,6 +40,7 @@
     cut: bool = False
     unproved: bool = False
     stray: bool = False
+    invalid_status: bool = False
     silent: bool = False
     limit: str = ""
     leaving: bool = False
@@ -46,8 +48,10 @@
     deaf: bool = False
 
 
-def encode_answer(fields: dict[str, str], body: bytes, length: int) -> bytes:
+def encode_answer(
+    fields: dict[str, str], body: bytes, length: int, status: str = "200 OK"
+) -> bytes:
     """Return an answer in bytes; ``length`` need not be the length of the body."""
-    head = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n"
+    head = f"HTTP/1.1 {status}\r\nContent-Length: {length}\r\n"
     head += "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     return f"{head}\r\n".encode() + body
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,12 +5,14 @@
 import struct
 import tracemalloc
 
+import hypothesis
 import pytest
+from hypothesis import strategies as st
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import connections, response_limits
 from rattanridge.platform import store
-from rattanridge.web import memory
+from rattanridge.web import memory, streams
 from tests import floods
 
 MEMORY_LIMIT = 80_000_000  # bytes
@@ -110,6 +112,34 @@
         assert caught.value.ran is codes.Execution.UNKNOWN
 
 
+class TestStatus:
+    # Guards against: an answer with a status that HTTP does not define, such as 000,
+    # reaches the caller as an answer.
+    @hypothesis.given(status=st.integers(0, 999))
+    @hypothesis.example(status=0)
+    @hypothesis.example(status=99)
+    @hypothesis.example(status=100)
+    @hypothesis.example(status=199)
+    @hypothesis.example(status=600)
+    @hypothesis.example(status=999)
+    def test_only_defined_statuses_are_answers(self, status):
+        asyncio.run(self.check(status))
+
+    async def check(self, status):
+        final = b"HTTP/1.1 204 No Content\r\n\r\n"
+        head = b"HTTP/1.1 %03d Any\r\nContent-Length: 0\r\n\r\n" % status
+        peer = Peer([head, final] if 100 <= status < 200 else [head])
+        async with streams.StreamServer(peer.serve) as server:
+            if 100 <= status < 600 and status != 101:
+                response = await exchange_once(server.address)
+                assert response.status == (204 if status < 200 else status)
+                return
+            with pytest.raises(codes.Failure) as caught:
+                await exchange_once(server.address)
+            assert caught.value.code is codes.UPSTREAM_FAILED
+            assert caught.value.ran is codes.Execution.UNKNOWN
+
+
 class TestMatching:
     async def test_an_answer_to_an_earlier_request_is_skipped(self, listen):
         other = HEAD.replace(b"mine", b"else") + BODY
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -17,7 +17,16 @@
 SHORT_DEADLINE_MS = 400  # for faults that outlast any deadline
 HANG_TIMEOUT = 6.0  # seconds; only a request that hangs takes that long
 
-UPSTREAM_FAULTS = ("fail", "shed", "lose", "cut", "unproved", "stray", "silent")
+UPSTREAM_FAULTS = (
+    "fail",
+    "shed",
+    "lose",
+    "cut",
+    "unproved",
+    "invalid_status",
+    "stray",
+    "silent",
+)
 OTHER_FAULTS = (
     "upstream-dead",
     "upstream-crashes",
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -66,7 +66,9 @@
 
 
 class TestFailures:
-    @pytest.mark.parametrize("mode", ["lose", "cut", "unproved", "fail"])
+    @pytest.mark.parametrize(
+        "mode", ["lose", "cut", "unproved", "invalid_status", "fail"]
+    )
     async def test_safe_request_is_retried_elsewhere(self, world, mode):
         await world.start("registry", "registry")
         world.end_startup_period()
@@ -74,7 +76,7 @@
         results = [await world.call("/lookup/1") for _ in range(4)]
         assert {status for status, _, _ in results} == {200}
 
-    @pytest.mark.parametrize("mode", ["lose", "cut", "unproved"])
+    @pytest.mark.parametrize("mode", ["lose", "cut", "unproved", "invalid_status"])
     async def test_unsafe_request_is_not_retried(self, world, mode):
         await world.start("workshop", "workshop")
         for upstream in world.upstreams:
