Routes are found by prefix in an index

Cause: each request, and each pipelined one twice, compared its path with all routes of the host. Change: an index by host and prefix; the path's prefixes are looked up, the longest first.

--- a/rattanridge/kernel/routes.py
+++ b/rattanridge/kernel/routes.py
@@ -1,5 +1,6 @@
 """The configuration of the mesh as immutable data: routes, services and limits."""
 
+import collections.abc
 import dataclasses
 
 import msgspec
@@ -124,10 +125,24 @@
     accounts_by_key: dict[str, client_accounts.Account] = dataclasses.field(
         init=False, compare=False, repr=False
     )
+    # Routes by host and prefix, as a scan of hundreds of routes takes longer than all
+    # else that an entry does for a request.
+    index: dict[tuple[str, str], tuple[Route, ...]] = dataclasses.field(
+        init=False, compare=False, repr=False
+    )
+    longest_prefix: int = dataclasses.field(init=False, compare=False, repr=False)
 
     def __post_init__(self) -> None:
         found = {key: item for item in self.accounts.values() for key in item.keys}
         object.__setattr__(self, "accounts_by_key", found)
+        index: dict[tuple[str, str], tuple[Route, ...]] = {}
+        for host, group in self.routes.items():
+            for route in group:
+                place = (host, route.prefix)
+                index[place] = (*index.get(place, ()), route)
+        object.__setattr__(self, "index", index)
+        longest = max((len(prefix) for _, prefix in index), default=0)
+        object.__setattr__(self, "longest_prefix", longest)
 
     def account_of(self, key: str) -> client_accounts.Account | None:
         """Return the account that holds a key; None if there is none."""
@@ -139,12 +154,28 @@
         A route for the exact host takes precedence over one for any host.
         """
         for name in (host, ANY_HOST):
-            for route in self.routes.get(name, ()):
-                if route.matches(path, method):
-                    return route
+            for prefix in prefixes_of(path, self.longest_prefix):
+                for route in self.index.get((name, prefix), ()):
+                    if route.matches(path, method):
+                        return route
         return None
 
 
+def prefixes_of(path: str, longest: int) -> collections.abc.Iterator[str]:
+    """Yield the prefixes of a path that end with a slash, the longest first.
+
+    The path itself with a slash after it counts as one: a route may match the path
+    without the trailing slash of its prefix.
+
+    :param longest: characters of the longest prefix that is of interest.
+    """
+    if len(path) < longest:
+        yield path + "/"
+    end = min(len(path), longest)
+    while (end := path.rfind("/", 0, end)) >= 0:
+        yield path[: end + 1]
+
+
 def group_by_host(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
     """Group routes by host; sort each group by prefix length, longest first."""
     groups: dict[str, list[Route]] = {}
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 
 from rattanridge.cli import check
-from rattanridge.kernel import codes, log, presets, registry
+from rattanridge.kernel import codes, log, presets, registry, routes
 from rattanridge.mesh import settings
 from rattanridge.standin import fleet
 
@@ -86,6 +86,30 @@
         assert self.match(["pay", "paying"], "/payx") is None
         assert self.match(["pay", "paying"], "/pay", "PATCH") is None
 
+    # Guards against: the index finds another route than a scan by prefix length.
+    @hypothesis.given(
+        prefixes=strategies.lists(strategies.text("ab/", max_size=6), max_size=8),
+        path=strategies.text("ab/", max_size=9),
+        bare=strategies.booleans(),
+    )
+    def test_index_finds_the_longest_prefix(self, prefixes, path, bare):
+        found = [
+            routes.Route(
+                str(number), "h", f"/{text}/", True, 1.0, 1.0, 0, 1, (), bare=bare
+            )
+            for number, text in enumerate(prefixes)
+        ]
+        configuration = routes.Configuration(1, routes.group_by_host(found), {})
+        scanned = next(
+            (
+                route
+                for route in configuration.routes.get("h", ())
+                if route.matches("/" + path, "GET")
+            ),
+            None,
+        )
+        assert configuration.match("h", "/" + path, "GET") is scanned
+
     def test_exact_host_takes_precedence(self):
         text = PRESET.replace(
             "services: {payments: {}}", "services: {payments: {}, crest: {}}"
