--- a/rattanridge/policies/quota_ledger.py
+++ b/rattanridge/policies/quota_ledger.py
@@ -34,6 +34,8 @@
 # Requests per second from which a node gets a share. Below, each request is admitted by
 # a report: a share would lie idle while other nodes lack it.
 MIN_SHARE_DEMAND = 0.25
+SMALL_PART = 0.7  # of the divided depth that nodes with less than one token may hold
+SWEEP_INTERVAL = 0.5  # seconds between two searches for holds that have ended
 MIN_WAIT = 0.05  # seconds
 EXHAUSTED_WAIT = 0.25  # seconds, for each time the rate that the demand is
 MAX_DEMAND_RATIO = 4.0  # beyond which the wait does not grow
@@ -55,6 +57,32 @@
     expires_at: float
 
 
+@dataclasses.dataclass(slots=True)
+class Totals:
+    """Sums over all holds, kept up to date so that a grant takes no loop over them.
+
+    :param rate: shares of the rate.
+    :param depth: shares of the depth.
+    :param demand: requests per second.
+    :param wanted: requests per second with ``HEADROOM`` and at least ``MIN_RATE``.
+    :param sharers: nodes with enough demand for a share.
+    """
+
+    rate: float = 0.0
+    depth: float = 0.0
+    demand: float = 0.0
+    wanted: float = 0.0
+    sharers: int = 0
+
+    def add(self, hold: Hold, sign: int = 1) -> None:
+        """Add a hold, or subtract it with a sign of -1."""
+        self.rate += sign * hold.rate
+        self.depth += sign * hold.depth
+        self.demand += sign * hold.demand
+        self.wanted += sign * max(hold.demand * HEADROOM, MIN_RATE)
+        self.sharers += sign * (hold.demand >= MIN_SHARE_DEMAND)
+
+
 class AccountLedger:
     """The shares and the free tokens of one account.
 
@@ -65,7 +93,9 @@
         self.limit = limit
         self.tokens = min(tokens, limit.depth())
         self.updated_at = now
+        self.swept_at = now
         self.holds: dict[str, Hold] = {}
+        self.totals = Totals()
         # Shares that reports have shown to be held by nobody else.
         self.known_rate = 0.0
         self.known_depth = 0.0
@@ -73,23 +103,33 @@
         self.free_depth = 0.0
         # Tokens on the way to a node: until when, and how many.
         self.on_the_way: collections.deque[tuple[float, float]] = collections.deque()
+        self.sum_on_the_way = 0.0
 
     def advance(self, now: float) -> None:
         """Add free tokens for the time since the last call, and drop ended holds."""
         elapsed = max(now - self.updated_at, 0.0)
         self.updated_at = max(now, self.updated_at)
         while self.on_the_way and self.on_the_way[0][0] <= now:
-            self.on_the_way.popleft()
+            self.sum_on_the_way -= self.on_the_way.popleft()[1]
         self.tokens += self.free_rate * self.limit.rate * elapsed
         self.cut_tokens()
+        if now >= self.swept_at + SWEEP_INTERVAL:
+            self.sweep(now)
+
+    def sweep(self, now: float) -> None:
+        """Drop the holds that have ended, and add up the others afresh."""
+        self.swept_at = now
         ended = [name for name, hold in self.holds.items() if hold.expires_at <= now]
         for name in ended:
             del self.holds[name]
+        self.totals = Totals()
+        for hold in self.holds.values():
+            self.totals.add(hold)
+        self.sum_on_the_way = sum(amount for _, amount in self.on_the_way)
 
     def room(self) -> float:
         """Return the most free tokens that there may be."""
-        on_the_way = sum(amount for _, amount in self.on_the_way)
-        return max(self.free_depth * self.limit.depth() - on_the_way, 0.0)
+        return max(self.free_depth * self.limit.depth() - self.sum_on_the_way, 0.0)
 
     def cut_tokens(self) -> None:
         """Drop the tokens for which there is no room."""
@@ -102,11 +142,8 @@
         """
         rate = 1.0 if settled else self.known_rate
         depth = 1.0 if settled else self.known_depth
-        for hold in self.holds.values():
-            rate -= hold.rate
-            depth -= hold.depth
-        self.free_rate = max(rate, 0.0)
-        self.free_depth = max(depth, 0.0)
+        self.free_rate = max(rate - self.totals.rate, 0.0)
+        self.free_depth = max(depth - self.totals.depth, 0.0)
 
     def apply_limit(self, limit: quota.Limit) -> None:
         """Apply the quota of a newer configuration."""
@@ -115,12 +152,16 @@
             self.cut_tokens()
 
     def free(self, node: str) -> None:
-        """Drop what a node may hold, as its process has ended."""
-        self.holds.pop(node, None)
-
-    def demand(self) -> float:
-        """Return the requests per second at all nodes."""
-        return sum(hold.demand for hold in self.holds.values())
+        """Drop what a node may hold."""
+        hold = self.holds.pop(node, None)
+        if hold is not None:
+            self.totals.add(hold, -1)
+
+    def hold(self, node: str, hold: Hold) -> None:
+        """Record what a node may hold."""
+        self.free(node)
+        self.holds[node] = hold
+        self.totals.add(hold)
 
     def grant(
         self, node: str, entry: quota.Entry, settled: bool, now: float
@@ -128,7 +169,7 @@
         """Return what a node gets, and count it as held."""
         expires_at = now + quota.SHARE_LIFETIME
         hold = Hold(entry.rate, entry.depth, entry.demand, expires_at)
-        self.holds[node] = hold
+        self.hold(node, hold)
         self.recount(settled)
         spare_depth = self.free_depth + hold.depth - DEPTH_RESERVE
         spare_rate = self.free_rate + hold.rate - (1 - self.rate_budget())
@@ -137,60 +178,55 @@
         if depth * self.limit.depth() < 1 - quota.ROUNDING:
             # Such a bucket admits nothing.
             depth = rate = 0.0
-        hold.rate = max(rate, hold.rate)
-        hold.depth = max(depth, hold.depth)
+        most_rate = max(rate, entry.rate)
+        most_depth = max(depth, entry.depth)
+        self.hold(node, Hold(most_rate, most_depth, entry.demand, expires_at))
         self.recount(settled)
         tokens = self.take_tokens(entry, depth, now)
         self.cut_tokens()
         own = min(entry.tokens, depth * self.limit.depth())
         wait = self.wait(entry.waiting - own - tokens)
-        if not hold.depth and hold.demand < MIN_DEMAND:
-            del self.holds[node]
+        if not most_depth and entry.demand < MIN_DEMAND:
+            self.free(node)
         settling = not settled and wait > 0
         return quota.Grant(entry.account, rate, depth, tokens, wait, settling)
 
     def rate_budget(self) -> float:
         """Return the part of the rate, 0 to 1, that is divided into shares."""
-        load = self.demand() / self.limit.rate
+        load = self.totals.demand / self.limit.rate
         return min(max(load, 1 - LOW_RATE_RESERVE), 1 - RATE_RESERVE)
 
     def target_rate(self, hold: Hold) -> float:
         """Return the share of the rate that a node should have."""
         if hold.demand < MIN_SHARE_DEMAND:
             return 0.0
-        demands = [item.demand * HEADROOM for item in self.holds.values()]
         budget = self.limit.rate * self.rate_budget()
         wanted = hold.demand * HEADROOM
-        if sum(max(demand, MIN_RATE) for demand in demands) <= budget:
+        if self.totals.wanted <= budget:
             return max(wanted, MIN_RATE) / self.limit.rate
-        return wanted * min(budget / sum(demands), 1.0) / self.limit.rate
+        total = self.totals.demand * HEADROOM
+        return wanted * min(budget / total, 1.0) / self.limit.rate
 
     def target_depth(self, hold: Hold) -> float:
         """Return the share of the depth that a node should have.
 
         Each node gets at least one token if that fits. Otherwise the nodes that cannot
-        have one by their demand share what is left in the order in which they ask.
+        have one by their demand get one in the order in which they ask, as long as
+        enough is left for the others.
         """
-        total = self.demand()
         if hold.demand < MIN_SHARE_DEMAND:
             return 0.0
         whole = self.limit.depth()
         budget = whole * (1 - DEPTH_RESERVE)
-        nodes = sum(item.demand >= MIN_SHARE_DEMAND for item in self.holds.values())
         most = 1 + DEPTH_SECONDS * HEADROOM * hold.demand
-        part = budget * hold.demand / total
-        if nodes <= budget:
-            part = 1 + (budget - nodes) * hold.demand / total
+        fraction = hold.demand / self.totals.demand
+        part = budget * fraction
+        if self.totals.sharers <= budget:
+            part = 1 + (budget - self.totals.sharers) * fraction
         if part >= 1:
             return min(part, most) / whole
-        small = [
-            item
-            for item in self.holds.values()
-            if item is not hold and budget * item.demand / total < 1
-        ]
-        demand = sum(item.demand for item in small) + hold.demand
-        held = sum(item.depth for item in small) * whole
-        return 1 / whole if held + 1 <= budget * demand / total else 0.0
+        others = (self.totals.depth - hold.depth) * whole
+        return 1 / whole if others + 1 <= budget * SMALL_PART else 0.0
 
     def take_tokens(self, entry: quota.Entry, depth: float, now: float) -> float:
         """Return free tokens for waiting requests, and for the node's bucket."""
@@ -200,13 +236,14 @@
         taken = min(max(served - own, 0.0), self.tokens)
         left = self.tokens - taken
         spare = left - self.room()  # would be dropped as the share has grown
-        if served == entry.waiting and self.demand() < self.limit.rate:
+        if served == entry.waiting and self.totals.demand < self.limit.rate:
             kept = self.free_depth * self.limit.depth() * STOCK_KEPT
             spare = max(spare, (left - kept) * STOCK_PART)
         taken += max(min(room - own, spare), 0.0)
         if taken:
             self.tokens = max(self.tokens - taken, 0.0)
             self.on_the_way.append((now + quota.TOKENS_LIFETIME, taken))
+            self.sum_on_the_way += taken
         return taken
 
     def wait(self, lacking: float) -> float:
@@ -216,7 +253,7 @@
         """
         if lacking <= quota.ROUNDING:
             return 0.0
-        ratio = self.demand() / self.limit.rate
+        ratio = self.totals.demand / self.limit.rate
         if ratio >= 1:
             return EXHAUSTED_WAIT * (1 + min(ratio, MAX_DEMAND_RATIO))
         refill = self.free_rate * self.limit.rate
@@ -224,7 +261,7 @@
 
     def is_tight(self) -> bool:
         """Return whether others need what a node does not use."""
-        return self.demand() * HEADROOM > self.limit.rate * self.rate_budget()
+        return self.totals.demand * HEADROOM > self.limit.rate * self.rate_budget()
 
 
 @dataclasses.dataclass(slots=True)
@@ -337,5 +374,6 @@
         found = set() if self.is_settled(now) else set(self.unheard)
         for account in self.accounts.values():
             account.advance(now)
+            account.sweep(now)
             found.update(account.holds)
         return found
