--- a/rattanridge/policies/fair_shares.py
+++ b/rattanridge/policies/fair_shares.py
@@ -24,6 +24,7 @@
 MAX_FLOWS = 2000  # accounts and ranks that are remembered
 PROGRESS_HALF_LIFE = 2.0  # seconds in which the weight of progress halves
 MIN_PROGRESS = 0.01  # seconds of an equal share per second; less is not known well
+MIN_CHARGE = 0.0001  # seconds; a request without a charge has no tag
 MIN_USAGE = 0.001  # seconds of served work; less is forgotten
 
 
@@ -114,7 +115,7 @@
             flow = self.add_flow(ticket, now)
         turn = self.turns.get((ticket.nested, ticket.rank))
         ticket.tag = max(flow.next_tag, turn.tag if turn is not None else 0.0)
-        ticket.charge = ticket.cost / self.weight(ticket.account, now)
+        ticket.charge = max(ticket.cost, MIN_CHARGE) / self.weight(ticket.account, now)
         flow.next_tag = ticket.tag + ticket.charge
         flow.waiting += 1
 
@@ -136,6 +137,8 @@
 
     def record_start(self, ticket: tickets.Ticket, now: float) -> None:
         """Record that a request gets a slot."""
+        if not ticket.charge:
+            return
         turn = self.turns.get((ticket.nested, ticket.rank))
         if turn is None:
             turn = self.turns[(ticket.nested, ticket.rank)] = Turn(at=now)
@@ -158,6 +161,8 @@
 
         Requests of the account that arrived after it keep their tags.
         """
+        if not ticket.charge:
+            return
         flow = self.flows[(ticket.nested, ticket.rank, ticket.account)]
         flow.waiting -= 1
         if flow.next_tag == ticket.tag + ticket.charge:
--- a/rattanridge/policies/queueing.py
+++ b/rattanridge/policies/queueing.py
@@ -29,10 +29,10 @@
 # Multiple of the mean processing time. With less time left before its deadline, a
 # waiting request is refused, as it could not be finished.
 MIN_RUN_SHARE = 0.8
-# Multiple of the estimated wait in which a request has to get its slot to be timely.
-# Without a margin, twice as many are held and refused, as they become late (model of
-# ``measure fairness``).
-WAIT_MARGIN = 1.5
+# Multiple of the estimated wait in which a request has to get its slot to be timely:
+# nine of ten get it by then. Without a margin, many become late in the queue and are
+# refused after seconds (model of ``measure fairness``).
+WAIT_MARGIN = 2.0
 RECHECK_INTERVAL = 0.1  # seconds between two checks of the end of a mixed queue
 # Keep an estimated wait finite where more urgent requests need all slots, or the whole
 # limit on the rate.
@@ -72,6 +72,7 @@
         self.rate_limit = rate_limit.RateLimit()
         self.timer: asyncio.TimerHandle | None = None
         self.last_number = 0
+        self.has_accounts = False  # tags are assigned from the first account on
         self.recheck_at = 0.0  # monotonic seconds
 
     async def acquire(self, ticket: tickets.Ticket) -> None:
@@ -100,7 +101,9 @@
         ticket.number = self.last_number
         ticket.cost = self.times.mean_of(ticket.route)
         self.demand.record(ticket, now)
-        self.shares.assign_tag(ticket, now)
+        self.has_accounts = self.has_accounts or bool(ticket.account)
+        if self.has_accounts:
+            self.shares.assign_tag(ticket, now)
 
     def is_mixed(self, now: float) -> bool:
         """Return whether the rules for several ranks or accounts apply."""
@@ -370,26 +373,24 @@
         return not ticket.nested and finish > ticket.timely_until
 
     def place_of(self, ticket: tickets.Ticket, now: float) -> tuple:
-        """Return the sort key of a request that starts now."""
-        return self.order(ticket, self.is_late(ticket, now))
+        """Return the sort key of a request among several ranks."""
+        late = not ticket.nested and now + ticket.cost > ticket.timely_until
+        return self.order(ticket, late)
 
     def select_next(self, now: float) -> tickets.Ticket | None:
         """Return the waiting request that is first by the queue's order.
 
         Return None if all that wait have to leave the free slots to urgent ones.
         """
-        allowed = self.waiting
-        if self.is_mixed(now):
-            ranks = {item.rank: item for item in self.waiting if not item.nested}
-            blocked = {
-                rank
-                for rank, item in ranks.items()
-                if not self.may_hold_slot(item, now)
-            }
-            if blocked:
-                allowed = [
-                    item
-                    for item in self.waiting
-                    if item.nested or item.rank not in blocked
-                ]
+        if not self.is_mixed(now):
+            return min(
+                self.waiting, key=lambda item: self.order(item, self.is_late(item, now))
+            )
+        ranks = {item.rank: item for item in self.waiting if not item.nested}
+        blocked = {
+            rank for rank, item in ranks.items() if not self.may_hold_slot(item, now)
+        }
+        allowed = (
+            item for item in self.waiting if item.nested or item.rank not in blocked
+        )
         return min(allowed, key=lambda item: self.place_of(item, now), default=None)
