--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -180,10 +180,26 @@
             key=key,
         )
         configuration = routes.Configuration(
-            7, routes.group_by_host([route]), {"s": routes.Service("s")}
+            7,
+            routes.group_by_host([route]),
+            {
+                "s": routes.Service("s"),
+                "c": routes.Service("c", cold_start=9.5, cold_rate=4.0),
+            },
         )
         assert configs.decode(configs.encode(configuration)) == configuration
 
+    @pytest.mark.parametrize("value", [None, 0, -1])
+    def test_service_without_a_cold_rate(self, value):
+        service = {"Name": "s", "ColdPerS": value}
+        data = {"Version": "1", "VirtualHosts": [], "Services": [service]}
+        if value == -1:
+            with pytest.raises(codes.Failure):
+                configs.decode(msgspec.json.encode(data))
+        else:
+            found = configs.decode(msgspec.json.encode(data))
+            assert found.services["s"] == routes.Service("s")
+
     def test_unknown_key_source_is_refused(self):
         extras = configs.WireExtras(key=routes.KeySource("none-such", "x"))
         wire = configs.WireConfiguration(
