--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -70,10 +70,10 @@
     name: str = msgspec.field(name="Name")
     health_path: str = msgspec.field(name="HealthPath", default="/healthz")
     connections: int = msgspec.field(name="MaxConnections", default=100)
-    cold_start: float | None | msgspec.UnsetType = msgspec.field(
+    cold_start: float | msgspec.UnsetType | None = msgspec.field(
         name="ColdStartS", default=msgspec.UNSET
     )
-    cold_rate: float | None | msgspec.UnsetType = msgspec.field(
+    cold_rate: float | msgspec.UnsetType | None = msgspec.field(
         name="ColdPerS", default=msgspec.UNSET
     )
 
