A changed bound of cold endpoints is applied at the reload

Cause: new settings of the bound took effect with the next change of the upstream or the configuration only. Change: the reload applies them; evacuation_ms is read at the start only. Measured: test_restarts, test_docs, test_mesh_store, test_processes pass.

--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -322,6 +322,7 @@
             setattr(self.config, name, getattr(fresh, name))
         self.dispatcher.apply_settings()
         self.membership.reload()
+        self.exit.gate.apply_change()
         self.log.info("settings-reloaded", service=fresh.service, store=fresh.store)
 
     def request_count(self) -> int:
