Adapter test: names of accounts and cold rates stay in the platform package

Cause: the requirements keep these wire names in rattanridge/platform; no test read for them.

Change: the check of all other files looks for them, too.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -31,7 +31,8 @@
 WIRE_NAMES = re.compile(
     r"HeartbeatUrl|PathPrefix|TrafficSplit|VirtualHosts|ColdRemainingMs|Attempt-Id"
     r"|Response-Signature|Target-Instance|Caller-Service|MarkedForDeletion"
-    r"|Not-Executed|Deadline-Ms|CurrentRev|DurationS|TargetVersion"
+    r"|Not-Executed|Deadline-Ms|CurrentRev|DurationS|TargetVersion|Tenant"
+    r"|ApiKeys|RatePerS|ColdPerS|ColdStartS"
 )
 HEARTBEAT = {
     "Service": "s",
