Placement: a slow start needs an endpoint that is known

Cause: endpoints of a service that an entry first sent to after its own first 3 s were all new to it, so that it considered few of them and left its zone. Change: if none was known, all are considered.

--- a/rattanridge/policies/placement.py
+++ b/rattanridge/policies/placement.py
@@ -262,7 +262,6 @@
         self.zone = zone
         self.random = rng or random.Random()
         self.means: dict[str, Mean] = {}
-        self.started_at: float | None = None  # monotonic seconds of the first request
 
     def mean(self, route: str) -> Mean:
         """Return the mean processing time of a route, to be read or updated."""
@@ -303,15 +302,12 @@
     def skip_new(self, candidates: list[Candidate], now: float) -> list[Candidate]:
         """Return the candidates without most of those that became known lately.
 
-        At first, each is kept with the probability of an equal share. At the start of
-        the entry itself all are new, and all are kept.
+        At first, each is kept with the probability of an equal share. If the entry
+        knows none of them yet, all are kept: it has just started.
         """
-        if self.started_at is None:
-            self.started_at = now
-        if now - self.started_at < SLOW_START:
+        if all(item.known_since is None for item in candidates):
             for item in candidates:
                 item.known_since = now - SLOW_START
-            return candidates
         least = 1 / max(len(candidates), 1)
         return [
             item
