--- a/rattanridge/standin/upstream.py
+++ b/rattanridge/standin/upstream.py
@@ -361,33 +361,12 @@
             return aiohttp.web.Response(status=500, headers=fields, text="fault")
         run.finished = True
         if affected:
-            self.apply_answer_faults(request, fields)
+            upstream_faults.apply_to_answer(self.faults, request, fields)
         text = f"{self.shape.service} {self.shape.version} {run.path} {run.key}"
         size = int(request.query.get("size", "0"))
         body = text.encode() + run.body + b"." * size
         return aiohttp.web.Response(headers=fields, body=body)
 
-    def apply_answer_faults(
-        self, request: aiohttp.web.BaseRequest, fields: dict[str, str]
-    ) -> None:
-        """Apply the faults that change or lose an answer."""
-        if self.faults.lose:
-            faults.transport_of(request).abort()
-        if self.faults.unproved:
-            fields.pop(headers.SIGNATURE)
-        if self.faults.cut:
-            transport = faults.transport_of(request)
-            transport.write(upstream_faults.encode_answer(fields, b"half", 100))
-            transport.close()
-        if self.faults.invalid_status:
-            transport = faults.transport_of(request)
-            transport.write(upstream_faults.encode_answer(fields, b"", 0, "000 Oops"))
-            transport.close()
-        if self.faults.stray:
-            other = {headers.ATTEMPT: "another", headers.SIGNATURE: "other"}
-            wrong = upstream_faults.encode_answer(other, b"wrong", 5)
-            faults.transport_of(request).write(wrong)
-
 
 def seconds_left(request: aiohttp.web.BaseRequest) -> float | None:
     """Return the seconds until the deadline of a request; None if it has none."""
--- a/rattanridge/standin/upstream_faults.py
+++ b/rattanridge/standin/upstream_faults.py
@@ -1,7 +1,11 @@
 """Faults of the upstream stand-in that change how it answers."""
 
+import aiohttp.web
 import msgspec
 
+from rattanridge.platform import headers
+from rattanridge.standin import faults
+
 
 class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """Faults in force; all off by default.
@@ -55,3 +59,28 @@
     head = f"HTTP/1.1 {status}\r\nContent-Length: {length}\r\n"
     head += "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     return f"{head}\r\n".encode() + body
+
+
+def apply_to_answer(
+    found: Faults, request: aiohttp.web.BaseRequest, fields: dict[str, str]
+) -> None:
+    """Apply the faults that change or lose an answer.
+
+    :param fields: headers of the answer, which may change.
+    """
+    if found.lose:
+        faults.transport_of(request).abort()
+    if found.unproved:
+        fields.pop(headers.SIGNATURE)
+    if found.cut:
+        transport = faults.transport_of(request)
+        transport.write(encode_answer(fields, b"half", 100))
+        transport.close()
+    if found.invalid_status:
+        transport = faults.transport_of(request)
+        transport.write(encode_answer(fields, b"", 0, "000 Oops"))
+        transport.close()
+    if found.stray:
+        other = {headers.ATTEMPT: "another", headers.SIGNATURE: "other"}
+        wrong = encode_answer(other, b"wrong", 5)
+        faults.transport_of(request).write(wrong)
