Quotas: the first request of an account at a node does not count as demand

Cause: one request at each of many nodes looked like more than one a second at each, so the rate seemed used up; shares that shrank a little were confirmed after 0.5 s although nobody lacked them. Change: the estimate starts with the second request; confirmations only from 0.8 of the rate on, and for a fifth less.

--- a/rattanridge/policies/quota.py
+++ b/rattanridge/policies/quota.py
@@ -147,24 +147,29 @@
 
 
 class Demand:
-    """Estimate of the requests per second, which counts recent requests more."""
+    """Estimate of the requests per second, which counts recent requests more.
+
+    The first request only starts it. Counted, it would make one request at each of many
+    nodes look like many requests per second.
+    """
 
     __slots__ = ("since", "updated_at", "weight")
 
     def __init__(self, now: float):
         self.since = now
         self.updated_at = now
-        self.weight = 0.0
+        self.weight = -1.0
 
     def decay(self, now: float) -> None:
         elapsed = max(now - self.updated_at, 0.0)
-        self.weight *= math.exp(-elapsed / DEMAND_SPAN)
+        if self.weight > 0:
+            self.weight *= math.exp(-elapsed / DEMAND_SPAN)
         self.updated_at = max(now, self.updated_at)
 
     def record(self, now: float) -> None:
         """Record a request."""
         self.decay(now)
-        self.weight += 1
+        self.weight = self.weight + 1 if self.weight >= 0 else 0.0
 
     def rate(self, now: float, waiting: int = 0) -> float:
         """Return the requests per second.
--- a/rattanridge/policies/quota_ledger.py
+++ b/rattanridge/policies/quota_ledger.py
@@ -39,6 +39,7 @@
 MIN_WAIT = 0.05  # seconds
 EXHAUSTED_WAIT = 0.25  # seconds, for each time the rate that the demand is
 MAX_DEMAND_RATIO = 4.0  # beyond which the wait does not grow
+TIGHT_LOAD = 0.8  # demand for each unit of the rate from which others may lack rate
 CONFIRM_INTERVAL = 0.5  # seconds to the report that frees what others need
 
 
@@ -261,7 +262,7 @@
 
     def is_tight(self) -> bool:
         """Return whether others need what a node does not use."""
-        return self.totals.demand * HEADROOM > self.limit.rate * self.rate_budget()
+        return self.totals.demand > self.limit.rate * TIGHT_LOAD
 
 
 @dataclasses.dataclass(slots=True)
@@ -364,7 +365,10 @@
         A node that holds less than before must confirm it before others get it.
         """
         for entry, grant in zip(entries, grants, strict=True):
-            shrunk = grant.rate < entry.rate or grant.depth < entry.depth
+            least = 1 - quota.DEMAND_CHANGE
+            shrunk = (
+                grant.rate < entry.rate * least or grant.depth < entry.depth * least
+            )
             if shrunk and self.accounts[entry.account].is_tight():
                 return CONFIRM_INTERVAL
         return quota.REPORT_INTERVAL
