--- a/rattanridge/mesh/coordination.py
+++ b/rattanridge/mesh/coordination.py
@@ -12,7 +12,7 @@
     from rattanridge.mesh import coordinator as coordinators
 
 
-class Coordination:
+class CoordinatorRunner:
     """Runs the coordinator from the first known order of a rollout on.
 
     :param versions: the known orders.
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -177,7 +177,7 @@
                 allow_stale=True,
             ),
         ]
-        self.coordination = coordination.Coordination(
+        self.coordination = coordination.CoordinatorRunner(
             self.versions,
             config=config,
             store=self.store,
