--- a/rattanridge/policies/queueing.py
+++ b/rattanridge/policies/queueing.py
@@ -18,9 +18,9 @@
     admissions,
     demand as demands,
     fair_shares,
-    occupancy,
     processing_times,
     rate_limit,
+    slot_rules,
     tickets,
 )
 
@@ -34,10 +34,6 @@
 # refused after seconds (model of ``measure fairness``).
 WAIT_MARGIN = 2.0
 RECHECK_INTERVAL = 0.1  # seconds between two checks of the end of a mixed queue
-# Keep an estimated wait finite where more urgent requests need all slots, or the whole
-# limit on the rate.
-MIN_SLOTS_LEFT = 0.5
-MIN_RATE_LEFT = 0.05
 TIMER_MARGIN = 0.0001  # seconds, so that a timer does not fire just before its time
 # Refusals for want of room; which one tells what the endpoint is short of.
 FULL_CODES = (codes.QUEUE_FULL, codes.RATE_LIMITED)
@@ -62,13 +58,11 @@
         self.slots = slots
         self.order = order
         self.admission = admission
-        self.bound = bound
         self.running = 0
         self.waiting: list[tickets.Ticket] = []
         self.times = processing_times.ProcessingTimes()
-        self.demand = demands.Demand()
         self.shares = fair_shares.FairShares()
-        self.occupancy = occupancy.Occupancy()
+        self.rules = slot_rules.SlotRules(bound)
         self.rate_limit = rate_limit.RateLimit()
         self.timer: asyncio.TimerHandle | None = None
         self.last_number = 0
@@ -100,35 +94,25 @@
         self.last_number += 1
         ticket.number = self.last_number
         ticket.cost = self.times.mean_of(ticket.route)
-        self.demand.record(ticket, now)
+        self.rules.demand.record(ticket, now)
         self.has_accounts = self.has_accounts or bool(ticket.account)
         if self.has_accounts:
             self.shares.assign_tag(ticket, now)
 
     def is_mixed(self, now: float) -> bool:
         """Return whether the rules for several ranks or accounts apply."""
-        return self.order is tickets.rank_first and self.demand.is_mixed(now)
+        return self.order is tickets.rank_first and self.rules.demand.is_mixed(now)
 
     def may_hold_slot(self, ticket: tickets.Ticket, now: float) -> bool:
         """Return whether a request may get a slot that more urgent ones may need."""
         if ticket.nested or not self.is_mixed(now):
             return True
-        return self.occupancy.held_from(ticket.rank).count < self.bound_of(
-            ticket.rank, now
-        )
-
-    def bound_of(self, rank: int, now: float) -> int:
-        """Return how many slots a rank and less urgent ones may hold."""
-        held = self.occupancy.held_from(rank)
-        if not held.count:
-            return self.slots
-        mean = held.work / held.count
-        return self.bound(self.demand, rank, self.slots, mean, now)
+        return self.rules.may_hold_slot(ticket.rank, self.slots, now)
 
     def start_request(self, ticket: tickets.Ticket, now: float) -> None:
         """Assign a slot."""
         self.running += 1
-        self.occupancy.record_start(ticket)
+        self.rules.occupancy.record_start(ticket)
         self.shares.record_start(ticket, now)
         self.rate_limit.record_start(now)
 
@@ -212,7 +196,7 @@
             if self.place_of(item, now) < place:
                 work += item.cost
                 count += 1
-        wait = self.occupancy.time_to_free_slot()
+        wait = self.rules.occupancy.time_to_free_slot()
         if self.running < self.slots and self.may_hold_slot(ticket, now):
             wait = 0.0
         limited = self.rate_limit.delay(now, count)
@@ -220,23 +204,13 @@
             return max(wait + work / self.slots, limited)
         rank = ticket.rank if rank is None else rank
         if work:
-            wait += work / self.slots_left_to(rank, now)
+            wait += work / self.rules.slots_left_to(rank, self.slots, now)
             if ticket.account:
                 wait = max(wait, self.shares.time_to_turn(ticket))
         if limited:
-            limited /= self.rate_left_to(rank, now)
+            limited /= self.rules.rate_left_to(rank, self.rate_limit.rate(), now)
         return max(wait, limited)
 
-    def rate_left_to(self, rank: int, now: float) -> float:
-        """Return the share of the limited rate that more urgent ranks leave."""
-        taken = self.demand.more_urgent_rate(rank, now) / self.rate_limit.rate()
-        return max(1.0 - taken, MIN_RATE_LEFT)
-
-    def slots_left_to(self, rank: int, now: float) -> float:
-        """Return the slots that requests of more urgent ranks leave on average."""
-        load, _ = self.demand.more_urgent(rank, now)
-        return max(min(self.slots - load, self.bound_of(rank, now)), MIN_SLOTS_LEFT)
-
     def usable_slots(self) -> float:
         """Return how many slots the limit on the rate allows to use on average."""
         return min(self.slots, self.rate_limit.rate() * self.times.mean())
@@ -320,7 +294,7 @@
     def release(self, ticket: tickets.Ticket) -> None:
         """Release the slot of a request."""
         self.running -= 1
-        self.occupancy.record_end(ticket)
+        self.rules.occupancy.record_end(ticket)
         self.grant()
 
     def resize(self, slots: int) -> None:
