--- a/rattanridge/policies/demand.py
+++ b/rattanridge/policies/demand.py
@@ -84,11 +84,13 @@
 
     def is_mixed(self, now: float) -> bool:
         """Return whether new requests lately had several ranks or an account."""
-        since = now - MEMORY
-        if self.account_at >= since:
-            return True
+        return self.account_at >= now - MEMORY or self.has_several_ranks(now)
+
+    def has_several_ranks(self, now: float) -> bool:
+        """Return whether new requests lately had several ranks."""
         if len(self.ranks) < 2:
             return False
+        since = now - MEMORY
         recent = [rank for rank, item in self.ranks.items() if item.at >= since]
         return len(recent) - (tickets.NESTED in recent) > 1
 
--- a/rattanridge/policies/queueing.py
+++ b/rattanridge/policies/queueing.py
@@ -227,7 +227,7 @@
         Among several ranks, only what goes before its rank's last request counts.
         """
         now = asyncio.get_running_loop().time()
-        if not self.is_mixed(now):
+        if not (self.is_mixed(now) and self.rules.demand.has_several_ranks(now)):
             return self.expected_wait()
         further = dataclasses.replace(ticket, tag=math.inf, account="")
         return self.wait_in_place(further, False, now)
--- a/rattanridge/policies/reported_waits.py
+++ b/rattanridge/policies/reported_waits.py
@@ -4,6 +4,8 @@
 nothing about an urgent one, and an endpoint without a report would look better to it.
 """
 
+from rattanridge.policies import demand, tickets
+
 REPORT_TTL = 2.0  # seconds after which a reported wait is ignored
 
 
@@ -18,10 +20,18 @@
         self.waits[urgency] = (wait, now)
 
     def is_mixed(self, now: float) -> bool:
-        """Return whether requests of several urgencies were answered lately."""
+        """Return whether new requests of several ranks were answered lately.
+
+        Beside nested calls alone, an exit reports the wait at the end of its queue.
+        """
         if len(self.waits) < 2:
             return False
-        return sum(now - at < REPORT_TTL for _, at in self.waits.values()) > 1
+        recent = [
+            urgency
+            for urgency, (_, at) in self.waits.items()
+            if urgency > tickets.NESTED and now - at < demand.MEMORY
+        ]
+        return len(recent) > 1
 
     def wait_of(self, urgency: int, now: float) -> float:
         """Return the seconds that a request would wait at least.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rattanridge.policies import placement, reported_waits
+from rattanridge.policies import placement, reported_waits, tickets
 
 ROUTE = "lookup"
 TARGET = 0.3
@@ -149,6 +149,15 @@
             chosen = placer.choose([near, far], ROUTE, TARGET, 10.0, urgency)
             assert chosen.node == node
 
+    # Guards against: nested calls change the placement of a service with one rank.
+    def test_nested_calls_alone_change_nothing(self):
+        waits = reported_waits.ReportedWaits()
+        waits.record(tickets.NESTED, 0.5, 10.0)
+        waits.record(1, 0.5, 10.0)
+        assert not waits.is_mixed(10.0)
+        waits.record(2, 0.5, 10.0)
+        assert waits.is_mixed(10.0)
+
     def test_wait_of_more_urgent_ones_is_the_least(self):
         waits = reported_waits.ReportedWaits()
         waits.record(0, 0.5, 10.0)
