Quotas: a node that takes the lease for others reports to itself

Cause: the new allocator counted its own former shares as held for 15 s, as it had not heard from itself. Measured: test_whole_fleet_is_killed fails without it.

--- a/rattanridge/mesh/quota/service.py
+++ b/rattanridge/mesh/quota/service.py
@@ -101,6 +101,9 @@
             if not self.allocator.is_granting() and now >= self.next_election_at:
                 self.next_election_at = now + ELECTION_INTERVAL
                 await self.client.find_allocator()
+                # A new allocator waits until all have told what they hold, also this
+                # node.
+                self.client.wanted.set()
         return await self.allocator.answer(report)
 
     def first_address(self) -> str:
