--- a/rattanridge/measure/quota.py
+++ b/rattanridge/measure/quota.py
@@ -29,6 +29,7 @@
 FAULT_END = 32.0
 MAX_REFUSED = 0.02  # share of the requests below the quota
 MAX_REPORTS = 1.0  # a second for each node
+MAX_SPREAD = 88  # nodes; with 300, ``spread`` takes many minutes
 FAULTS = ("none", "spread", "excess", "allocator", "cut-off", "restarts")
 
 
@@ -46,6 +47,8 @@
     seconds = parameters.seconds or DEFAULT_SECONDS
     figures: dict[str, float] = {}
     for size, fault in itertools.product(sizes, FAULTS):
+        if fault == "spread" and size > MAX_SPREAD:
+            continue
         base.print_progress(f"quota: {size} nodes, {fault}")
         found = Simulation(size, fault, parameters.seed).run(seconds)
         prefix = f"n{size}_{fault}"
