--- a/rattanridge/mesh/quota/allocator.py
+++ b/rattanridge/mesh/quota/allocator.py
@@ -93,7 +93,7 @@
         body = messages.encode(messages.Announcement(own.term, own.address))
         records = self.directory.records.values()
         addresses = {record.hop for record in records} - {own.address}
-        path = f"{messages.ANNOUNCEMENT_PATH}{self.partition}"
+        path = f"{messages.ANNOUNCEMENT_PATH}/{self.partition}"
         await asyncio.gather(
             *(self.peers.fetch(address, "POST", path, body) for address in addresses)
         )
--- a/rattanridge/mesh/quota/client.py
+++ b/rattanridge/mesh/quota/client.py
@@ -255,7 +255,7 @@
         if address == self.keeper.address:
             return await self.allocator.answer(report)
         body = messages.encode(report)
-        path = f"{messages.REPORT_PATH}{self.allocator.partition}"
+        path = f"{messages.REPORT_PATH}/{self.allocator.partition}"
         data = await self.peers.fetch(address, "POST", path, body)
         if data is None:
             self.log.note("quota-allocator-unreachable", address=address)
--- a/rattanridge/mesh/quota/messages.py
+++ b/rattanridge/mesh/quota/messages.py
@@ -6,9 +6,9 @@
 
 from rattanridge.policies import quota
 
-# Followed by the number of the partition.
-REPORT_PATH = "/quota/report/"
-ANNOUNCEMENT_PATH = "/quota/allocator/"
+# Followed by a slash and the number of the partition.
+REPORT_PATH = "/quota/report"
+ANNOUNCEMENT_PATH = "/quota/allocator"
 MAX_BYTES = 1_048_576
 
 T = typing.TypeVar("T")
--- a/rattanridge/mesh/quota/service.py
+++ b/rattanridge/mesh/quota/service.py
@@ -194,7 +194,7 @@
             (messages.REPORT_PATH, self.answer_report),
             (messages.ANNOUNCEMENT_PATH, self.answer_announcement),
         ):
-            number = request.path.removeprefix(path)
+            number = request.path.removeprefix(f"{path}/")
             if number != request.path:
                 if not number.isdecimal() or int(number) >= PARTITIONS:
                     return aiohttp.web_response.Response(status=404)
