Clients outside the limits: count what a client makes the node hold

Cause: heads, chunk framing and trailers had no bound as a whole; bodies and answers were held in several copies, small bodies and answers being written not counted at all. Change: the parser gets no more than header_bytes of an unfinished head; framing is bounded by the body; bodies are collected once, counted from their first byte per connection; answers count until they are written, and are written in pieces; connections that stall are closed first if memory is short, and by a progress rule (settings progress_bytes, progress_interval, stall_seconds).

--- a/rattanridge/kernel/hashing.py
+++ b/rattanridge/kernel/hashing.py
@@ -3,7 +3,7 @@
 import hashlib
 
 
-def hash_parts(*parts: bytes, size: int) -> str:
+def hash_parts(*parts: bytes | bytearray, size: int) -> str:
     """Return the hexadecimal hash of a sequence of parts.
 
     The hash includes each part's length, so ``ab, c`` and ``a, bc`` differ.
@@ -12,5 +12,6 @@
     """
     state = hashlib.blake2b(digest_size=size)
     for part in parts:
-        state.update(len(part).to_bytes(4, "big") + part)
+        state.update(len(part).to_bytes(4, "big"))
+        state.update(part)
     return state.hexdigest()
--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -47,7 +47,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     service: str
     route: str
     idempotent: bool
@@ -87,7 +87,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     ran: codes.Execution = codes.Execution.RAN
     code: codes.Code | None = None
     detail: str = ""
--- a/rattanridge/mesh/claim.py
+++ b/rattanridge/mesh/claim.py
@@ -83,7 +83,7 @@
     if answer.code is not None or len(answer.body) > MAX_RECORDED_BYTES:
         return None
     kept = [(str(name), str(value)) for name, value in answer.headers]
-    return RecordedAnswer(answer.status, kept, answer.body)
+    return RecordedAnswer(answer.status, kept, bytes(answer.body))
 
 
 def replay(recorded: RecordedAnswer) -> calls.Answer:
--- a/rattanridge/mesh/connections.py
+++ b/rattanridge/mesh/connections.py
@@ -14,11 +14,12 @@
 
 import aiohttp.base_protocol
 import aiohttp.http
+import aiohttp.streams
 import multidict
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import response_limits
-from rattanridge.web import memory, receiving
+from rattanridge.web import memory, receiving, writing
 
 CONNECT_TIMEOUT = 0.25  # seconds to connect while a request waits
 MAX_HEADER_LINE_BYTES = 65_536  # of a response
@@ -40,7 +41,7 @@
 
     status: int
     headers: multidict.CIMultiDictProxy
-    body: bytes
+    body: bytes | bytearray
     closing: bool = False
 
 
@@ -53,14 +54,39 @@
     :param matcher: returns whether a response belongs to the request; None if every
         response does.
     :param answered: future of its response.
-    :param pending: responses that were not read whole yet, with their bodies.
+    :param pending: responses that were not read whole yet.
     """
 
     parser: aiohttp.http.HttpResponseParser
     received: response_limits.ReceivedBytes
     matcher: ResponseMatcher | None
     answered: asyncio.Future[Response]
-    pending: collections.deque = dataclasses.field(default_factory=collections.deque)
+    pending: collections.deque["Pending"] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """A response that was not read whole yet.
+
+    :param payload: what the parser has not handed over of the body.
+    :param body: what it has handed over, so that it joins no parts at the end.
+    """
+
+    message: aiohttp.http.RawResponseMessage
+    payload: aiohttp.streams.StreamReader
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+
+    def collect(self) -> None:
+        """Move what was parsed of the body."""
+        if self.payload.exception() is None and not self.payload.at_eof():
+            self.body += self.payload.read_nowait(-1)
+
+    def whole_body(self) -> bytes | bytearray:
+        """Return the whole body; a long one is not copied."""
+        body = self.body
+        return bytes(body) if len(body) <= memory.SMALL_BODY_BYTES else body
 
 
 class Connection(aiohttp.base_protocol.BaseProtocol):
@@ -77,6 +103,7 @@
         "memory_budget",
         "unmatched",
         "used_at",
+        "writable",
     )
 
     def __init__(
@@ -90,10 +117,22 @@
         self.idle_seconds = 0.0
         self.idle_limit = DEFAULT_IDLE_LIMIT
         self.used_at = loop.time()
+        self.writable: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         receiving.limit_reads(transport)
+        writing.limit_writes(transport)
+
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        self.writable = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        if self.writable is not None and not self.writable.done():
+            self.writable.set_result(None)
+        self.writable = None
 
     def is_open(self) -> bool:
         """Return whether a request may be sent on it."""
@@ -124,8 +163,10 @@
             self.abort("the peer upgraded the protocol unasked")
             return
         for message, payload in messages:
-            current.pending.append((message, payload))
-        bodies = sum(payload.total_bytes for _, payload in current.pending)
+            current.pending.append(Pending(message, payload))
+        for pending in current.pending:
+            pending.collect()
+        bodies = sum(pending.payload.total_bytes for pending in current.pending)
         try:
             current.received.add(len(data), bodies)
         except codes.Failure as failure:
@@ -153,15 +194,17 @@
         A late response to an earlier request may come before it, and is skipped.
         """
         while current.pending and not current.answered.done():
-            message, payload = current.pending[0]
+            pending = current.pending[0]
+            message, payload = pending.message, pending.payload
             if not payload.is_eof() or payload.exception() is not None:
                 return
             current.pending.popleft()
+            pending.collect()
             response_limits.check_status(message.code)
             response = Response(
                 message.code,
                 message.headers,
-                payload.read_nowait(-1),
+                pending.whole_body(),
                 message.should_close,
             )
             if 100 <= message.code < 200:
@@ -206,7 +249,11 @@
             self.transport.abort()
 
     async def exchange(
-        self, data: bytes, with_body: bool, matcher: ResponseMatcher | None
+        self,
+        data: bytes,
+        with_body: bool,
+        matcher: ResponseMatcher | None,
+        rest: bytes | bytearray = b"",
     ) -> Response:
         """Send a request and return the response that belongs to it.
 
@@ -215,12 +262,14 @@
 
         :param matcher: returns whether a response belongs to the request; None if
             every response does.
+        :param rest: long body that follows ``data``; it is written in pieces.
         """
         if self.transport is None:
             raise response_limits.response_failure(self.close_reason or "closed")
         answered = self.start_exchange(with_body, matcher)
         self.transport.write(data)
         try:
+            written = not rest or await self.write_pieces(rest, answered)
             response = await answered
         except asyncio.CancelledError:
             self.abort("the request was cancelled")
@@ -230,8 +279,25 @@
             followed = self.end_exchange()
         if response.closing or followed:
             self.abort("the peer closes after the response, or sent another one")
+        elif not written:
+            self.abort("the peer answered before it had read the request")
         return response
 
+    async def write_pieces(
+        self, body: bytes | bytearray, answered: asyncio.Future[Response]
+    ) -> bool:
+        """Write a body as the peer reads it; return False if it answers before."""
+        view = memoryview(body)
+        for start in range(0, len(body), writing.PIECE_BYTES):
+            while self.writable is not None and not answered.done():
+                await asyncio.wait(
+                    (self.writable, answered), return_when=asyncio.FIRST_COMPLETED
+                )
+            if answered.done() or self.transport is None:
+                return False
+            self.transport.write(view[start : start + writing.PIECE_BYTES])
+        return True
+
     def start_exchange(
         self, with_body: bool, matcher: ResponseMatcher | None
     ) -> asyncio.Future[Response]:
@@ -280,15 +346,24 @@
 
 
 def write_request(
-    method: str, path: str, headers: list[tuple[str, str]], body: bytes
+    method: str, path: str, headers: list[tuple[str, str]], body: bytes | bytearray
 ) -> bytes:
-    """Return the bytes of a request, with a Content-Length where one is expected."""
+    """Return the bytes of a request, with a Content-Length where one is expected.
+
+    A long body is not copied behind the head; ``rest_of`` returns it.
+    """
     lines = [f"{method} {path} HTTP/1.1"]
     lines.extend(f"{name}: {value}" for name, value in headers)
     if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         lines.append(f"Content-Length: {len(body)}")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("utf-8", "surrogateescape") + body
+    data = head.encode("utf-8", "surrogateescape")
+    return data if len(body) > writing.PIECE_BYTES else data + body
+
+
+def rest_of(body: bytes | bytearray) -> bytes | bytearray:
+    """Return what ``write_request`` leaves of a body to write after its result."""
+    return body if len(body) > writing.PIECE_BYTES else b""
 
 
 class Pool:
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -95,8 +95,6 @@
             raise
         finally:
             self.active -= 1
-            if call is not None:
-                self.memory_budget.free_body(call.body)
         self.record_answer(request, call, answer, started_at)
         return self.respond(answer)
 
@@ -149,21 +147,17 @@
         """
         current, route = await self.find_route(request)
         limit = min(current.limits.body_bytes, self.config.limits.body_bytes)
-        body = await bodies.read_body(request, limit, self.memory_budget)
-        try:
-            if authentication.needs_recheck(current, self.configs.current or current):
-                current, route = await self.find_route(request)
-            return self.make_call(request, current, route, body, started_at), route
-        except BaseException:
-            self.memory_budget.free_body(body)
-            raise
+        body = await bodies.read_long_body(request, limit)
+        if authentication.needs_recheck(current, self.configs.current or current):
+            current, route = await self.find_route(request)
+        return self.make_call(request, current, route, body, started_at), route
 
     def make_call(
         self,
         request: aiohttp.web_request.BaseRequest,
         current: routes.Configuration,
         route: routes.Route,
-        body: bytes,
+        body: bytes | bytearray,
         started_at: float,
     ) -> calls.Call:
         """Return a request as a call.
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -308,6 +308,7 @@
                     data,
                     call.method != "HEAD",
                     lambda item: upstream_messages.answers_call(item, call),
+                    connections.rest_of(call.body),
                 )
             return response
         except TimeoutError:
--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -166,7 +166,7 @@
 
     async def read_call(self, request: aiohttp.web_request.BaseRequest) -> calls.Call:
         """Return the forwarded call in a request; raise if it is unreadable."""
-        body = await bodies.read_body(request, self.config.limits.body_bytes)
+        body = await bodies.read_long_body(request, self.config.limits.body_bytes)
         call = hop_headers.decode_call(
             request.headers.get(headers.ATTEMPT, ""),
             request.method,
--- a/rattanridge/mesh/hop_headers.py
+++ b/rattanridge/mesh/hop_headers.py
@@ -42,7 +42,7 @@
     method: str,
     path: str,
     received: collections.abc.Mapping[str, str],
-    body: bytes,
+    body: bytes | bytearray,
 ) -> calls.Call:
     """Return a call that another node forwarded.
 
--- a/rattanridge/mesh/peers.py
+++ b/rattanridge/mesh/peers.py
@@ -50,11 +50,13 @@
         try:
             async with asyncio.timeout(FETCH_TIMEOUT):
                 connection = await self.pool.acquire(address, FETCH_TIMEOUT)
-                response = await connection.exchange(request, True, None)
+                response = await connection.exchange(
+                    request, True, None, connections.rest_of(body)
+                )
         except (TimeoutError, codes.Failure):
             return None
         self.release(address, connection, response)
-        return response.body if response.status == 200 else None
+        return bytes(response.body) if response.status == 200 else None
 
     async def forward(self, address: str, call: calls.Call) -> calls.Answer:
         """Forward a call and return the answer.
@@ -85,7 +87,9 @@
         )
         try:
             async with asyncio.timeout_at(call.deadline + ANSWER_MARGIN):
-                response = await connection.exchange(data, call.method != "HEAD", None)
+                response = await connection.exchange(
+                    data, call.method != "HEAD", None, connections.rest_of(call.body)
+                )
         except TimeoutError:
             raise codes.Failure(codes.DEADLINE, ran=codes.Execution.UNKNOWN)
         except codes.Failure as failure:
--- a/rattanridge/mesh/ports.py
+++ b/rattanridge/mesh/ports.py
@@ -4,7 +4,7 @@
 
 from rattanridge.kernel import addresses, codes
 from rattanridge.mesh import events, settings
-from rattanridge.web import pipelining, server as servers
+from rattanridge.web import memory, pipelining, progress, server as servers
 
 BACKLOG = 512  # connections that wait to be accepted
 # Seconds for the HTTP library to cancel handlers; what may end has ended before.
@@ -41,12 +41,19 @@
     """All HTTP ports of one node.
 
     :param config: the node's settings.
+    :param memory_budget: limits the bytes that the node holds in memory.
     """
 
     def __init__(
-        self, config: settings.Settings, meters: events.Meters, log: events.Events
+        self,
+        config: settings.Settings,
+        memory_budget: memory.MemoryBudget,
+        meters: events.Meters,
+        log: events.Events,
     ):
         self.config = config
+        self.memory_budget = memory_budget
+        self.watch = progress.Watch(memory_budget, config.limits)
         self.meters = meters
         self.log = log
         self.ports: list[Port] = []
@@ -62,7 +69,9 @@
         :param pipeline: decides which pipelined requests start early.
         """
         host, _, port = address.rpartition(":")
-        served = servers.Server(handler, self.config, self.meters, self.log, pipeline)
+        served = servers.Server(
+            handler, self.config, self.meters, self.log, pipeline, self.memory_budget
+        )
         loop = asyncio.get_running_loop()
         try:
             listener = await loop.create_server(
@@ -84,4 +93,5 @@
 
     async def close(self) -> None:
         """Close all connections; requests that are still in progress are cut."""
+        self.watch.stop()
         await asyncio.gather(*(port.close() for port in self.ports))
--- a/rattanridge/mesh/response_limits.py
+++ b/rattanridge/mesh/response_limits.py
@@ -42,7 +42,7 @@
             raise response_failure(
                 f"{framing} bytes beside {bodies} bytes of bodies belong to no response"
             )
-        if bodies > memory.SMALL_BODY_BYTES:
+        if bodies > self.reserved:
             self.reserve(bodies - self.reserved)
 
     def add_unmatched(self, body: int) -> None:
@@ -58,7 +58,8 @@
             )
 
     def reserve(self, size: int) -> None:
-        self.memory_budget.reserve(size, codes.Execution.UNKNOWN)
+        total = self.reserved + size
+        self.memory_budget.reserve(size, codes.Execution.UNKNOWN, total)
         self.reserved += size
 
     def release(self) -> None:
--- a/rattanridge/mesh/settings.py
+++ b/rattanridge/mesh/settings.py
@@ -64,7 +64,12 @@
 class Limits(settings.Struct):
     """Limits on what a node accepts and holds.
 
-    :param held_bytes: bytes of bodies over 64 KiB that a node holds at once.
+    :param held_bytes: bytes of requests and answers that a node holds at once.
+    :param progress_bytes: bytes per second that a client has to send or read while
+        the node waits for it.
+    :param progress_interval: seconds over which these are counted.
+    :param stall_seconds: seconds without progress after which a connection may be
+        closed if memory is short.
     :param connections: connections that each port accepts.
     :param log_lines: lines per second for each kind of event.
     """
@@ -73,6 +78,9 @@
     body_bytes: settings.Bytes = 67_108_864
     held_bytes: settings.Bytes = 80_000_000
     connections: settings.Count = 1_500
+    progress_bytes: settings.Bytes = 50
+    progress_interval: settings.Seconds = 60.0
+    stall_seconds: settings.Seconds = 2.0
     log_lines: settings.Count = 20
 
 
--- a/rattanridge/policies/keys.py
+++ b/rattanridge/policies/keys.py
@@ -20,7 +20,7 @@
         self.name = name
 
     @abc.abstractmethod
-    def read(self, headers: multidict.CIMultiDict, body: bytes) -> str:
+    def read(self, headers: multidict.CIMultiDict, body: bytes | bytearray) -> str:
         """Return the key; an empty string if the request has none."""
 
 
@@ -28,7 +28,7 @@
 class Header(Source):
     """Reads the key from one header."""
 
-    def read(self, headers: multidict.CIMultiDict, body: bytes) -> str:
+    def read(self, headers: multidict.CIMultiDict, body: bytes | bytearray) -> str:
         return drop_if_too_long(headers.get(self.name, "").strip())
 
 
@@ -39,7 +39,7 @@
     Dots in the name separate the fields of nested objects.
     """
 
-    def read(self, headers: multidict.CIMultiDict, body: bytes) -> str:
+    def read(self, headers: multidict.CIMultiDict, body: bytes | bytearray) -> str:
         try:
             value = msgspec.json.decode(body)
         except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
@@ -53,7 +53,9 @@
         return drop_if_too_long(str(value))
 
 
-def read(source: routes.KeySource, headers: multidict.CIMultiDict, body: bytes) -> str:
+def read(
+    source: routes.KeySource, headers: multidict.CIMultiDict, body: bytes | bytearray
+) -> str:
     """Return the key that a source reads; an empty string if there is none."""
     return routes.KEY_SOURCES.get(source.source)(source.name).read(headers, body)
 
--- a/rattanridge/policies/quarantine.py
+++ b/rattanridge/policies/quarantine.py
@@ -32,7 +32,7 @@
     until: int
 
 
-def fingerprint(method: str, path: str, body: bytes) -> str:
+def fingerprint(method: str, path: str, body: bytes | bytearray) -> str:
     """Return the hash that identifies a request when it is sent again."""
     path_bytes = path.encode(errors="surrogateescape")
     return hashing.hash_parts(method.encode(), path_bytes, body, size=FINGERPRINT_BYTES)
--- a/rattanridge/web/server.py
+++ b/rattanridge/web/server.py
@@ -20,10 +20,20 @@
 import yarl
 
 from rattanridge.kernel import codes
-from rattanridge.web import pipelining, receiving, responses
+from rattanridge.web import (
+    bodies,
+    framing,
+    memory,
+    pipelining,
+    receiving,
+    responses,
+    writing,
+)
 
 IDLE_SECONDS = 75.0  # until an idle connection is closed
 FIRST_REQUEST_SECONDS = 10.0  # until a new connection must have sent a request
+# Of a body before its handler reads it; also bounds what is kept for tiny chunks.
+BODY_BUFFER_BYTES = 16_384
 LINGER_SECONDS = 1.0  # for reading the rest of the body of a refused request
 SCHEMES = ("http", "https")
 PLAIN_TARGET = re.compile(r"(/[A-Za-z0-9_~-][A-Za-z0-9._~-]*)*/?(\?[!-~]*)?")
@@ -44,6 +54,9 @@
     @property
     def connections(self) -> int: ...
 
+    @property
+    def held_bytes(self) -> int: ...
+
 
 class Config(typing.Protocol):
     """The settings that a port uses."""
@@ -82,17 +95,44 @@
 class Protocol(aiohttp.web_protocol.RequestHandler):
     """One connection; answers malformed requests with a result code."""
 
-    __slots__ = ("ahead", "server", "timer")
+    __slots__ = (
+        "ahead",
+        "body_failure",
+        "collector",
+        "feeding",
+        "framing",
+        "holder",
+        "known_requests",
+        "received",
+        "refused",
+        "rest",
+        "sending",
+        "sent",
+        "server",
+        "timer",
+    )
 
     def __init__(self, server: "Server", **options: typing.Any):
         super().__init__(server, **options)
         self.server = server
         self.ahead = pipelining.Ahead()
         self.timer: asyncio.TimerHandle | None = None
+        self.holder = memory.Holder(server.memory_budget, self)
+        self.framing = framing.Framing(server.limits.header_bytes)
+        self.collector: bodies.Collector | None = None
+        self.body_failure: codes.Failure | None = None
+        self.feeding = False
+        self.known_requests = 0
+        self.refused = False
+        self.rest = b""
+        self.received = 0
+        self.sent = 0
+        self.sending = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         receiving.limit_reads(transport)
+        writing.limit_writes(transport)
         if not self.server.admit():
             typing.cast(asyncio.Transport, transport).abort()
             return
@@ -104,11 +144,161 @@
             self.timer.cancel()
         self.ahead.cancel()
         super().connection_lost(error)
+        self.holder.close()
+        self.rest = b""
 
     def data_received(self, data: bytes) -> None:
-        super().data_received(data)
+        if self.feeding:
+            # The library parses what it kept while reading was paused.
+            super().data_received(data)
+            return
+        if self.refused:
+            return
+        self.received += len(data)
+        self.feeding = True
+        try:
+            self.feed_all(self.rest + data if self.rest else data)
+        finally:
+            self.feeding = False
         self.start_ahead()
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        # The library calls this on each read of a body, also if nothing is paused.
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
+    def feed_all(self, data: bytes) -> None:
+        """Parse data in pieces; keep the rest once the library pauses reading."""
+        self.rest = b""
+        while True:
+            size = self.framing.next_size()
+            self.feed(data if len(data) <= size else data[:size])
+            if len(data) <= size or self.refused:
+                return
+            data = data[size:]
+            if self.is_paused():
+                self.rest = data
+                return
+
+    def is_paused(self) -> bool:
+        """Return whether the library takes no more data."""
+        return self._reading_paused or self._buffer_paused
+
+    def feed(self, data: bytes) -> None:
+        """Parse one piece; refuse a head, framing or trailers over their bounds."""
+        in_body = self.framing.in_body()
+        super().data_received(data)
+        if self.collector is not None:
+            self.collector.collect()
+        if self._request_count != self.known_requests:
+            self.begin_requests()
+        elif in_body:
+            if not self.framing.add_body(len(data)):
+                self.refuse_body(codes.Failure(codes.BAD_REQUEST, "chunk framing"))
+        elif data:
+            self.add_head(len(data))
+
+    def begin_requests(self) -> None:
+        """Take note of the requests whose heads have been parsed."""
+        self.known_requests = self._request_count
+        self.holder.free(self.framing.head)
+        if not self._messages:
+            return
+        message, payload = self._messages[-1]
+        if isinstance(message, aiohttp.http.RawRequestMessage):
+            self.framing.begin(payload, message.chunked)
+            return
+        self.refused = True
+        self.refuse_body(parse_failure(message.exc))
+
+    def add_head(self, size: int) -> None:
+        """Count bytes of an unfinished head; refuse a head over the limit."""
+        try:
+            self.holder.reserve(size, 0)
+        except codes.Failure:
+            self.drop("memory")
+            return
+        if not self.framing.add_head(size):
+            self.refuse_head()
+
+    def refuse_head(self) -> None:
+        """Answer that the head is too large once its turn comes; read no more."""
+        self.refused = True
+        error = aiohttp.http_exceptions.LineTooLong(b"head", self.framing.limit)
+        # The library has no other way to queue an answer to a malformed request.
+        queued = aiohttp.web_protocol._ErrInfo(400, error, error.message)
+        self._messages.append((queued, aiohttp.streams.EMPTY_PAYLOAD))
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def refuse_body(self, failure: codes.Failure) -> None:
+        """Give up the body that is being received; read no more."""
+        self.refused = True
+        self.body_failure = failure
+        if self.collector is not None:
+            self.collector.fail(failure)
+
+    def collect_body(self, collector: bodies.Collector) -> None:
+        """Pass on what arrives of a body, and what has arrived."""
+        self.collector = collector
+        if self.body_failure is not None and not collector.payload.is_eof():
+            collector.fail(self.body_failure)
+        # Reads resume paused reading, which parses more at once.
+        self.feeding = True
+        try:
+            collector.collect()
+        finally:
+            self.feeding = False
+        if self._request_count != self.known_requests:
+            self.begin_requests()
+        if self.rest and not self.is_paused():
+            self.data_received(b"")
+
+    def end_body(self) -> None:
+        """Free the body of the request whose answer is known."""
+        if self.collector is not None:
+            self.collector.release()
+            self.collector = None
+
+    def position(self) -> int | None:
+        """Return how far the client has sent or read; None if that is not awaited."""
+        transport = self.transport
+        collector = self.collector
+        receives = collector is not None and collector.is_waiting()
+        if transport is None or not (receives or self.sending or self.framing.head):
+            return None
+        return self.received + self.sent - writing.unsent_bytes(transport)
+
+    def drop(self, reason: str) -> None:
+        """Abort the connection, and count and log why."""
+        self.refused = True
+        self.server.counters.add(f"http.dropped.{reason}")
+        self.server.log.note(
+            "http-dropped", why=reason, caller=str(self.peername), held=self.holder.held
+        )
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def finish_response(
+        self,
+        request: aiohttp.web_request.BaseRequest,
+        resp: aiohttp.web_response.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[aiohttp.web_response.StreamResponse, bool]:
+        """Write a response; its body counts as held until it is written."""
+        size = len(writing.body_of(resp))
+        self.holder.add(size)
+        self.sending = True
+        try:
+            self.sent += size
+            await writing.write_long_body(request, resp)
+            return await super().finish_response(request, resp, start_time)
+        except ConnectionError:
+            return resp, True
+        finally:
+            self.sending = False
+            self.holder.free(size)
+
     def start_ahead(self) -> None:
         """Start requests that wait behind another one, as far as they may.
 
@@ -133,7 +323,10 @@
         request = self.server.make_request(
             message, aiohttp.streams.EMPTY_PAYLOAD, self, writer, task
         )
-        return await self.server.run(request)
+        response = await self.server.run(request)
+        # Counted until its turn comes, when it is counted as the one being written.
+        self.holder.add(len(writing.body_of(response)))
+        return response
 
     def is_busy(self) -> bool:
         """Return whether a request, or its answer, is in progress.
@@ -182,6 +375,7 @@
     :param config: the node's settings, which contain the limits.
     :param counters: counts refused requests by code, and dropped connections.
     :param pipeline: decides which pipelined requests start early; None for none.
+    :param memory_budget: limits the bytes that the node holds in memory.
     """
 
     def __init__(
@@ -191,6 +385,7 @@
         counters: Counters,
         log: Log,
         pipeline: pipelining.Pipeline | None = None,
+        memory_budget: memory.MemoryBudget | None = None,
     ):
         super().__init__(
             self.handle, request_factory=self.make_request, handler_cancellation=True
@@ -200,6 +395,9 @@
         self.counters = counters
         self.log = log
         self.pipeline = pipeline
+        self.memory_budget = memory_budget or memory.MemoryBudget(
+            config.limits.held_bytes
+        )
 
     def __call__(self) -> Protocol:
         return Protocol(
@@ -209,6 +407,7 @@
             max_line_size=self.limits.header_bytes,
             max_field_size=self.limits.header_bytes,
             auto_decompress=False,
+            read_bufsize=BODY_BUFFER_BYTES,
             keepalive_timeout=IDLE_SECONDS,
             lingering_time=LINGER_SECONDS,
         )
@@ -224,7 +423,14 @@
         protocol = typing.cast(Protocol, request.protocol)
         protocol.start_ahead()
         early = protocol.ahead.take(request._message)
-        response = await (self.run(request) if early is None else early)
+        if early is None:
+            try:
+                response = await self.run(request)
+            finally:
+                protocol.end_body()
+        else:
+            response = await early
+            protocol.holder.free(len(writing.body_of(response)))
         if (
             self.pipeline is not None
             and self.pipeline.closing
