--- a/rattanridge/mesh/confirmation.py
+++ b/rattanridge/mesh/confirmation.py
@@ -8,6 +8,7 @@
     configs,
     connections,
     events,
+    exchanges,
     upstream as upstreams,
 )
 from rattanridge.platform import headers
@@ -82,14 +83,14 @@
         service = current and current.services.get(self.upstream.service)
         return service.health_path if service else ""
 
-    async def check(self, path: str) -> connections.Response | None:
+    async def check(self, path: str) -> exchanges.Response | None:
         """Return the response to one health check; None if there is none."""
         address = self.upstream.address
         fields = [
             ("Host", address),
             (headers.DEADLINE, headers.format_deadline(CHECK_TIMEOUT)),
         ]
-        request = connections.write_request("GET", path, fields, b"")
+        request = exchanges.write_request("GET", path, fields, b"")
         try:
             async with asyncio.timeout(CHECK_TIMEOUT):
                 # Not kept: a request that crashes the upstream on a connection that
@@ -103,7 +104,7 @@
             self.log.note("upstream-not-checked", why=str(error))
             return None
 
-    def apply(self, response: connections.Response) -> None:
+    def apply(self, response: exchanges.Response) -> None:
         """Apply the response to a health check; only status 200 confirms it."""
         endpoint = response.headers.get(headers.INSTANCE, "")
         self.log.info(
--- a/rattanridge/mesh/connections.py
+++ b/rattanridge/mesh/connections.py
@@ -6,19 +6,14 @@
 """
 
 import asyncio
-import collections
-import collections.abc
-import dataclasses
 import select
 import socket
 
 import aiohttp.base_protocol
 import aiohttp.http
-import aiohttp.streams
-import multidict
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import response_limits
+from rattanridge.mesh import exchanges, response_limits
 from rattanridge.web import memory, receiving, writing
 
 CONNECT_TIMEOUT = 0.25  # seconds to connect while a request waits
@@ -29,65 +24,6 @@
 UNACKED_TIMEOUT_MS = 1500  # milliseconds that sent bytes may stay unacknowledged
 CONNECTION_REFUSED = ConnectionRefusedError.__name__  # failure detail: nobody listens
 
-ResponseMatcher = collections.abc.Callable[["Response"], bool]
-
-
-@dataclasses.dataclass(slots=True)
-class Response:
-    """One whole response as it was received.
-
-    :param closing: whether the peer closes the connection after it.
-    """
-
-    status: int
-    headers: multidict.CIMultiDictProxy
-    body: bytes | bytearray
-    closing: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class Exchange:
-    """One request that waits for its response.
-
-    :param parser: parses what is received for it.
-    :param received: counts the bytes held for it.
-    :param matcher: returns whether a response belongs to the request; None if every
-        response does.
-    :param answered: future of its response.
-    :param pending: responses that were not read whole yet.
-    """
-
-    parser: aiohttp.http.HttpResponseParser
-    received: response_limits.ReceivedBytes
-    matcher: ResponseMatcher | None
-    answered: asyncio.Future[Response]
-    pending: collections.deque["Pending"] = dataclasses.field(
-        default_factory=collections.deque
-    )
-
-
-@dataclasses.dataclass(slots=True)
-class Pending:
-    """A response that was not read whole yet.
-
-    :param payload: what the parser has not handed over of the body.
-    :param body: what it has handed over, so that it joins no parts at the end.
-    """
-
-    message: aiohttp.http.RawResponseMessage
-    payload: aiohttp.streams.StreamReader
-    body: bytearray = dataclasses.field(default_factory=bytearray)
-
-    def collect(self) -> None:
-        """Move what was parsed of the body."""
-        if self.payload.exception() is None and not self.payload.at_eof():
-            self.body += self.payload.read_nowait(-1)
-
-    def whole_body(self) -> bytes | bytearray:
-        """Return the whole body; a long one is not copied."""
-        body = self.body
-        return bytes(body) if len(body) <= memory.SMALL_BODY_BYTES else body
-
 
 class Connection(aiohttp.base_protocol.BaseProtocol):
     """One connection; it carries one request at a time.
@@ -111,7 +47,7 @@
     ):
         super().__init__(loop)
         self.memory_budget = memory_budget
-        self.current: Exchange | None = None
+        self.current: exchanges.Exchange | None = None
         self.close_reason = ""
         self.unmatched = 0
         self.idle_seconds = 0.0
@@ -163,7 +99,7 @@
             self.abort("the peer upgraded the protocol unasked")
             return
         for message, payload in messages:
-            current.pending.append(Pending(message, payload))
+            current.pending.append(exchanges.Pending(message, payload))
         for pending in current.pending:
             pending.collect()
         bodies = sum(pending.payload.total_bytes for pending in current.pending)
@@ -181,14 +117,14 @@
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Do nothing: aiohttp calls this on each read, but reading never pauses."""
 
-    def deliver_or_abort(self, current: Exchange) -> None:
+    def deliver_or_abort(self, current: exchanges.Exchange) -> None:
         """Deliver the response if it is whole; abort after too many unmatched ones."""
         try:
             self.deliver_response(current)
         except codes.Failure as failure:
             self.abort(failure.detail or failure.code.name, failure)
 
-    def deliver_response(self, current: Exchange) -> None:
+    def deliver_response(self, current: exchanges.Exchange) -> None:
         """Deliver the first whole response that belongs to the request.
 
         A late response to an earlier request may come before it, and is skipped.
@@ -201,7 +137,7 @@
             current.pending.popleft()
             pending.collect()
             response_limits.check_status(message.code)
-            response = Response(
+            response = exchanges.Response(
                 message.code,
                 message.headers,
                 pending.whole_body(),
@@ -252,9 +188,9 @@
         self,
         data: bytes,
         with_body: bool,
-        matcher: ResponseMatcher | None,
+        matcher: exchanges.ResponseMatcher | None,
         rest: bytes | bytearray = b"",
-    ) -> Response:
+    ) -> exchanges.Response:
         """Send a request and return the response that belongs to it.
 
         Raise ``upstream-failed`` if no whole response comes, and ``memory-full`` if
@@ -284,7 +220,7 @@
         return response
 
     async def write_pieces(
-        self, body: bytes | bytearray, answered: asyncio.Future[Response]
+        self, body: bytes | bytearray, answered: asyncio.Future[exchanges.Response]
     ) -> bool:
         """Write a body as the peer reads it; return False if it answers before."""
         view = memoryview(body)
@@ -299,8 +235,8 @@
         return True
 
     def start_exchange(
-        self, with_body: bool, matcher: ResponseMatcher | None
-    ) -> asyncio.Future[Response]:
+        self, with_body: bool, matcher: exchanges.ResponseMatcher | None
+    ) -> asyncio.Future[exchanges.Response]:
         """Expect the response to a request; return its future.
 
         :param with_body: whether the response may have a body.
@@ -318,7 +254,7 @@
         )
         received = response_limits.ReceivedBytes(self.memory_budget)
         answered = self._loop.create_future()
-        self.current = Exchange(parser, received, matcher, answered)
+        self.current = exchanges.Exchange(parser, received, matcher, answered)
         return answered
 
     def end_exchange(self) -> bool:
@@ -335,37 +271,6 @@
         return bool(current.pending)
 
 
-def parse_idle_limit(response: Response) -> float | None:
-    """Return the seconds that the peer keeps an idle connection; None if unknown."""
-    text = response.headers.get("Keep-Alive", "")
-    for part in text.split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdecimal():
-            return float(value)
-    return None
-
-
-def write_request(
-    method: str, path: str, headers: list[tuple[str, str]], body: bytes | bytearray
-) -> bytes:
-    """Return the bytes of a request, with a Content-Length where one is expected.
-
-    A long body is not copied behind the head; ``rest_of`` returns it.
-    """
-    lines = [f"{method} {path} HTTP/1.1"]
-    lines.extend(f"{name}: {value}" for name, value in headers)
-    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        lines.append(f"Content-Length: {len(body)}")
-    head = "\r\n".join(lines) + "\r\n\r\n"
-    data = head.encode("utf-8", "surrogateescape")
-    return data if len(body) > writing.PIECE_BYTES else data + body
-
-
-def rest_of(body: bytes | bytearray) -> bytes | bytearray:
-    """Return what ``write_request`` leaves of a body to write after its result."""
-    return body if len(body) > writing.PIECE_BYTES else b""
-
-
 class Pool:
     """Idle connections by address; the one used last is used next.
 
@@ -429,11 +334,15 @@
         )
         return connection
 
-    def release(self, address: str, connection: Connection, response: Response) -> None:
+    def release(
+        self, address: str, connection: Connection, response: exchanges.Response
+    ) -> None:
         """Keep a connection whose response was read whole, unless it is closing."""
         if not connection.is_open():
             return
-        connection.idle_limit = parse_idle_limit(response) or DEFAULT_IDLE_LIMIT
+        connection.idle_limit = (
+            exchanges.parse_idle_limit(response) or DEFAULT_IDLE_LIMIT
+        )
         self.add_idle(address, connection)
 
     def add_idle(self, address: str, connection: Connection) -> None:
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -8,9 +8,11 @@
     calls,
     connections,
     events,
+    exchanges,
     gate as gates,
     monitoring,
     parents,
+    probe as probing,
     settings,
     shutdown as shutdowns,
     suspects as suspecting,
@@ -30,7 +32,6 @@
 )
 from rattanridge.web import memory
 
-PROBE_DELAY = 0.05  # seconds from a broken connection to the probe of the upstream
 ANSWER_MARGIN = 0.08  # seconds past the deadline for the upstream's own answer
 MISDIRECTED_STATUS = 421  # another upstream answers at the address
 
@@ -81,7 +82,7 @@
         )
         self.identity = upstream.identity
         self.tasks: set[asyncio.Task] = set()
-        self.probe_task: asyncio.Task | None = None
+        self.probe = probing.Probe(upstream, self.pool, self.record_unreachable)
         self.parents = parents.Parents()
         self.monitor = monitoring.Monitor(upstream)
         self.trial = trials.Trial(upstream, self.monitor, state_of, log)
@@ -290,7 +291,7 @@
 
     async def exchange(
         self, call: calls.Call, connection: connections.Connection, data: bytes
-    ) -> connections.Response:
+    ) -> exchanges.Response:
         """Send a request and return the response; record how it went.
 
         Raise a coded failure if no whole response comes in time.
@@ -308,7 +309,7 @@
                     data,
                     call.method != "HEAD",
                     lambda item: upstream_messages.answers_call(item, call),
-                    connections.rest_of(call.body),
+                    exchanges.rest_of(call.body),
                 )
             return response
         except TimeoutError:
@@ -338,7 +339,7 @@
             return
         self.upstream.doubt_cold()
         self.suspects.record_broken_call(call, elapsed)
-        self.schedule_probe()
+        self.probe.schedule()
 
     def record_unreachable(self, failure: codes.Failure) -> None:
         """Record that the upstream accepted no connection.
@@ -349,26 +350,10 @@
         if failure.detail == connections.CONNECTION_REFUSED:
             self.suspects.record_upstream_end()
 
-    def schedule_probe(self) -> None:
-        """Schedule one probe of the upstream, however many connections broke."""
-        if self.probe_task is None or self.probe_task.done():
-            self.probe_task = asyncio.create_task(self.probe_upstream())
-
-    async def probe_upstream(self) -> None:
-        """Open a connection to the upstream and keep it for the next request."""
-        await asyncio.sleep(PROBE_DELAY)
-        address = self.upstream.address
-        try:
-            connection = await self.pool.connect(address, connections.CONNECT_TIMEOUT)
-        except codes.Failure as failure:
-            self.record_unreachable(failure)
-            return
-        self.pool.add_idle(address, connection)
-
     def interpret_response(
         self,
         call: calls.Call,
-        response: connections.Response,
+        response: exchanges.Response,
         identity: upstreams.Identity,
         upstream_time: float,
     ) -> calls.Answer:
--- a/rattanridge/mesh/peers.py
+++ b/rattanridge/mesh/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import calls, connections, hop_auth, hop_headers
+from rattanridge.mesh import calls, connections, exchanges, hop_auth, hop_headers
 from rattanridge.platform import headers
 from rattanridge.web import headers as own_headers, memory
 
@@ -46,12 +46,12 @@
     ) -> bytes | None:
         """Return a page of another node; None without a response of status 200."""
         request_headers = [("Host", address), *self.hop_auth.signature_headers]
-        request = connections.write_request(method, path, request_headers, body)
+        request = exchanges.write_request(method, path, request_headers, body)
         try:
             async with asyncio.timeout(FETCH_TIMEOUT):
                 connection = await self.pool.acquire(address, FETCH_TIMEOUT)
                 response = await connection.exchange(
-                    request, True, None, connections.rest_of(body)
+                    request, True, None, exchanges.rest_of(body)
                 )
         except (TimeoutError, codes.Failure):
             return None
@@ -82,13 +82,13 @@
             request_headers.append((own_headers.ANNOUNCED, text))
         if call.zones:
             request_headers.append((own_headers.ZONES, str(call.zones)))
-        data = connections.write_request(
+        data = exchanges.write_request(
             call.method, call.path, request_headers, call.body
         )
         try:
             async with asyncio.timeout_at(call.deadline + ANSWER_MARGIN):
                 response = await connection.exchange(
-                    data, call.method != "HEAD", None, connections.rest_of(call.body)
+                    data, call.method != "HEAD", None, exchanges.rest_of(call.body)
                 )
         except TimeoutError:
             raise codes.Failure(codes.DEADLINE, ran=codes.Execution.UNKNOWN)
@@ -103,7 +103,7 @@
         self,
         address: str,
         connection: connections.Connection,
-        response: connections.Response,
+        response: exchanges.Response,
     ) -> None:
         """Keep a connection, or close all idle ones to a node that is stopping.
 
@@ -114,7 +114,7 @@
             self.pool.close_idle(address)
         self.pool.release(address, connection, response)
 
-    def read_response(self, response: connections.Response) -> calls.Answer:
+    def read_response(self, response: exchanges.Response) -> calls.Answer:
         """Return the answer in a response of an exit; raise ``peer-failed`` if none."""
         answer = calls.Answer(response.status, [], response.body)
         if not hop_headers.decode_answer(
--- a/rattanridge/mesh/upstream_messages.py
+++ b/rattanridge/mesh/upstream_messages.py
@@ -1,7 +1,7 @@
 """Requests to the upstream, and which responses answer them."""
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import calls, connections
+from rattanridge.mesh import calls, exchanges
 from rattanridge.platform import headers
 
 
@@ -19,10 +19,10 @@
     ]
     if call.account and not call.nested:
         request_headers.append((headers.ACCOUNT, call.account))
-    return connections.write_request(call.method, call.path, request_headers, call.body)
+    return exchanges.write_request(call.method, call.path, request_headers, call.body)
 
 
-def answers_call(response: connections.Response, call: calls.Call) -> bool:
+def answers_call(response: exchanges.Response, call: calls.Call) -> bool:
     """Return whether a response belongs to a call.
 
     A response without an attempt id is accepted if its status is not a success or if
@@ -34,7 +34,7 @@
     return attempt == call.attempt
 
 
-def check_response(response: connections.Response) -> None:
+def check_response(response: exchanges.Response) -> None:
     """Raise ``answer-cut`` if a response may not be the upstream's own, whole one.
 
     Raise ``upstream-failed`` if its status would wrongly say that nothing ran.
--- a/rattanridge/web/server.py
+++ b/rattanridge/web/server.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import collections.abc
-import re
 import typing
 
 import aiohttp
@@ -16,28 +15,21 @@
 import aiohttp.web_request
 import aiohttp.web_response
 import aiohttp.web_server
-import multidict
-import yarl
 
 from rattanridge.kernel import codes
 from rattanridge.web import (
-    bodies,
-    framing,
+    failures,
     memory,
     pipelining,
-    receiving,
-    responses,
+    protocol as protocols,
+    targets,
     writing,
 )
 
 IDLE_SECONDS = 75.0  # until an idle connection is closed
-FIRST_REQUEST_SECONDS = 10.0  # until a new connection must have sent a request
 # Of a body before its handler reads it; also bounds what is kept for tiny chunks.
 BODY_BUFFER_BYTES = 16_384
 LINGER_SECONDS = 1.0  # for reading the rest of the body of a refused request
-SCHEMES = ("http", "https")
-PLAIN_TARGET = re.compile(r"(/[A-Za-z0-9_~-][A-Za-z0-9._~-]*)*/?(\?[!-~]*)?")
-DOT_SEGMENTS = frozenset((".", ".."))
 
 Handler = collections.abc.Callable[
     [aiohttp.web_request.BaseRequest],
@@ -45,42 +37,6 @@
 ]
 
 
-class Limits(typing.Protocol):
-    """Limits of one port."""
-
-    @property
-    def header_bytes(self) -> int: ...
-
-    @property
-    def connections(self) -> int: ...
-
-    @property
-    def held_bytes(self) -> int: ...
-
-
-class Config(typing.Protocol):
-    """The settings that a port uses."""
-
-    name: str
-
-    @property
-    def limits(self) -> Limits: ...
-
-
-class Counters(typing.Protocol):
-    """Counters of events by name."""
-
-    def add(self, name: str) -> None: ...
-
-
-class Log(typing.Protocol):
-    """Event log; ``note`` limits the rate of frequent events."""
-
-    def note(self, event: str, **fields: object) -> None: ...
-
-    def error(self, event: str, **fields: object) -> None: ...
-
-
 class Request(aiohttp.web_request.BaseRequest):
     """A request whose response does not name the HTTP library."""
 
@@ -92,282 +48,6 @@
             del response.headers["Server"]
 
 
-class Protocol(aiohttp.web_protocol.RequestHandler):
-    """One connection; answers malformed requests with a result code."""
-
-    __slots__ = (
-        "ahead",
-        "body_failure",
-        "collector",
-        "feeding",
-        "framing",
-        "holder",
-        "known_requests",
-        "received",
-        "refused",
-        "rest",
-        "sending",
-        "sent",
-        "server",
-        "timer",
-    )
-
-    def __init__(self, server: "Server", **options: typing.Any):
-        super().__init__(server, **options)
-        self.server = server
-        self.ahead = pipelining.Ahead()
-        self.timer: asyncio.TimerHandle | None = None
-        self.holder = memory.Holder(server.memory_budget, self)
-        self.framing = framing.Framing(server.limits.header_bytes)
-        self.collector: bodies.Collector | None = None
-        self.body_failure: codes.Failure | None = None
-        self.feeding = False
-        self.known_requests = 0
-        self.refused = False
-        self.rest = b""
-        self.received = 0
-        self.sent = 0
-        self.sending = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        receiving.limit_reads(transport)
-        writing.limit_writes(transport)
-        if not self.server.admit():
-            typing.cast(asyncio.Transport, transport).abort()
-            return
-        loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(FIRST_REQUEST_SECONDS, self.abort_unused)
-
-    def connection_lost(self, error: BaseException | None) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-        self.ahead.cancel()
-        super().connection_lost(error)
-        self.holder.close()
-        self.rest = b""
-
-    def data_received(self, data: bytes) -> None:
-        if self.feeding:
-            # The library parses what it kept while reading was paused.
-            super().data_received(data)
-            return
-        if self.refused:
-            return
-        self.received += len(data)
-        self.feeding = True
-        try:
-            self.feed_all(self.rest + data if self.rest else data)
-        finally:
-            self.feeding = False
-        self.start_ahead()
-
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        # The library calls this on each read of a body, also if nothing is paused.
-        if self._reading_paused:
-            super().resume_reading(resume_parser)
-
-    def feed_all(self, data: bytes) -> None:
-        """Parse data in pieces; keep the rest once the library pauses reading."""
-        self.rest = b""
-        while True:
-            size = self.framing.next_size()
-            self.feed(data if len(data) <= size else data[:size])
-            if len(data) <= size or self.refused:
-                return
-            data = data[size:]
-            if self.is_paused():
-                self.rest = data
-                return
-
-    def is_paused(self) -> bool:
-        """Return whether the library takes no more data."""
-        return self._reading_paused or self._buffer_paused
-
-    def feed(self, data: bytes) -> None:
-        """Parse one piece; refuse a head, framing or trailers over their bounds."""
-        in_body = self.framing.in_body()
-        super().data_received(data)
-        if self.collector is not None:
-            self.collector.collect()
-        if self._request_count != self.known_requests:
-            self.begin_requests()
-        elif in_body:
-            if not self.framing.add_body(len(data)):
-                self.refuse_body(codes.Failure(codes.BAD_REQUEST, "chunk framing"))
-        elif data:
-            self.add_head(len(data))
-
-    def begin_requests(self) -> None:
-        """Take note of the requests whose heads have been parsed."""
-        self.known_requests = self._request_count
-        self.holder.free(self.framing.head)
-        if not self._messages:
-            return
-        message, payload = self._messages[-1]
-        if isinstance(message, aiohttp.http.RawRequestMessage):
-            self.framing.begin(payload, message.chunked)
-            return
-        self.refused = True
-        self.refuse_body(parse_failure(message.exc))
-
-    def add_head(self, size: int) -> None:
-        """Count bytes of an unfinished head; refuse a head over the limit."""
-        try:
-            self.holder.reserve(size, 0)
-        except codes.Failure:
-            self.drop("memory")
-            return
-        if not self.framing.add_head(size):
-            self.refuse_head()
-
-    def refuse_head(self) -> None:
-        """Answer that the head is too large once its turn comes; read no more."""
-        self.refused = True
-        error = aiohttp.http_exceptions.LineTooLong(b"head", self.framing.limit)
-        # The library has no other way to queue an answer to a malformed request.
-        queued = aiohttp.web_protocol._ErrInfo(400, error, error.message)
-        self._messages.append((queued, aiohttp.streams.EMPTY_PAYLOAD))
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    def refuse_body(self, failure: codes.Failure) -> None:
-        """Give up the body that is being received; read no more."""
-        self.refused = True
-        self.body_failure = failure
-        if self.collector is not None:
-            self.collector.fail(failure)
-
-    def collect_body(self, collector: bodies.Collector) -> None:
-        """Pass on what arrives of a body, and what has arrived."""
-        self.collector = collector
-        if self.body_failure is not None and not collector.payload.is_eof():
-            collector.fail(self.body_failure)
-        # Reads resume paused reading, which parses more at once.
-        self.feeding = True
-        try:
-            collector.collect()
-        finally:
-            self.feeding = False
-        if self._request_count != self.known_requests:
-            self.begin_requests()
-        if self.rest and not self.is_paused():
-            self.data_received(b"")
-
-    def end_body(self) -> None:
-        """Free the body of the request whose answer is known."""
-        if self.collector is not None:
-            self.collector.release()
-            self.collector = None
-
-    def position(self) -> int | None:
-        """Return how far the client has sent or read; None if that is not awaited."""
-        transport = self.transport
-        collector = self.collector
-        receives = collector is not None and collector.is_waiting()
-        if transport is None or not (receives or self.sending or self.framing.head):
-            return None
-        return self.received + self.sent - writing.unsent_bytes(transport)
-
-    def drop(self, reason: str) -> None:
-        """Abort the connection, and count and log why."""
-        self.refused = True
-        self.server.counters.add(f"http.dropped.{reason}")
-        self.server.log.note(
-            "http-dropped", why=reason, caller=str(self.peername), held=self.holder.held
-        )
-        if self.transport is not None:
-            self.transport.abort()
-
-    async def finish_response(
-        self,
-        request: aiohttp.web_request.BaseRequest,
-        resp: aiohttp.web_response.StreamResponse,
-        start_time: float | None,
-    ) -> tuple[aiohttp.web_response.StreamResponse, bool]:
-        """Write a response; its body counts as held until it is written."""
-        size = len(writing.body_of(resp))
-        self.holder.add(size)
-        self.sending = True
-        try:
-            self.sent += size
-            await writing.write_long_body(request, resp)
-            return await super().finish_response(request, resp, start_time)
-        except ConnectionError:
-            return resp, True
-        finally:
-            self.sending = False
-            self.holder.free(size)
-
-    def start_ahead(self) -> None:
-        """Start requests that wait behind another one, as far as they may.
-
-        Those behind a request that may not start early itself may depend on it.
-        """
-        pipeline = self.server.pipeline
-        current = self._current_request
-        if pipeline is None or current is None or not self._messages:
-            return
-        if not current.keep_alive or not pipeline.may_start_early(current._message):
-            return
-        messages = [message for message, _ in self._messages]
-        self.ahead.start(messages, pipeline, self.run_early)
-
-    async def run_early(
-        self, message: aiohttp.http.RawRequestMessage
-    ) -> aiohttp.web_response.StreamResponse:
-        """Return the answer to a request that waits for its turn."""
-        writer = aiohttp.http.StreamWriter(self, self._loop)
-        # The library has it as long as the connection is open.
-        task = typing.cast(asyncio.Task, self._task_handler)
-        request = self.server.make_request(
-            message, aiohttp.streams.EMPTY_PAYLOAD, self, writer, task
-        )
-        response = await self.server.run(request)
-        # Counted until its turn comes, when it is counted as the one being written.
-        self.holder.add(len(writing.body_of(response)))
-        return response
-
-    def is_busy(self) -> bool:
-        """Return whether a request, or its answer, is in progress.
-
-        That is from the end of the request's head until the whole answer is written.
-        """
-        if self._request_in_progress or self._messages:
-            return True
-        transport = self.transport
-        return transport is not None and transport.get_write_buffer_size() > 0
-
-    def abort_unused(self) -> None:
-        """Abort the connection unless it has sent a complete request head."""
-        if not self._request_count and self.transport is not None:
-            self.server.counters.add("http.dropped.silent")
-            self.transport.abort()
-
-    def handle_error(
-        self,
-        request: aiohttp.web_request.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> aiohttp.web_response.StreamResponse:
-        """Return the coded answer to a malformed request or a failed handler.
-
-        Raise ``ConnectionError`` if part of an answer was already sent.
-        """
-        if request.writer.output_size > 0:
-            raise ConnectionError("the answer is cut")
-        failure = self.server.record_failure(request, status, exc)
-        response = responses.from_failure(failure)
-        response.force_close()
-        return response
-
-    def log_exception(self, *args: object, **more: object) -> None:
-        """Log an unhandled error of the library as one line in our format."""
-        error = more.get("exc_info")
-        self.server.log.error("http-failed", why=describe(error or args))
-
-
 class Server(aiohttp.web_server.Server):
     """HTTP server of one port.
 
@@ -381,9 +61,9 @@
     def __init__(
         self,
         handler: Handler,
-        config: Config,
-        counters: Counters,
-        log: Log,
+        config: protocols.Config,
+        counters: protocols.Counters,
+        log: protocols.Log,
         pipeline: pipelining.Pipeline | None = None,
         memory_budget: memory.MemoryBudget | None = None,
     ):
@@ -399,8 +79,8 @@
             config.limits.held_bytes
         )
 
-    def __call__(self) -> Protocol:
-        return Protocol(
+    def __call__(self) -> protocols.Protocol:
+        return protocols.Protocol(
             self,
             loop=self._loop,
             access_log=None,
@@ -420,21 +100,21 @@
         While ``pipeline`` is closing, the last answer of a connection closes it:
         requests that were started early are answered first.
         """
-        protocol = typing.cast(Protocol, request.protocol)
-        protocol.start_ahead()
-        early = protocol.ahead.take(request._message)
+        connection = typing.cast(protocols.Protocol, request.protocol)
+        connection.start_ahead()
+        early = connection.ahead.take(request._message)
         if early is None:
             try:
                 response = await self.run(request)
             finally:
-                protocol.end_body()
+                connection.end_body()
         else:
             response = await early
-            protocol.holder.free(len(writing.body_of(response)))
+            connection.holder.free(len(writing.body_of(response)))
         if (
             self.pipeline is not None
             and self.pipeline.closing
-            and not protocol.ahead.tasks
+            and not connection.ahead.tasks
         ):
             response.force_close()
         return response
@@ -443,7 +123,7 @@
         self, request: aiohttp.web_request.BaseRequest
     ) -> aiohttp.web_response.StreamResponse:
         """Check the request target, then call the handler."""
-        check_target(request)
+        targets.check_target(request)
         return await self.handler(request)
 
     def admit(self) -> bool:
@@ -455,8 +135,10 @@
 
     def busy_connections(self) -> int:
         """Return how many connections have a request or an answer in progress."""
-        protocols = typing.cast(collections.abc.Iterable[Protocol], self._connections)
-        return sum(protocol.is_busy() for protocol in protocols)
+        found = typing.cast(
+            collections.abc.Iterable[protocols.Protocol], self._connections
+        )
+        return sum(connection.is_busy() for connection in found)
 
     def make_request(
         self,
@@ -467,8 +149,8 @@
         task: asyncio.Task,
     ) -> aiohttp.web_request.BaseRequest:
         """Build a request; convert a target in absolute form to origin form."""
-        if not message.path.startswith("/") and message.url.scheme in SCHEMES:
-            message = to_origin_form(message)
+        if not message.path.startswith("/") and message.url.scheme in targets.SCHEMES:
+            message = targets.to_origin_form(message)
         return Request(message, payload, protocol, writer, task, self._loop)
 
     def record_failure(
@@ -481,7 +163,7 @@
         if isinstance(error, codes.Failure):
             failure = error
         elif status < 500:
-            failure = parse_failure(error)
+            failure = failures.parse_failure(error)
         else:
             failure = codes.Failure(
                 codes.INTERNAL, type(error).__name__, ran=codes.Execution.UNKNOWN
@@ -492,54 +174,6 @@
             code=failure.code.number,
             method=request.method,
             caller=request.remote or "",
-            why=describe(error),
+            why=failures.describe(error),
         )
         return failure
-
-
-def to_origin_form(
-    message: aiohttp.http.RawRequestMessage,
-) -> aiohttp.http.RawRequestMessage:
-    """Return a message with its absolute target split into a path and a Host header."""
-    headers = message.headers.copy()
-    headers["Host"] = message.url.raw_authority
-    target = message.url.raw_path_qs
-    return message._replace(
-        path=target,
-        url=yarl.URL(target, encoded=True),
-        headers=multidict.CIMultiDictProxy(headers),
-    )
-
-
-def parse_failure(error: BaseException | None) -> codes.Failure:
-    """Return the coded failure of a request that the parser rejected."""
-    text = str(getattr(error, "message", ""))
-    too_long = isinstance(error, aiohttp.http_exceptions.LineTooLong)
-    if too_long or text.startswith("Too many headers"):
-        return codes.Failure(codes.HEADERS_TOO_LARGE)
-    return codes.Failure(codes.BAD_REQUEST)
-
-
-def check_target(request: aiohttp.web_request.BaseRequest) -> None:
-    """Raise ``bad-request`` for a target that programs may resolve differently.
-
-    Dot segments, backslashes and control characters are interpreted differently by
-    different programs: a request could match one route here and another path at the
-    upstream.
-    """
-    target = request.raw_path
-    if not target.startswith("/") or "#" in target:
-        raise codes.Failure(codes.BAD_REQUEST, "target")
-    if PLAIN_TARGET.fullmatch(target):
-        return
-    path = request.path
-    if "\\" in path or not path.isprintable():
-        raise codes.Failure(codes.BAD_REQUEST, "target")
-    if not DOT_SEGMENTS.isdisjoint(path.split("/")):
-        raise codes.Failure(codes.BAD_REQUEST, "dot segment in the target")
-
-
-def describe(error: object) -> str:
-    """Return an error's type and first line, the line cut to 200 characters."""
-    first = str(error).partition("\n")[0][:200]
-    return f"{type(error).__name__}: {first}"
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import connections, response_limits
+from rattanridge.mesh import connections, exchanges, response_limits
 from rattanridge.platform import store
 from rattanridge.web import memory, streams
 from tests import floods
@@ -50,7 +50,7 @@
 
 async def exchange(pool, address, matches=None):
     connection = await pool.acquire(address, 1.0)
-    request = connections.write_request("GET", "/", [("Host", "h")], b"")
+    request = exchanges.write_request("GET", "/", [("Host", "h")], b"")
     async with asyncio.timeout(2):
         response = await connection.exchange(request, True, matches)
     pool.release(address, connection, response)
@@ -189,7 +189,7 @@
 async def failed_exchange(flood, address, held):
     """Send a request that must fail, and return its failure."""
     connection = await connections.Pool(held).acquire(address, 1.0)
-    request = connections.write_request("GET", "/", [("Host", "h")], b"")
+    request = exchanges.write_request("GET", "/", [("Host", "h")], b"")
     with pytest.raises(codes.Failure) as caught:
         await connection.exchange(request, True, mine)
     assert not connection.is_open()
