--- a/rattanridge/web/framing.py
+++ b/rattanridge/web/framing.py
@@ -6,6 +6,7 @@
 
 import sys
 
+import aiohttp.http
 import aiohttp.streams
 
 # A parser fed with more takes up to 1 MB for tiny chunks before they are collected.
@@ -60,3 +61,11 @@
         self.received += size
         body = self.payload.total_bytes - self.base
         return self.received - body <= self.limit + body * FRAMING_BYTES_PER_BODY_BYTE
+
+
+def head_size(message: object) -> int:
+    """Return the bytes that a parsed head takes, about; 0 for a malformed request."""
+    if not isinstance(message, aiohttp.http.RawRequestMessage):
+        return 0
+    fields = sum(len(name) + len(value) for name, value in message.raw_headers)
+    return len(message.path) + fields
--- a/rattanridge/web/protocol.py
+++ b/rattanridge/web/protocol.py
@@ -1,6 +1,7 @@
 """One connection of a port: limits on what it makes the node hold, coded answers."""
 
 import asyncio
+import itertools
 import typing
 
 import aiohttp
@@ -16,6 +17,7 @@
 from rattanridge.kernel import codes
 from rattanridge.web import (
     bodies,
+    context,
     failures,
     framing,
     memory,
@@ -26,74 +28,10 @@
 )
 
 FIRST_REQUEST_SECONDS = 10.0  # until a new connection must have sent a request
-
-
-class Limits(typing.Protocol):
-    """Limits of one port."""
-
-    @property
-    def header_bytes(self) -> int: ...
-
-    @property
-    def connections(self) -> int: ...
-
-    @property
-    def held_bytes(self) -> int: ...
-
-
-class Config(typing.Protocol):
-    """The settings that a port uses."""
-
-    name: str
-
-    @property
-    def limits(self) -> Limits: ...
-
-
-class Counters(typing.Protocol):
-    """Counters of events by name."""
-
-    def add(self, name: str) -> None: ...
-
-
-class Log(typing.Protocol):
-    """Event log; ``note`` limits the rate of frequent events."""
-
-    def note(self, event: str, **fields: object) -> None: ...
-
-    def error(self, event: str, **fields: object) -> None: ...
-
-
-class Port(typing.Protocol):
-    """What a connection uses of the server of its port."""
-
-    limits: Limits
-    counters: Counters
-    log: Log
-    pipeline: pipelining.Pipeline | None
-    memory_budget: memory.MemoryBudget
-
-    def admit(self) -> bool: ...
-
-    def make_request(
-        self,
-        message: aiohttp.http.RawRequestMessage,
-        payload: aiohttp.StreamReader,
-        protocol: aiohttp.web_protocol.RequestHandler,
-        writer: aiohttp.abc.AbstractStreamWriter,
-        task: asyncio.Task,
-    ) -> aiohttp.web_request.BaseRequest: ...
-
-    async def run(
-        self, request: aiohttp.web_request.BaseRequest
-    ) -> aiohttp.web_response.StreamResponse: ...
-
-    def record_failure(
-        self,
-        request: aiohttp.web_request.BaseRequest,
-        status: int,
-        error: BaseException | None,
-    ) -> codes.Failure: ...
+UNUSED_SECONDS = 2.0  # after which such a connection may go if there are too many
+# Heads up to this size are not counted once they are complete: counting those of idle
+# connections would check each of them twice a second.
+KEPT_HEAD_BYTES = 4_096
 
 
 class Protocol(aiohttp.web_protocol.RequestHandler):
@@ -106,6 +44,7 @@
         "feeding",
         "framing",
         "holder",
+        "kept",
         "known_requests",
         "received",
         "refused",
@@ -114,9 +53,12 @@
         "sent",
         "server",
         "timer",
+        "unread",
+        "unsent",
+        "wire",
     )
 
-    def __init__(self, server: Port, **options: typing.Any):
+    def __init__(self, server: context.Port, **options: typing.Any):
         super().__init__(typing.cast(aiohttp.web_server.Server, server), **options)
         self.server = server
         self.ahead = pipelining.Ahead()
@@ -132,9 +74,15 @@
         self.received = 0
         self.sent = 0
         self.sending = False
+        # Counted bytes: heads, a body that no handler reads yet, what a client that
+        # does not read has left of short answers.
+        self.kept = self.unread = self.unsent = 0
+        # The library forgets its transport before all bytes are written.
+        self.wire: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self.wire = typing.cast(asyncio.Transport, transport)
         receiving.limit_reads(transport)
         writing.limit_writes(transport)
         if not self.server.admit():
@@ -149,6 +97,7 @@
         self.ahead.cancel()
         super().connection_lost(error)
         self.holder.close()
+        self.wire = None
         self.rest = b""
 
     def data_received(self, data: bytes) -> None:
@@ -195,19 +144,28 @@
         if self.collector is not None:
             self.collector.collect()
         if self._request_count != self.known_requests:
-            self.begin_requests()
+            self.begin_requests(len(data))
         elif in_body:
+            self.count_unread(len(data))
             if not self.framing.add_body(len(data)):
                 self.refuse_body(codes.Failure(codes.BAD_REQUEST, "chunk framing"))
         elif data:
             self.add_head(len(data))
 
-    def begin_requests(self) -> None:
-        """Take note of the requests whose heads have been parsed."""
+    def begin_requests(self, size: int) -> None:
+        """Take note of the requests whose heads have been parsed.
+
+        :param size: bytes of the piece in which the last head ended.
+        """
+        count = self._request_count - self.known_requests
         self.known_requests = self._request_count
+        size += self.framing.head
         self.holder.free(self.framing.head)
+        self.framing.head = 0
         if not self._messages:
             return
+        if size > KEPT_HEAD_BYTES or self.kept:
+            self.keep_heads(count)
         message, payload = self._messages[-1]
         if isinstance(message, aiohttp.http.RawRequestMessage):
             self.framing.begin(payload, message.chunked)
@@ -215,14 +173,35 @@
         self.refused = True
         self.refuse_body(failures.parse_failure(message.exc))
 
-    def add_head(self, size: int) -> None:
-        """Count bytes of an unfinished head; refuse a head over the limit."""
+    def keep_heads(self, count: int) -> None:
+        """Count the newest heads, which the library keeps until the next request."""
+        if len(self._messages) <= count:
+            self.holder.free(self.kept)
+            self.kept = 0
+        newest = itertools.islice(reversed(self._messages), count)
+        size = sum(framing.head_size(message) for message, _ in newest)
+        if size > KEPT_HEAD_BYTES and self.hold(size):
+            self.kept += size
+
+    def count_unread(self, size: int) -> None:
+        """Count bytes of a body that no handler reads yet."""
+        collector = self.collector
+        is_read = collector is not None and collector.payload is self.framing.payload
+        if not is_read and self.hold(size):
+            self.unread += size
+
+    def hold(self, size: int) -> bool:
+        """Count bytes; abort the connection and return False if there is no room."""
         try:
             self.holder.reserve(size, 0)
         except codes.Failure:
             self.drop("memory")
-            return
-        if not self.framing.add_head(size):
+            return False
+        return True
+
+    def add_head(self, size: int) -> None:
+        """Count bytes of an unfinished head; refuse a head over the limit."""
+        if self.hold(size) and not self.framing.add_head(size):
             self.refuse_head()
 
     def refuse_head(self) -> None:
@@ -245,6 +224,7 @@
     def collect_body(self, collector: bodies.Collector) -> None:
         """Pass on what arrives of a body, and what has arrived."""
         self.collector = collector
+        self.free_unread()
         if self.body_failure is not None and not collector.payload.is_eof():
             collector.fail(self.body_failure)
         # Reads resume paused reading, which parses more at once.
@@ -254,7 +234,7 @@
         finally:
             self.feeding = False
         if self._request_count != self.known_requests:
-            self.begin_requests()
+            self.begin_requests(0)
         if self.rest and not self.is_paused():
             self.data_received(b"")
 
@@ -263,15 +243,28 @@
         if self.collector is not None:
             self.collector.release()
             self.collector = None
+        if self.unread and not self._messages:
+            self.free_unread()
+
+    def free_unread(self) -> None:
+        """Free what was counted of a body before its handler read it."""
+        self.holder.free(self.unread)
+        self.unread = 0
 
     def position(self) -> int | None:
         """Return how far the client has sent or read; None if that is not awaited."""
-        transport = self.transport
+        wire = self.wire
+        if wire is None:
+            return None
+        if self.unsent and not wire.get_write_buffer_size():
+            self.holder.free(self.unsent)
+            self.unsent = 0
         collector = self.collector
         receives = collector is not None and collector.is_waiting()
-        if transport is None or not (receives or self.sending or self.framing.head):
+        sends = self.sending or self.unsent
+        if not (receives or sends or self.framing.head):
             return None
-        return self.received + self.sent - writing.unsent_bytes(transport)
+        return self.received + self.sent - writing.unsent_bytes(wire)
 
     def drop(self, reason: str) -> None:
         """Abort the connection, and count and log why."""
@@ -280,8 +273,8 @@
         self.server.log.note(
             "http-dropped", why=reason, caller=str(self.peername), held=self.holder.held
         )
-        if self.transport is not None:
-            self.transport.abort()
+        if self.wire is not None:
+            self.wire.abort()
 
     async def finish_response(
         self,
@@ -302,6 +295,17 @@
         finally:
             self.sending = False
             self.holder.free(size)
+            self.count_unsent()
+            # The library keeps the response until the next request.
+            if size and isinstance(resp, aiohttp.web_response.Response):
+                resp.body = None
+
+    def count_unsent(self) -> None:
+        """Count what the transport still holds of answers."""
+        size = self.wire.get_write_buffer_size() if self.wire is not None else 0
+        if size > self.unsent:
+            self.holder.add(size - self.unsent)
+            self.unsent = size
 
     def start_ahead(self) -> None:
         """Start requests that wait behind another one, as far as they may.
@@ -342,6 +346,20 @@
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
+    def is_expendable(self, now: float) -> bool:
+        """Return whether the connection may be closed if there are too many.
+
+        :param now: time of the event loop, in seconds.
+        """
+        if self.wire is None or self.wire.is_closing():
+            return False
+        if self.holder.is_stalled:
+            return True
+        timer = self.timer
+        if self._request_count or timer is None:
+            return False
+        return timer.when() - now < FIRST_REQUEST_SECONDS - UNUSED_SECONDS
+
     def abort_unused(self) -> None:
         """Abort the connection unless it has sent a complete request head."""
         if not self._request_count and self.transport is not None:
--- a/rattanridge/web/server.py
+++ b/rattanridge/web/server.py
@@ -18,6 +18,7 @@
 
 from rattanridge.kernel import codes
 from rattanridge.web import (
+    context,
     failures,
     memory,
     pipelining,
@@ -27,8 +28,9 @@
 )
 
 IDLE_SECONDS = 75.0  # until an idle connection is closed
-# Of a body before its handler reads it; also bounds what is kept for tiny chunks.
-BODY_BUFFER_BYTES = 16_384
+# Of a body before its handler reads it. The library also pauses after a sixteenth as
+# many chunks; 1,024 tiny ones take 100 kB, which was 12 MB for 120 connections.
+BODY_BUFFER_BYTES = 4_096
 LINGER_SECONDS = 1.0  # for reading the rest of the body of a refused request
 
 Handler = collections.abc.Callable[
@@ -61,9 +63,9 @@
     def __init__(
         self,
         handler: Handler,
-        config: protocols.Config,
-        counters: protocols.Counters,
-        log: protocols.Log,
+        config: context.Config,
+        counters: context.Counters,
+        log: context.Log,
         pipeline: pipelining.Pipeline | None = None,
         memory_budget: memory.MemoryBudget | None = None,
     ):
@@ -130,9 +132,26 @@
         """Return whether the connection limit allows the newest connection."""
         if len(self._connections) <= self.limits.connections:
             return True
+        if self.drop_unused():
+            return True
         self.counters.add("http.dropped.connections")
         return False
 
+    def drop_unused(self) -> bool:
+        """Abort the oldest connection that no request has come on, or that stalled.
+
+        Return whether there was one; an honest client sends its request at once.
+        """
+        now = asyncio.get_running_loop().time()
+        found = typing.cast(
+            collections.abc.Iterable[protocols.Protocol], self._connections
+        )
+        for connection in found:
+            if connection.is_expendable(now):
+                connection.drop("unused")
+                return True
+        return False
+
     def busy_connections(self) -> int:
         """Return how many connections have a request or an answer in progress."""
         found = typing.cast(
