Clients outside the limits: count only what the transport got as progress

Cause: the bytes of a long answer counted as sent before they were written, so that the position of a slow reader did not change; a malformed request behind a whole body could refuse that body. Change: each piece counts when it is written; only unfinished bodies are given up.

--- a/rattanridge/web/memory.py
+++ b/rattanridge/web/memory.py
@@ -65,9 +65,9 @@
         if self.is_closed:
             self.budget.free(size)
             return
+        self.is_stalled = False
         if not self.held:
             self.marked_at = None
-            self.is_stalled = False
             self.budget.add_holder(self)
         self.held += size
 
--- a/rattanridge/web/protocol.py
+++ b/rattanridge/web/protocol.py
@@ -218,7 +218,7 @@
         """Give up the body that is being received; read no more."""
         self.refused = True
         self.body_failure = failure
-        if self.collector is not None:
+        if self.collector is not None and self.collector.is_waiting():
             self.collector.fail(failure)
 
     def collect_body(self, collector: bodies.Collector) -> None:
@@ -287,8 +287,8 @@
         self.holder.add(size)
         self.sending = True
         try:
-            self.sent += size
-            await writing.write_long_body(request, resp)
+            if not await writing.write_long_body(request, resp, self.record_sent):
+                self.sent += size
             return await super().finish_response(request, resp, start_time)
         except ConnectionError:
             return resp, True
@@ -300,6 +300,10 @@
             if size and isinstance(resp, aiohttp.web_response.Response):
                 resp.body = None
 
+    def record_sent(self, size: int) -> None:
+        """Count bytes of an answer that the transport has got."""
+        self.sent += size
+
     def count_unsent(self) -> None:
         """Count what the transport still holds of answers."""
         size = self.wire.get_write_buffer_size() if self.wire is not None else 0
--- a/rattanridge/web/writing.py
+++ b/rattanridge/web/writing.py
@@ -1,6 +1,7 @@
 """Writing of answers in pieces, so that a transport holds no copy of a whole one."""
 
 import asyncio
+import collections.abc
 import fcntl
 import struct
 import termios
@@ -31,26 +32,30 @@
 async def write_long_body(
     request: aiohttp.web_request.BaseRequest,
     response: aiohttp.web_response.StreamResponse,
-) -> int:
-    """Write head and body of a response in pieces, if the body is long.
+    record_sent: collections.abc.Callable[[int], None],
+) -> bool:
+    """Write head and body of a response in pieces; return False if the body is short.
 
-    What is left to write is the end of the response. Return the bytes of the body
-    that were written.
+    What is left to write is the end of the response.
+
+    :param record_sent: called with the size of each piece that was written.
     """
     body = body_of(response)
     if len(body) <= PIECE_BYTES or not isinstance(
         response, aiohttp.web_response.Response
     ):
-        return 0
+        return False
     if request.method == "HEAD" or response.status in NO_BODY_STATUSES:
-        return 0
+        return False
     await response.prepare(request)
     view = memoryview(body)
     for start in range(0, len(body), PIECE_BYTES):
-        await response.write(view[start : start + PIECE_BYTES])
+        piece = view[start : start + PIECE_BYTES]
+        record_sent(len(piece))
+        await response.write(piece)
         await request.writer.drain()
     response.body = None
-    return len(body)
+    return True
 
 
 def unsent_bytes(transport: asyncio.BaseTransport) -> int:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -185,6 +185,23 @@
 
         bench.run(run())
 
+    def test_slow_reader_gets_the_whole_answer(self, bench, node, monkeypatch):
+        """Guards against: bytes that wait to be written are taken for progress."""
+        monkeypatch.setattr(node.config.limits, "progress_interval", 0.5)
+        size = 20_000_000
+
+        async def run():
+            async with streams.connect(address_of(bench)) as (reader, writer):
+                target = b"GET /workshop/a?size=%d HTTP/1.1\r\n" % size
+                writer.write(target + b"Host: a\r\nConnection: close\r\n\r\n")
+                count = 0
+                while data := await reader.read(400_000):
+                    count += len(data)
+                    await asyncio.sleep(PAUSE)
+                assert count > size
+
+        bench.run(run())
+
 
 class TestConnections:
     def test_unused_connection_gives_way(self, bench, node, monkeypatch):
