--- a/rattanridge/mesh/settings.py
+++ b/rattanridge/mesh/settings.py
@@ -78,7 +78,7 @@
     body_bytes: settings.Bytes = 67_108_864
     held_bytes: settings.Bytes = 80_000_000
     connections: settings.Count = 1_500
-    progress_bytes: settings.Bytes = 50
+    progress_bytes: settings.Count = 50
     progress_interval: settings.Seconds = 60.0
     stall_seconds: settings.Seconds = 2.0
     log_lines: settings.Count = 20
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from rattanridge.kernel import codes
+from rattanridge.mesh import settings
 from rattanridge.web import headers, streams
 from tests import bench as benches
 
@@ -51,6 +53,13 @@
             await asyncio.sleep(PAUSE)
 
 
+class TestSettings:
+    def test_defaults_are_within_their_own_bounds(self):
+        """Guards against: a node refuses settings that give a default explicitly."""
+        data = msgspec.json.encode(settings.Limits())
+        assert msgspec.json.decode(data, type=settings.Limits) == settings.Limits()
+
+
 class TestHeads:
     @pytest.mark.parametrize(
         "fields",
