--- a/rattanridge/mesh/connections.py
+++ b/rattanridge/mesh/connections.py
@@ -6,19 +6,15 @@
 """
 
 import asyncio
-import collections
-import collections.abc
-import dataclasses
 import select
 import socket
 
 import aiohttp.base_protocol
 import aiohttp.http
-import multidict
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import response_limits
-from rattanridge.web import memory, receiving
+from rattanridge.mesh import exchanges, response_limits
+from rattanridge.web import memory, receiving, writing
 
 CONNECT_TIMEOUT = 0.25  # seconds to connect while a request waits
 MAX_HEADER_LINE_BYTES = 65_536  # of a response
@@ -28,40 +24,6 @@
 UNACKED_TIMEOUT_MS = 1500  # milliseconds that sent bytes may stay unacknowledged
 CONNECTION_REFUSED = ConnectionRefusedError.__name__  # failure detail: nobody listens
 
-ResponseMatcher = collections.abc.Callable[["Response"], bool]
-
-
-@dataclasses.dataclass(slots=True)
-class Response:
-    """One whole response as it was received.
-
-    :param closing: whether the peer closes the connection after it.
-    """
-
-    status: int
-    headers: multidict.CIMultiDictProxy
-    body: bytes
-    closing: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class Exchange:
-    """One request that waits for its response.
-
-    :param parser: parses what is received for it.
-    :param received: counts the bytes held for it.
-    :param matcher: returns whether a response belongs to the request; None if every
-        response does.
-    :param answered: future of its response.
-    :param pending: responses that were not read whole yet, with their bodies.
-    """
-
-    parser: aiohttp.http.HttpResponseParser
-    received: response_limits.ReceivedBytes
-    matcher: ResponseMatcher | None
-    answered: asyncio.Future[Response]
-    pending: collections.deque = dataclasses.field(default_factory=collections.deque)
-
 
 class Connection(aiohttp.base_protocol.BaseProtocol):
     """One connection; it carries one request at a time.
@@ -77,6 +39,7 @@
         "memory_budget",
         "unmatched",
         "used_at",
+        "writable",
     )
 
     def __init__(
@@ -84,16 +47,28 @@
     ):
         super().__init__(loop)
         self.memory_budget = memory_budget
-        self.current: Exchange | None = None
+        self.current: exchanges.Exchange | None = None
         self.close_reason = ""
         self.unmatched = 0
         self.idle_seconds = 0.0
         self.idle_limit = DEFAULT_IDLE_LIMIT
         self.used_at = loop.time()
+        self.writable: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         receiving.limit_reads(transport)
+        writing.limit_writes(transport)
+
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        self.writable = self._loop.create_future()
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        if self.writable is not None and not self.writable.done():
+            self.writable.set_result(None)
+        self.writable = None
 
     def is_open(self) -> bool:
         """Return whether a request may be sent on it."""
@@ -124,8 +99,10 @@
             self.abort("the peer upgraded the protocol unasked")
             return
         for message, payload in messages:
-            current.pending.append((message, payload))
-        bodies = sum(payload.total_bytes for _, payload in current.pending)
+            current.pending.append(exchanges.Pending(message, payload))
+        for pending in current.pending:
+            pending.collect()
+        bodies = sum(pending.payload.total_bytes for pending in current.pending)
         try:
             current.received.add(len(data), bodies)
         except codes.Failure as failure:
@@ -140,28 +117,30 @@
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Do nothing: aiohttp calls this on each read, but reading never pauses."""
 
-    def deliver_or_abort(self, current: Exchange) -> None:
+    def deliver_or_abort(self, current: exchanges.Exchange) -> None:
         """Deliver the response if it is whole; abort after too many unmatched ones."""
         try:
             self.deliver_response(current)
         except codes.Failure as failure:
             self.abort(failure.detail or failure.code.name, failure)
 
-    def deliver_response(self, current: Exchange) -> None:
+    def deliver_response(self, current: exchanges.Exchange) -> None:
         """Deliver the first whole response that belongs to the request.
 
         A late response to an earlier request may come before it, and is skipped.
         """
         while current.pending and not current.answered.done():
-            message, payload = current.pending[0]
+            pending = current.pending[0]
+            message, payload = pending.message, pending.payload
             if not payload.is_eof() or payload.exception() is not None:
                 return
             current.pending.popleft()
+            pending.collect()
             response_limits.check_status(message.code)
-            response = Response(
+            response = exchanges.Response(
                 message.code,
                 message.headers,
-                payload.read_nowait(-1),
+                pending.whole_body(),
                 message.should_close,
             )
             if 100 <= message.code < 200:
@@ -206,8 +185,12 @@
             self.transport.abort()
 
     async def exchange(
-        self, data: bytes, with_body: bool, matcher: ResponseMatcher | None
-    ) -> Response:
+        self,
+        data: bytes,
+        with_body: bool,
+        matcher: exchanges.ResponseMatcher | None,
+        rest: bytes | bytearray = b"",
+    ) -> exchanges.Response:
         """Send a request and return the response that belongs to it.
 
         Raise ``upstream-failed`` if no whole response comes, and ``memory-full`` if
@@ -215,12 +198,14 @@
 
         :param matcher: returns whether a response belongs to the request; None if
             every response does.
+        :param rest: long body that follows ``data``; it is written in pieces.
         """
         if self.transport is None:
             raise response_limits.response_failure(self.close_reason or "closed")
         answered = self.start_exchange(with_body, matcher)
         self.transport.write(data)
         try:
+            written = not rest or await self.write_pieces(rest, answered)
             response = await answered
         except asyncio.CancelledError:
             self.abort("the request was cancelled")
@@ -230,11 +215,28 @@
             followed = self.end_exchange()
         if response.closing or followed:
             self.abort("the peer closes after the response, or sent another one")
+        elif not written:
+            self.abort("the peer answered before it had read the request")
         return response
 
+    async def write_pieces(
+        self, body: bytes | bytearray, answered: asyncio.Future[exchanges.Response]
+    ) -> bool:
+        """Write a body as the peer reads it; return False if it answers before."""
+        view = memoryview(body)
+        for start in range(0, len(body), writing.PIECE_BYTES):
+            while self.writable is not None and not answered.done():
+                await asyncio.wait(
+                    (self.writable, answered), return_when=asyncio.FIRST_COMPLETED
+                )
+            if answered.done() or self.transport is None:
+                return False
+            self.transport.write(view[start : start + writing.PIECE_BYTES])
+        return True
+
     def start_exchange(
-        self, with_body: bool, matcher: ResponseMatcher | None
-    ) -> asyncio.Future[Response]:
+        self, with_body: bool, matcher: exchanges.ResponseMatcher | None
+    ) -> asyncio.Future[exchanges.Response]:
         """Expect the response to a request; return its future.
 
         :param with_body: whether the response may have a body.
@@ -252,7 +254,7 @@
         )
         received = response_limits.ReceivedBytes(self.memory_budget)
         answered = self._loop.create_future()
-        self.current = Exchange(parser, received, matcher, answered)
+        self.current = exchanges.Exchange(parser, received, matcher, answered)
         return answered
 
     def end_exchange(self) -> bool:
@@ -269,28 +271,6 @@
         return bool(current.pending)
 
 
-def parse_idle_limit(response: Response) -> float | None:
-    """Return the seconds that the peer keeps an idle connection; None if unknown."""
-    text = response.headers.get("Keep-Alive", "")
-    for part in text.split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdecimal():
-            return float(value)
-    return None
-
-
-def write_request(
-    method: str, path: str, headers: list[tuple[str, str]], body: bytes
-) -> bytes:
-    """Return the bytes of a request, with a Content-Length where one is expected."""
-    lines = [f"{method} {path} HTTP/1.1"]
-    lines.extend(f"{name}: {value}" for name, value in headers)
-    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        lines.append(f"Content-Length: {len(body)}")
-    head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("utf-8", "surrogateescape") + body
-
-
 class Pool:
     """Idle connections by address; the one used last is used next.
 
@@ -354,11 +334,15 @@
         )
         return connection
 
-    def release(self, address: str, connection: Connection, response: Response) -> None:
+    def release(
+        self, address: str, connection: Connection, response: exchanges.Response
+    ) -> None:
         """Keep a connection whose response was read whole, unless it is closing."""
         if not connection.is_open():
             return
-        connection.idle_limit = parse_idle_limit(response) or DEFAULT_IDLE_LIMIT
+        connection.idle_limit = (
+            exchanges.parse_idle_limit(response) or DEFAULT_IDLE_LIMIT
+        )
         self.add_idle(address, connection)
 
     def add_idle(self, address: str, connection: Connection) -> None:
