Quotas: takeover from an allocator without the store; a stopped node gives its shares back

The shares of nodes that had stopped were held for 15 s. Change: only an allocator that grants names itself; the last report of a planned stop gives all shares back.

--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -365,6 +365,7 @@
         await self.ports.stop_listening()
         await asyncio.sleep(LATE_CALLS_WAIT)
         await self.wait_idle(end - CLOSE_RESERVE)
+        await self.quota.give_back()
         await self.close()
 
     async def wait_idle(self, deadline: float) -> None:
--- a/rattanridge/mesh/quota/allocator.py
+++ b/rattanridge/mesh/quota/allocator.py
@@ -190,7 +190,8 @@
         known = self.keeper.known
         usable = known is not None and not known.released
         address = known.address if known is not None and usable else ""
-        if address == self.keeper.address and self.ledger is None:
+        if address == self.keeper.address and not self.is_granting():
+            # Whoever asks must look at the lease, which another node may take.
             address = ""
         term = self.keeper.highest_term
         return messages.Response(False, term, address, self.version())
--- a/rattanridge/mesh/quota/client.py
+++ b/rattanridge/mesh/quota/client.py
@@ -262,6 +262,11 @@
             return None
         return messages.decode(data, messages.Response)
 
+    async def give_back(self) -> None:
+        """Tell the allocator that this node holds nothing any more."""
+        if self.address and self.shares.give_back(self.keeper.now()):
+            await self.report_to(self.address)
+
     async def find_allocator(self) -> str:
         """Return the address of the allocator, perhaps this node; empty if unknown."""
         if self.allocator.is_granting():
--- a/rattanridge/mesh/quota/service.py
+++ b/rattanridge/mesh/quota/service.py
@@ -23,6 +23,7 @@
 # All nodes must agree on it. On 0.43 of a core a node answers some 100 reports a second
 # beside its requests.
 PARTITIONS = 8
+GIVE_BACK_TIMEOUT = 0.2  # seconds of a shutdown
 ELECTION_INTERVAL = 0.2  # seconds between two looks at the lease for other nodes
 MAX_KNOWN = 10_000  # accounts whose partition is remembered
 
@@ -156,6 +157,7 @@
             for number in range(PARTITIONS)
         ]
         self.configs = configs
+        self.log = log
         # By name of the account, so that a request computes no hash.
         self.known: dict[str, Partition] = {}
 
@@ -186,6 +188,16 @@
         """Release the leases of this node for good, as it stops."""
         await asyncio.gather(*(item.allocator.stop() for item in self.partitions))
 
+    async def give_back(self) -> None:
+        """Give the shares of this node back, as it serves no more requests."""
+        try:
+            async with asyncio.timeout(GIVE_BACK_TIMEOUT):
+                await asyncio.gather(
+                    *(item.client.give_back() for item in self.partitions)
+                )
+        except TimeoutError:
+            self.log.note("quota-not-given-back", why="no allocator answered")
+
     async def answer(
         self, request: aiohttp.web_request.BaseRequest
     ) -> aiohttp.web_response.Response | None:
--- a/rattanridge/policies/quota.py
+++ b/rattanridge/policies/quota.py
@@ -319,6 +319,15 @@
         self.in_flight = False
         self.full_term = -1
 
+    def give_back(self, now: float) -> bool:
+        """Give all shares up; return whether there were any."""
+        held = [share for share in self.accounts.values() if share.depth]
+        for share in held:
+            share.give_up(now)
+            share.demand = token_bucket.Demand(now)
+        self.full_term = -1
+        return bool(held)
+
     def abandon(self) -> None:
         """Give up waiting for the answer to the last report."""
         self.in_flight = False
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -235,6 +235,34 @@
         assert name not in ledger.holders(part(world.nodes[0]).keeper.now())
         assert await served(world, 4) == 4
 
+    async def test_stopped_node_gives_its_share_back(self, world):
+        # Guards against 15 s in which nobody gets the share of a node that has stopped.
+        await start(world)
+        await hold_shares(world)
+        index = others(world)[0]
+        name = world.nodes[index].config.name
+        ledger = part(world.nodes[holder(world)]).allocator.ledger
+        assert name in ledger.accounts["heating"].holds
+        await part(world.nodes[index]).client.give_back()
+        assert name not in ledger.accounts["heating"].holds
+
+    async def test_allocator_without_the_store_is_replaced(self, world, short_times):
+        # Guards against: an allocator that cannot renew its lease, but can be reached,
+        # keeps all others from looking for another one.
+        await start(world)
+        await served(world, 12)
+        index = holder(world)
+        keeper = part(world.nodes[index]).keeper
+
+        async def fail(*arguments):
+            raise codes.Failure(codes.PLATFORM_DOWN)
+
+        keeper.renew = keeper.look = fail
+        await asyncio.sleep(lease.DURATION + lease.MARGIN)
+        assert await wait_served(world, others(world)[0] if index else 1) < 4.0
+        await hold_shares(world)
+        assert holder(world) not in (None, index)
+
     async def test_clock_jumps(self, world, monkeypatch):
         # Guards against shares that go on after the host was suspended.
         await start(world, nodes=2)
