Quotas: bounds in the lease tell what nodes that do not come back may hold

Change: the lease names for each node the largest share of an account, in steps, if it is over 0.03. It is written before a larger share is granted. A new allocator withholds only the sum of the bounds of the nodes that it has not heard.

--- a/rattanridge/mesh/quota/allocator.py
+++ b/rattanridge/mesh/quota/allocator.py
@@ -51,6 +51,8 @@
         self.started = asyncio.Event()
         self.reported_at = float("-inf")
         self.stopping = False
+        # Bounds whose writes were not answered yet, and may still be executed.
+        self.unconfirmed: list[quota_ledger.Bounds] = []
 
     def is_granting(self) -> bool:
         """Return whether this node answers reports."""
@@ -66,6 +68,7 @@
         if self.ledger is None or self.keeper.own is None:
             return False
         self.reported_at = self.keeper.now()
+        self.unconfirmed.clear()
         self.started.set()
         self.log.info(
             "quota-allocator-taken",
@@ -121,8 +124,13 @@
         members = self.ledger.holders(self.keeper.now())
         members.discard(leases.UNKNOWN_NODE)
         members.update(more, self.directory.running_nodes())
-        if not await self.keeper.renew(members, released):
+        bounds = self.ledger.bounds()
+        # Until the store has answered, these or the former ones may be in force.
+        self.unconfirmed.append(bounds)
+        if not await self.keeper.renew(members, bounds, released):
             self.lose("another node has taken the lease")
+        elif self.keeper.own is not None and self.keeper.own.bounds is bounds:
+            self.unconfirmed.clear()
 
     def lose(self, why: str) -> None:
         """Stop to allocate."""
@@ -178,6 +186,8 @@
             report.full,
             now,
         )
+        if grants and not await self.cover(ledger, report.node, entries):
+            return self.refuse()
         response.incarnation = ledger.incarnation_of(report.node)
         if grants is not None:
             response.grants = grants
@@ -210,6 +220,36 @@
             except codes.Failure as failure:
                 self.log.note("quota-lease-not-renewed", code=failure.code.number)
 
+    async def cover(
+        self, ledger: quota_ledger.Ledger, node: str, entries: list[quota.Entry]
+    ) -> bool:
+        """Write larger bounds before a node gets more than those in the store.
+
+        Return whether the node may get its shares.
+        """
+        if self.is_covered(ledger, node, entries):
+            return True
+        async with self.lock:
+            if self.is_covered(ledger, node, entries):
+                return True
+            try:
+                await self.renew()
+            except codes.Failure as failure:
+                self.log.note("quota-lease-not-renewed", code=failure.code.number)
+        return self.is_covered(ledger, node, entries)
+
+    def is_covered(
+        self, ledger: quota_ledger.Ledger, node: str, entries: list[quota.Entry]
+    ) -> bool:
+        """Return whether the bounds in the store cover what a node may hold."""
+        own = self.keeper.own
+        if own is None or self.ledger is not ledger:
+            return False
+        return all(
+            ledger.is_within(node, entries, bounds)
+            for bounds in (own.bounds, *self.unconfirmed)
+        )
+
     def apply_limit(self, entry: quota.Entry) -> quota.Entry:
         """Return an entry with the limit in force at this node, if it has one."""
         account = self.current_accounts().get(entry.account)
--- a/rattanridge/mesh/quota/lease.py
+++ b/rattanridge/mesh/quota/lease.py
@@ -31,6 +31,7 @@
     :param incarnation: of the holder's process.
     :param turn: increases with each write.
     :param members: nodes that may hold shares.
+    :param bounds: what they may hold at most.
     :param released: whether the holder has stopped allocating.
     """
 
@@ -40,6 +41,7 @@
     incarnation: int
     turn: int = 0
     members: list[str] = []
+    bounds: quota_ledger.Bounds = {}
     released: bool = False
 
 
@@ -138,6 +140,7 @@
             self.highest_term + 1,
             self.incarnation,
             members=sorted(unheard.union(members)),
+            bounds=ledger.bounds(),
         )
         spec = msgspec.json.encode(lease)
         try:
@@ -166,7 +169,7 @@
         if not self.is_vacant():
             granted_until = min(now, self.seen_at + DURATION)
         settled_at = granted_until + quota.SHARE_LIFETIME + MARGIN
-        return quota_ledger.Ledger(settled_at, lease.members)
+        return quota_ledger.Ledger(settled_at, lease.members, lease.bounds)
 
     def adopt(self, lease: Lease, revision: int, began_at: float) -> None:
         """Record a write of the own lease that succeeded.
@@ -180,7 +183,10 @@
         self.observe_term(lease.term)
 
     async def renew(
-        self, members: collections.abc.Collection[str], released: bool = False
+        self,
+        members: collections.abc.Collection[str],
+        bounds: quota_ledger.Bounds,
+        released: bool = False,
     ) -> bool:
         """Write the own lease again; return False if another node has taken it.
 
@@ -192,7 +198,11 @@
             return False
         began_at = self.now()
         lease = msgspec.structs.replace(
-            own, turn=own.turn + 1, members=sorted(members), released=released
+            own,
+            turn=own.turn + 1,
+            members=sorted(members),
+            bounds=bounds,
+            released=released,
         )
         spec = msgspec.json.encode(lease)
         try:
--- a/rattanridge/policies/quota_account.py
+++ b/rattanridge/policies/quota_account.py
@@ -98,6 +98,8 @@
         # Shares that reports have shown to be held by nobody else.
         self.known_rate = 0.0
         self.known_depth = 0.0
+        # The most that nodes may hold which have not reported yet.
+        self.unknown = 1.0
         self.free_rate = 0.0
         self.free_depth = 0.0
         # Tokens on the way to a node: until when, and how many.
@@ -139,8 +141,8 @@
 
         :param settled: whether all that may be held is known.
         """
-        rate = 1.0 if settled else self.known_rate
-        depth = 1.0 if settled else self.known_depth
+        rate = 1.0 if settled else max(self.known_rate, 1.0 - self.unknown)
+        depth = 1.0 if settled else max(self.known_depth, 1.0 - self.unknown)
         self.free_rate = max(rate - self.totals.rate, 0.0)
         self.free_depth = max(depth - self.totals.depth, 0.0)
 
--- a/rattanridge/policies/quota_ledger.py
+++ b/rattanridge/policies/quota_ledger.py
@@ -29,18 +29,35 @@
     sequence: int
 
 
+# By node and account: the largest share that the node may hold, 0 to 1.
+Bounds = dict[str, dict[str, float]]
+BOUND_STEPS = (0.03, 0.06, 0.12, 0.25, 0.5, 1.0)
+DEFAULT_BOUND = BOUND_STEPS[0]  # of a share that is not named
+
+
+def bound_of(hold: quota_account.Hold) -> float:
+    """Return the step that bounds what a node may hold of an account."""
+    share = max(hold.rate, hold.depth)
+    return next((step for step in BOUND_STEPS if share <= step), 1.0)
+
+
 class Ledger:
     """The shares of all accounts, as one allocator grants them in its term.
 
     :param settled_at: when the last grant of the former term has ended.
     :param unheard: nodes that may hold grants of a former term.
+    :param bounds: what these may hold at most; None if that is unknown.
     """
 
     def __init__(
-        self, settled_at: float, unheard: collections.abc.Collection[str] = ()
+        self,
+        settled_at: float,
+        unheard: collections.abc.Collection[str] = (),
+        bounds: Bounds | None = None,
     ):
         self.settled_at = settled_at
         self.unheard = set(unheard)
+        self.former_bounds = bounds
         self.accounts: dict[str, quota_account.AccountLedger] = {}
         self.reporters: dict[str, Reporter] = {}
 
@@ -105,11 +122,46 @@
                 account.known_depth = min(account.known_depth + entry.depth, 1.0)
         self.unheard.discard(node)
         settled = self.is_settled(now)
+        if not settled:
+            for entry in entries:
+                self.accounts[entry.account].unknown = self.unknown(entry.account)
         return [
             self.accounts[entry.account].grant(node, entry, settled, now)
             for entry in entries
         ]
 
+    def unknown(self, account: str) -> float:
+        """Return the most that nodes may hold which have not reported yet."""
+        bounds = self.former_bounds
+        if bounds is None:
+            return 1.0
+        return sum(
+            bounds.get(node, {}).get(account, DEFAULT_BOUND) for node in self.unheard
+        )
+
+    def bounds(self) -> Bounds:
+        """Return what the nodes may hold, without what ``DEFAULT_BOUND`` covers."""
+        found: Bounds = {}
+        former = self.former_bounds or {}
+        for node in self.unheard.intersection(former):
+            found[node] = dict(former[node])
+        for name, account in self.accounts.items():
+            for node, hold in account.holds.items():
+                bound = bound_of(hold)
+                if bound > DEFAULT_BOUND:
+                    found.setdefault(node, {})[name] = bound
+        return found
+
+    def is_within(self, node: str, entries: list[quota.Entry], bounds: Bounds) -> bool:
+        """Return whether a node holds no more of some accounts than bounds allow."""
+        known = bounds.get(node, {})
+        for entry in entries:
+            hold = self.accounts[entry.account].holds.get(node)
+            allowed = known.get(entry.account, DEFAULT_BOUND)
+            if hold is not None and bound_of(hold) > allowed:
+                return False
+        return True
+
     def account_of(self, entry: quota.Entry, now: float) -> quota_account.AccountLedger:
         """Return the ledger of an account, under the quota that the entry names."""
         account = self.accounts.get(entry.account)
--- a/tests/test_quota_policy.py
+++ b/tests/test_quota_policy.py
@@ -120,6 +120,24 @@
         ledger.answer("n", 2, 1, [], True, 0.2)
         assert not ledger.holders(0.3)
 
+    def test_bounds_free_what_unheard_nodes_cannot_hold(self):
+        # Guards against: nodes that never come back keep the whole quota for 15 s.
+        bounds = {"lost": {"a": 0.25}}
+        ledger = quota_ledger.Ledger(20.0, {"n", "lost"}, bounds)
+        limit = quota.Limit(100.0, 100.0)
+        entry = quota.Entry("a", limit, 90.0, 0.0, 0.0, 0.0, 0)
+        other = quota.Entry("b", limit, 90.0, 0.0, 0.0, 0.0, 0)
+        grants = ledger.answer("n", 1, 1, [entry, other], True, 10.0)
+        assert 0.5 < grants[0].rate <= 0.75
+        assert 0.75 < grants[1].rate <= 1 - quota_ledger.DEFAULT_BOUND
+        written = ledger.bounds()
+        assert written["lost"] == {"a": 0.25}
+        assert all(
+            max(grant.rate, grant.depth) <= written["n"][grant.account]
+            for grant in grants
+        )
+        assert not ledger.is_within("n", [entry], bounds)
+
     def test_unheard_nodes_settle_with_time(self):
         # Guards against a node that never comes back and blocks the quota for ever.
         ledger = quota_ledger.Ledger(20.0, {"n"})
