--- a/rattanridge/policies/slow_start.py
+++ b/rattanridge/policies/slow_start.py
@@ -1,7 +1,7 @@
 """Placement that sends few requests to a new endpoint at first. Needs no network.
 
-Handles an endpoint that appears while the others are busy: it looks idle, so all entries
-would send to it at once.
+Handles an endpoint that appears while the others are busy: it looks idle, so all
+entries would send to it at once.
 """
 
 from rattanridge.policies import placement
