Quotas: an allocator that cannot renew its lease tells its last turn

Change: the answer to a report names the turn of a lease that has ended. If the object in the store still has it, it may be taken at once: the former holder needs a write to grant again.

--- a/rattanridge/mesh/quota/allocator.py
+++ b/rattanridge/mesh/quota/allocator.py
@@ -203,8 +203,14 @@
         if address == self.keeper.address and not self.is_granting():
             # Whoever asks must look at the lease, which another node may take.
             address = ""
-        term = self.keeper.highest_term
-        return messages.Response(False, term, address, self.version())
+        response = messages.Response(
+            False, self.keeper.highest_term, address, self.version()
+        )
+        own = self.keeper.own
+        if own is not None and self.keeper.has_ended():
+            response.term = own.term
+            response.ended_turn = own.turn
+        return response
 
     def is_member(self, node: str) -> bool:
         """Return whether the object in the store names a node."""
--- a/rattanridge/mesh/quota/client.py
+++ b/rattanridge/mesh/quota/client.py
@@ -228,6 +228,8 @@
         if response is None or not response.holder:
             self.shares.abandon()
             self.address = response.address if response is not None else ""
+            if response is not None and response.ended_turn >= 0:
+                self.keeper.observe_end(response.term, response.ended_turn)
             return False
         self.address = address
         self.keeper.observe_term(response.term)
--- a/rattanridge/mesh/quota/lease.py
+++ b/rattanridge/mesh/quota/lease.py
@@ -75,6 +75,8 @@
         self.revision = 0
         self.seen_at = float("-inf")
         self.highest_term = 0
+        # Term and turn of a lease that has ended, as its holder has said.
+        self.ended = (-1, -1)
         # The lease that this process holds, and when it is valid.
         self.own: Lease | None = None
         self.valid_from = float("inf")
@@ -84,6 +86,10 @@
         """Return whether this node may grant shares."""
         return self.own is not None and self.valid_from <= self.now() < self.valid_until
 
+    def has_ended(self) -> bool:
+        """Return whether the own lease has ended and may only be renewed."""
+        return self.own is not None and self.now() >= self.valid_until
+
     async def look(self) -> Lease | None:
         """Read the object; None if there is none.
 
@@ -106,6 +112,14 @@
         """Record that there has been a term."""
         self.highest_term = max(self.highest_term, term)
 
+    def observe_end(self, term: int, turn: int) -> None:
+        """Record that a holder could not renew its lease after a turn.
+
+        It cannot grant again without a write that raises the turn, and another node's
+        write comes before that or fails.
+        """
+        self.ended = (term, turn)
+
     def may_take(self) -> bool:
         """Return whether this node may take over, by the last look."""
         if self.is_vacant():
@@ -116,7 +130,9 @@
     def is_vacant(self) -> bool:
         """Return whether no live process holds the lease."""
         lease = self.known
-        return lease is None or lease.released or lease.holder == self.name
+        if lease is None or lease.released or lease.holder == self.name:
+            return True
+        return (lease.term, lease.turn) == self.ended
 
     def has_lost_term(self) -> bool:
         """Return whether the store has returned from a copy without the last term."""
--- a/rattanridge/mesh/quota/messages.py
+++ b/rattanridge/mesh/quota/messages.py
@@ -45,6 +45,8 @@
         report is refused if that is not its own.
     :param wants_full: whether a full report is needed, as the node is not known yet.
     :param interval: seconds until the next full report is wanted.
+    :param ended_turn: turn of the lease of this node if it has ended without a renewal;
+        -1 if not. The node cannot grant again unless it writes a higher turn.
     """
 
     holder: bool
@@ -55,6 +57,7 @@
     wants_full: bool = False
     interval: float = quota.REPORT_INTERVAL
     grants: list[quota.Grant] = []
+    ended_turn: int = -1
 
 
 class Announcement(msgspec.Struct, array_like=True):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -259,7 +259,11 @@
 
         keeper.renew = keeper.look = fail
         await asyncio.sleep(lease.DURATION + lease.MARGIN)
-        assert await wait_served(world, others(world)[0] if index else 1) < 4.0
+        other = part(world.nodes[0 if index else 1]).keeper
+        await other.look()
+        other.observe_end(other.known.term, other.known.turn - 1)
+        assert not other.is_vacant()
+        assert await wait_served(world, 0 if index else 1) < 4.0
         await hold_shares(world)
         assert holder(world) not in (None, index)
 
