--- a/review/lab2.py
+++ b/review/lab2.py
@@ -294,8 +294,9 @@
     status = NOT_RUN
     try:
         status = run(record, lab)
-    except CouldNotRunError as error:
-        record.note(f"could not run: {error}")
+    except Exception as error:
+        # Any failure of the script itself shows nothing about the rule.
+        record.note(f"could not run: {error!r}")
     finally:
         lab.close()
     record.note(f"exit status {status}")
