--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,129 +1,78 @@
-"""A request crashes each endpoint some 0.4 s after it began to run it."""
+"""After a short silence of the store a node acts on an old configuration."""
 
+import asyncio
 import pathlib
 import sys
-import threading
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
-
-import lab2
-
-FOLDER = pathlib.Path(__file__).resolve().parent
-NODES = 4
-SERVICE = "archives"
-CRASH_PATH = "/motif/poison"
-WORK_MS = 360.0  # of a request of this kind, as on the users' page
-CRASH_AFTER_MS = 350.0  # milliseconds into the run
-RESTART_SECONDS = 2.0  # "the endpoint is back after some seconds"
-REPEAT_SECONDS = 1.0  # between two sendings of the request
-CONTACT_SECONDS = 3.0  # ContactMs
-LENGTH_SECONDS = 60.0
-ALLOWED = 3  # retries that may reach endpoints after that
-
-
-class Endpoints:
-    """The endpoints' processes; one that has crashed is started again."""
-
-    def __init__(self, lab: lab2.Lab, nodes: list[lab2.NodePlan], crash: bool):
-        self.lab = lab
-        self.nodes = nodes
-        self.crash = crash
-        self.journal = lab.folder / "runs"
-        self.starts = [0] * len(nodes)
-        self.back_at: dict[int, float] = {}
-
-    def start(self, index: int) -> None:
-        node = self.nodes[index]
-        self.starts[index] += 1
-        options = [
-            *("--id", f"i-{index}-{self.starts[index]}", "--service", SERVICE),
-            *("--address", node.app, "--node", node.beats, "--work", str(WORK_MS)),
-            *("--journal", str(self.journal)),
-        ]
-        if self.crash:
-            options += ["--crash-path", CRASH_PATH]
-            options += ["--crash-after", str(CRASH_AFTER_MS)]
-        self.lab.start_upstream(f"endpoint-{index}", *options)
-
-    def restart_crashed(self) -> None:
-        """Start an endpoint again some time after it has crashed."""
-        now = time.monotonic()
-        for index in range(len(self.nodes)):
-            process = self.lab.processes[f"endpoint-{index}"]
-            if process.poll() is None:
-                continue
-            back_at = self.back_at.setdefault(index, now + RESTART_SECONDS)
-            if now >= back_at:
-                del self.back_at[index]
-                self.start(index)
-
-    def lines(self) -> list[list[str]]:
-        if not self.journal.exists():
-            return []
-        return [line.split() for line in self.journal.read_text().splitlines()]
-
-
-def send(
-    record: lab2.Record, node: lab2.NodePlan, attempt: str, sent: dict[str, float]
-) -> None:
-    """Send the request once; note the answer."""
-    fields = {"Host": "host.example", "Attempt-Id": attempt, "Deadline-Ms": "6000"}
-    sent[attempt] = time.time()
-    status, answer, _ = lab2.http(node.callers, "GET", CRASH_PATH, fields, timeout=8.0)
-    code = answer.get("Rattanridge-Code", "-")
-    record.note(f"{attempt} at {node.name}: status {status}, code {code}")
-
-
-def judge(record: lab2.Record, endpoints: Endpoints, sent: dict[str, float]) -> int:
-    """Apply the rule to what the clients and the endpoints have seen."""
-    crashes = sorted(float(line[0]) for line in endpoints.lines() if line[2] == "crash")
-    ran = {line[3] for line in endpoints.lines() if line[2] == "run"}
-    record.note(f"{len(sent)} sent, {len(crashes)} crashes")
-    if len(crashes) < 3:
-        return lab2.HELD
-    since = crashes[2] + CONTACT_SECONDS
-    late = [attempt for attempt, at in sent.items() if at > since and attempt in ran]
-    record.note(f"{len(late)} retries reached endpoints later than ContactMs after it")
-    return lab2.BROKEN if len(late) > ALLOWED else lab2.HELD
-
-
-def run(record: lab2.Record, lab: lab2.Lab) -> int:
-    store = lab.start_store()
-    routes = [lab2.route("motif", SERVICE, "safe", TimeoutMs=6000)]
-    lab2.create(store, "config", "main", lab2.configuration(1, routes))
-    nodes = [
-        lab2.NodePlan(f"node-{index}", SERVICE, store, f"zone-{'abcd'[index]}")
-        for index in range(NODES)
-    ]
-    endpoints = Endpoints(lab, nodes, lab2.trouble())
-    for index, node in enumerate(nodes):
-        lab.start_node(node)
-        lab2.wait_for_port(node.beats)
-        endpoints.start(index)
-    for node in nodes:
-        lab2.wait_ready(node)
-    time.sleep(4.0)
-    sent: dict[str, float] = {}
-    threads = []
-    end = time.monotonic() + LENGTH_SECONDS
-    next_at = time.monotonic()
-    while time.monotonic() < end:
-        endpoints.restart_crashed()
-        if time.monotonic() >= next_at:
-            next_at += REPEAT_SECONDS
-            number = len(threads)
-            node = nodes[number % NODES]
-            arguments = (record, node, f"poison{number}", sent)
-            threads.append(threading.Thread(target=send, args=arguments))
-            threads[-1].start()
-        time.sleep(0.05)
-    for thread in threads:
-        thread.join()
-    for line in endpoints.lines():
-        record.note("endpoint: " + " ".join(line))
-    return judge(record, endpoints, sent)
-
-
-if __name__ == "__main__":
-    sys.exit(lab2.main(FOLDER, run))
+import lab
+
+CYCLES = 11
+SILENCE_AFTER = 0.1  # seconds from the ack of a change to the begin of the silence
+SILENCE = 0.3  # seconds
+MOVE_AFTER = 3.6  # seconds from the first change to the one that moves the route
+CONFIG_APPLY = 2.0  # seconds, ConfigApplyMs
+MARGIN = 0.1  # seconds that requests are sent later than the bound
+REST = 3.0  # seconds until the next cycle
+FRONTS = 3
+
+
+def configuration(version, service, timeout):
+    """Return a configuration whose only route goes to a service."""
+    routes = [lab.route("moving", "/moving/", service, TimeoutMs=timeout)]
+    return lab.configuration(version, ["alpha", "beta", "front"], routes)
+
+
+async def case(record):
+    stale = sent = 0
+    async with lab.Fleet(record) as fleet:
+        store = fleet.store
+        await store.put("config", "main", configuration(1, "alpha", 4000))
+        for number, service in enumerate(["alpha", "beta", *["front"] * FRONTS]):
+            endpoint = lab.Endpoint(record, service, f"i-{number}")
+            await fleet.add(f"node-{number}", "zone-a", endpoint)
+        for node in fleet.nodes:
+            await node.wait_ready()
+        await asyncio.sleep(4.0)
+        version = 1
+        services = ["alpha", "beta"]
+        for cycle in range(CYCLES):
+            version += 1
+            here, there = services
+            spec = configuration(version, here, 4000 + cycle)
+            await store.put("config", "main", spec)
+            await asyncio.sleep(SILENCE_AFTER)
+            store.silent = lab.trouble()
+            record.note("silence", begins=store.silent)
+            await asyncio.sleep(SILENCE)
+            store.silent = False
+            record.note("silence", begins=False)
+            await asyncio.sleep(MOVE_AFTER - SILENCE_AFTER - SILENCE)
+            version += 1
+            await store.put("config", "main", configuration(version, there, 4000))
+            await asyncio.sleep(CONFIG_APPLY + MARGIN)
+            for node in fleet.nodes[2:]:
+                client = lab.Client(record, node.callers)
+                result = await client.request("GET", "/moving/x")
+                client.close()
+                sent += 1
+                ran = [
+                    item.endpoint.service
+                    for item in fleet.nodes
+                    if result.attempt in item.endpoint.runs
+                ]
+                if ran == [here]:
+                    stale += 1
+                    record.say(
+                        f"cycle {cycle}: {result.attempt} by way of {node.name} was "
+                        f"run by {here}, {CONFIG_APPLY + MARGIN:.1f} s after the ack "
+                        f"of version {version}, which moved the route to {there}"
+                    )
+            services.reverse()
+            await asyncio.sleep(REST)
+    record.say(f"{stale} of {sent} requests were handled by an older configuration")
+    record.say("CONFIG: broken" if stale else "CONFIG: held")
+    return lab.BROKEN if stale else lab.HELD
+
+
+lab.run(case, pathlib.Path(__file__).parent)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,3 +6,4 @@
 python3 -m compileall -q review/lab2.py
 python3 review/lab2.py --help >/dev/null
 PYTHONPATH=target/deps python3 -m rattanridge standin platform --help >/dev/null
+PYTHONPATH=target/deps:review python3 -c "import lab"
