--- a/review/8/case.py
+++ b/review/8/case.py
@@ -126,6 +126,7 @@
     """Send the request once; note the answer."""
     fields = {"Host": "host.example", "Attempt-Id": attempt, "Deadline-Ms": "6000"}
     sent[attempt] = time.time()
+    record.write(f"sent {attempt} to {node.name}")
     status, answer, _ = lab2.http(node.callers, "GET", CRASH_PATH, fields, timeout=8.0)
     code = answer.get("Rattanridge-Code", "-")
     record.note(f"{attempt} at {node.name}: status {status}, code {code}")
@@ -194,8 +195,7 @@
         time.sleep(0.05)
     for thread in threads:
         thread.join()
-    for line in endpoints.lines():
-        record.note("endpoint: " + " ".join(line))
+    record.write_runs(endpoints.journal)
     return judge(record, endpoints, roll, sent)
 
 
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -48,10 +48,22 @@
         self.file = (folder / "record.txt").open("w")
         self.began = time.monotonic()
 
-    def note(self, text: str) -> None:
+    def write(self, text: str) -> None:
+        """Write a line to the file only."""
         line = f"{time.monotonic() - self.began:8.3f} {text}"
         print(line, file=self.file, flush=True)
-        print(line, flush=True)
+
+    def note(self, text: str) -> None:
+        """Write a line to the file and to standard output."""
+        self.write(text)
+        print(text, flush=True)
+
+    def write_runs(self, journal: pathlib.Path) -> None:
+        """Write what the upstreams have noted of their runs."""
+        lines = journal.read_text().splitlines() if journal.exists() else []
+        for line in lines:
+            self.write(f"endpoint: {line}")
+        self.note(f"the endpoints noted {len(lines)} lines on their runs")
 
 
 def free_port() -> int:
@@ -292,6 +304,8 @@
     record = Record(folder)
     lab = Lab(record)
     status = NOT_RUN
+    # So that a script that is stopped ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     try:
         status = run(record, lab)
     except Exception as error:
