Age of what a watch holds: seconds since the store answered it

Cause: belief_age_seconds counted the answer to a check as one to each watch that waited, so that "nothing has changed" and "not heard" looked the same; no line told when a watch had brought a change. Change: the gauge has the seconds since the last answer to a call of that watch; watch-answered names each answer with changes. What is done by it is as before.

--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -278,7 +278,7 @@
         self.meters.upstream_cold.set(self.exit.gate.room() is not None)
         self.meters.waiting.set(len(self.exit.queue.waiting))
         for watch in self.health.watches:
-            self.meters.data_age.labels(watch.kind).set(now - watch.current_at)
+            self.meters.data_age.labels(watch.kind).set(now - watch.heard_at)
         self.meters.data_age.labels("store").set(now - self.health.answered_at)
         self.meters.data_age.labels("heartbeat").set(now - self.upstream.heartbeat_at)
         return aiohttp.web_response.Response(
--- a/rattanridge/mesh/store_health.py
+++ b/rattanridge/mesh/store_health.py
@@ -32,11 +32,11 @@
     """A watch that can be made to call the store again, or to list again.
 
     :param kind: kind of the objects that it follows.
-    :param current_at: monotonic seconds at which its data were last current.
+    :param heard_at: monotonic seconds of the last answer to one of its own calls.
     """
 
     kind: str
-    current_at: float
+    heard_at: float
 
     def interrupt(self) -> None: ...
 
--- a/rattanridge/mesh/watching.py
+++ b/rattanridge/mesh/watching.py
@@ -71,7 +71,7 @@
         self.revision = 0
         self.newest = 0
         self.listed = False
-        self.current_at = 0.0
+        self.heard_at = 0.0
         self.began_at = 0.0
         self.pending: asyncio.Task | None = None
         self.interrupted = False
@@ -175,6 +175,13 @@
             self.apply_one(item)
         if not changes.items:
             return
+        self.log.note(
+            "watch-answered",
+            kind=self.kind,
+            revision=self.revision,
+            changes=len(changes.items),
+            waited=self.heard_at - self.began_at,
+        )
         if self.is_storm() and self.large:
             await self.wait_out_storm()
         else:
@@ -222,6 +229,7 @@
 
     def record_answer(self) -> None:
         """Record that the store answered a call of this watch."""
+        self.heard_at = asyncio.get_running_loop().time()
         self.record_current()
         self.health.record_success()
 
@@ -237,6 +245,5 @@
 
     def record_current(self) -> None:
         """Record that the store has no change that is not known here."""
-        self.current_at = asyncio.get_running_loop().time()
         if self.on_current is not None:
             self.on_current()
