Watches: each is proved by its own answer, and begins again within contact_ms

Cause: the answer to a check, on another connection, counted for each watch that waited. A watch that a short silence of the store had swallowed waited up to 10 s (18 s in large fleets), and counted as current all the while. An answer that was lost later did the same. Change: no call proves another one. A watch waits for 0.7 to 0.8 of contact_ms (ContactMs of the platform's bounds), one that may be old for 1.0 to 1.4 of it; one that is not answered by then is given up, and the next begins where it did, without a list; after three in a row the kind is listed. Share of the retry budget: by answers of the watch of records only. Why it works: machines are in touch again contact_ms after a disturbance, found or not; by then each watch has begun afresh and got what was missed. Replaced: the record of checks at a watch in test_store_health (it asserted the fault; TestCheck asserts the contrary); test_some_node_renews_its_watch_each_second, which stated the long waits, by a bound on each node. Two tests set other constants to make watches short; their checks are as before.

--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -153,6 +153,12 @@
     410,
     "The watch fell too far behind; all objects must be listed again",
 )
+WATCH_UNANSWERED = define(
+    2007,
+    "watch-unanswered",
+    503,
+    "The platform did not answer a watch in time; it may never have taken it",
+)
 
 # 3xxx: calls between nodes.
 NODE_LOST = define(
--- a/rattanridge/mesh/membership.py
+++ b/rattanridge/mesh/membership.py
@@ -119,8 +119,8 @@
         """Apply changed settings."""
         self.budget_nodes.set_span(self.config.repeats.budget_settings().span())
 
-    def record_current(self) -> None:
-        """Record that the known records are those of the store."""
+    def record_answer(self) -> None:
+        """Record that the store has told of all records."""
         self.budget_nodes.record_contact(clock.seconds_since_boot())
 
     def count_budget_nodes(self) -> int:
--- a/rattanridge/mesh/settings.py
+++ b/rattanridge/mesh/settings.py
@@ -148,6 +148,8 @@
     :param upstream: ``host:port`` of that upstream.
     :param store: ``host:port`` of the platform's store.
     :param store_reads_per_s: read calls a second that the store accepts from all nodes.
+    :param contact_ms: milliseconds after a disturbance of the store in which a node
+        must know all changes again.
     :param heartbeat_ms: milliseconds between two heartbeats of an upstream.
     :param key: secret with which nodes authenticate to each other; nodes do not
         authenticate if it is empty.
@@ -164,6 +166,7 @@
     upstream: str = ""
     store: str
     store_reads_per_s: settings.Count = 2_000
+    contact_ms: settings.Count = 3_000
     heartbeat_ms: settings.Count = 1_500
     key: str = ""
     tokens: list[settings.Token] = []
--- a/rattanridge/mesh/store_health.py
+++ b/rattanridge/mesh/store_health.py
@@ -1,9 +1,10 @@
 """Whether the store answers this node, found out by small calls.
 
 A watch that waits tells nothing: perhaps nothing has changed, perhaps the store is
-silent, or was silent when the watch began and does not know of it. So a small call
-follows each watch that begins, and each time in which the store has answered nothing.
-If it fails, the store counts as lost, and all watches begin again once it answers.
+silent. So a small call follows each watch that begins, and each time in which the store
+has answered nothing. If it fails, the store counts as lost, and all watches begin again
+once it answers. Its answer says nothing of a watch that waits: the store may have been
+silent just when that began.
 """
 
 import asyncio
@@ -42,8 +43,6 @@
 
     def renew(self) -> None: ...
 
-    def record_check(self, began_at: float) -> None: ...
-
 
 class StoreHealth:
     """Tracks whether the store can be reached, for all watches of the node.
@@ -164,7 +163,7 @@
 
     async def try_check(self) -> bool:
         """Make one check; return whether the store answered."""
-        began_at = self.checked_at = self.now()
+        self.checked_at = self.now()
         self.watch_unchecked = False
         try:
             await self.check()
@@ -173,8 +172,6 @@
                 self.record_failure(failure)
                 return False
             self.relist("the store has dropped its history")
-        for watch in self.watches:
-            watch.record_check(began_at)
         self.record_success()
         return True
 
--- a/rattanridge/mesh/watches.py
+++ b/rattanridge/mesh/watches.py
@@ -59,7 +59,7 @@
             log,
             RECORDS_BATCH_DELAY,
             allow_stale=True,
-            on_current=membership.record_current,
+            on_answer=membership.record_answer,
         ),
         watching.Watch(
             store,
--- a/rattanridge/mesh/watching.py
+++ b/rattanridge/mesh/watching.py
@@ -7,13 +7,13 @@
 from rattanridge.mesh import events, store_health
 from rattanridge.platform import store as stores, store_objects
 
-# Seconds that one watch call waits for changes: the longest time for each known node,
-# within limits. A change that the watches have missed is found by the first node that
-# renews its watch, and told to the others with its calls.
-WAIT_PER_NODE = 0.7
-MIN_LONGEST_WAIT = 10.0
-MAX_LONGEST_WAIT = 18.0  # below the time for which stores keep their history
-SHORTEST_WAIT_SHARE = 0.4  # of the longest; random, so that nodes renew in turn
+# Shares of ``contact_ms`` for which a call waits for changes. The store may never have
+# taken a call, and no other call can tell, so a new one has to begin within that time.
+# Random, so that the nodes do not all renew at once.
+WAIT_SHARES = (0.7, 0.8)
+STALE_WAIT_SHARES = (1.0, 1.4)  # what may be seconds old need not be asked so often
+MARGIN_SHARE = 0.1  # for the way to the store and back; doubles while it is too short
+MAX_UNANSWERED = 2  # calls in a row, after which the kind is listed
 # Longest time in seconds before a call that failed is made again though the store
 # answers others.
 MAX_RETRY_DELAY = 0.9
@@ -38,8 +38,7 @@
         the last one, a list only the newest ones. During a storm of changes the
         watch therefore lists, which keeps slow links free.
     :param is_behind: returns whether other nodes have newer objects.
-    :param on_current: called whenever the data are known to be current, also if
-        nothing changed.
+    :param on_answer: called with each answer of the store, also if nothing changed.
     """
 
     def __init__(
@@ -54,11 +53,11 @@
         allow_stale: bool = False,
         large: bool = False,
         is_behind: collections.abc.Callable[[], bool] = lambda: False,
-        on_current: collections.abc.Callable[[], None] | None = None,
+        on_answer: collections.abc.Callable[[], None] | None = None,
     ):
         self.large = large
         self.is_behind = is_behind
-        self.on_current = on_current
+        self.on_answer = on_answer
         self.changed_at = float("-inf")
         self.batch_delay = batch_delay
         self.allow_stale = allow_stale
@@ -73,6 +72,7 @@
         self.listed = False
         self.heard_at = 0.0
         self.began_at = 0.0
+        self.unanswered = 0  # calls in a row
         self.pending: asyncio.Task | None = None
         self.interrupted = False
         self.retry_delay = store_health.FIRST_RETRY_DELAY
@@ -140,9 +140,16 @@
 
     def draw_wait(self) -> float:
         """Return the seconds for which the next watch call waits for changes."""
-        longest = WAIT_PER_NODE * self.health.nodes
-        longest = min(max(longest, MIN_LONGEST_WAIT), MAX_LONGEST_WAIT)
-        return self.health.random.uniform(SHORTEST_WAIT_SHARE * longest, longest)
+        shares = STALE_WAIT_SHARES if self.allow_stale else WAIT_SHARES
+        return self.contact() * self.health.random.uniform(*shares)
+
+    def margin(self) -> float:
+        """Return the seconds beyond its wait within which a call must be answered."""
+        return self.contact() * MARGIN_SHARE * 2**self.unanswered
+
+    def contact(self) -> float:
+        """Return the seconds after a disturbance in which changes must be known."""
+        return self.health.config.contact_ms / 1000
 
     async def watch_once(self) -> None:
         """Make one watch call and apply the changes that it returns, if any.
@@ -151,9 +158,14 @@
         """
         if self.interrupted:
             raise codes.Failure(codes.WATCH_LOST, "interrupted to list again")
-        wait = self.draw_wait()
         self.pending = asyncio.create_task(
-            self.store.watch(self.kind, self.revision, wait, self.allow_stale)
+            self.store.watch(
+                self.kind,
+                self.revision,
+                self.draw_wait(),
+                self.margin(),
+                self.allow_stale,
+            )
         )
         self.began_at = asyncio.get_running_loop().time()
         self.health.record_watch()
@@ -166,6 +178,11 @@
             if not self.interrupted:
                 return
             raise codes.Failure(codes.WATCH_LOST, "interrupted to list again")
+        except codes.Failure as failure:
+            if failure.code is not codes.WATCH_UNANSWERED:
+                raise
+            self.record_unanswered(failure)
+            return
         finally:
             self.pending.cancel()
             self.pending = None
@@ -187,6 +204,18 @@
         else:
             await asyncio.sleep(self.batch_delay)
 
+    def record_unanswered(self, failure: codes.Failure) -> None:
+        """Record that a call was not answered; the next one begins where it did.
+
+        Raise ``watch-lost`` after several in a row, to list the kind.
+        """
+        self.log.note("watch-unanswered", kind=self.kind, why=failure.detail)
+        self.unanswered += 1
+        if self.large and self.is_behind():
+            self.interrupt()
+        if self.unanswered > MAX_UNANSWERED:
+            raise codes.Failure(codes.WATCH_LOST, failure.detail)
+
     def is_storm(self) -> bool:
         """Record a change; return whether it came within STORM_GAP of the last one."""
         now = asyncio.get_running_loop().time()
@@ -222,6 +251,7 @@
         Unlike a list, its answer has only what was missed; but every version of it, so
         large objects are listed if they are known to have changed.
         """
+        self.unanswered = 0
         if self.large and self.is_behind():
             self.interrupt()
         elif self.pending is not None:
@@ -230,20 +260,7 @@
     def record_answer(self) -> None:
         """Record that the store answered a call of this watch."""
         self.heard_at = asyncio.get_running_loop().time()
-        self.record_current()
+        self.unanswered = 0
+        if self.on_answer is not None:
+            self.on_answer()
         self.health.record_success()
-
-    def record_check(self, began_at: float) -> None:
-        """Record that the store answered a check.
-
-        The data are current if a watch call was already waiting when it began.
-
-        :param began_at: monotonic seconds at which the check was sent.
-        """
-        if self.pending is not None and self.began_at < began_at:
-            self.record_current()
-
-    def record_current(self) -> None:
-        """Record that the store has no change that is not known here."""
-        if self.on_current is not None:
-            self.on_current()
--- a/rattanridge/platform/store.py
+++ b/rattanridge/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's metadata store: read, write and watch its objects."""
 
-import asyncio
 import dataclasses
 import socket
 import typing
@@ -14,7 +13,6 @@
 MAX_ANSWER_BYTES = 33_554_432  # largest answer that is read; more is an error
 CALL_TIMEOUT = 2.0  # seconds until the whole answer to a call other than a watch
 CHECK_TIMEOUT = 0.8  # seconds until the answer to a check
-WATCH_MARGIN = 0.8  # seconds that a watch may take beyond its requested wait
 CONNECT_TIMEOUT = 1.0  # seconds to open a connection
 KEEPALIVE_IDLE = 1  # seconds without data before the first TCP keep-alive probe
 KEEPALIVE_COUNT = 2  # unanswered probes, 1 s apart, that close the connection
@@ -160,14 +158,20 @@
             query = common | {AFTER: items[-1].name}
 
     async def watch(
-        self, kind: str, revision: int, wait: float, stale: bool = False
+        self,
+        kind: str,
+        revision: int,
+        wait: float,
+        margin: float,
+        stale: bool = False,
     ) -> store_objects.Listing:
         """Wait for changes after a revision, at most ``wait`` seconds.
 
         Raise ``watch-lost`` if the store's history no longer reaches back to the
-        revision, if the store has begun a new era since, or if it does not answer
-        within ``wait`` and a margin.
+        revision, or if the store has begun a new era since; ``watch-unanswered`` if
+        nothing comes for ``wait`` and ``margin`` seconds.
 
+        :param margin: seconds for the way to the store and back.
         :param stale: whether changes may arrive seconds late; such a call costs a
             tenth of a normal one and does not count against the store's rate limit.
         """
@@ -175,15 +179,15 @@
         query = {WATCH: str(number), WAIT: str(int(wait * 1000))}
         if stale:
             query[STALE] = "1"
-        try:
-            async with asyncio.timeout(wait + WATCH_MARGIN):
-                answer = await self.call("watch", "GET", kind, query, timeout=None)
-        except TimeoutError:
-            self.observe("watch", codes.WATCH_LOST.name)
-            raise codes.Failure(
-                codes.WATCH_LOST,
-                f"{kind}: no answer within {wait + WATCH_MARGIN:.1f} s",
-            )
+        silence = wait + margin
+        answer = await self.call(
+            "watch",
+            "GET",
+            kind,
+            query,
+            timeout=silence + CALL_TIMEOUT,
+            max_silence=silence,
+        )
         era = answer.era
         if revision and era != store_objects.era_of(revision):
             raise codes.Failure(codes.WATCH_LOST, f"{kind}: answer of era {era}")
@@ -286,14 +290,19 @@
         path: str,
         query: dict[str, str] | None = None,
         body: bytes = b"",
-        timeout: float | None = CALL_TIMEOUT,
+        timeout: float = CALL_TIMEOUT,
+        max_silence: float | None = None,
     ) -> Answer:
         """Return a call's answer; raise a ``codes.Failure`` if it fails.
 
         :param name: the call's name in the metrics.
-        :param timeout: seconds for the whole call; None for no limit.
+        :param timeout: seconds for the whole call.
+        :param max_silence: seconds without a byte of the answer after which
+            ``watch-unanswered`` is raised; None for no such limit.
         """
-        limit = aiohttp.ClientTimeout(total=timeout, sock_connect=CONNECT_TIMEOUT)
+        limit = aiohttp.ClientTimeout(
+            total=timeout, sock_connect=CONNECT_TIMEOUT, sock_read=max_silence
+        )
         headers = {"Content-Type": "application/json"} if body else {}
         try:
             async with self.get_session().request(
@@ -307,6 +316,11 @@
                 data = await read_answer(response)
                 status = response.status
                 era = self.record_era(response.headers.get(ERA))
+        except aiohttp.SocketTimeoutError:
+            self.observe(name, codes.WATCH_UNANSWERED.name)
+            raise codes.Failure(
+                codes.WATCH_UNANSWERED, f"{path}: nothing for {max_silence:.1f} s"
+            )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self.observe(name, codes.PLATFORM_DOWN.name)
             raise codes.Failure(codes.PLATFORM_DOWN, f"{name}: {type(error).__name__}")
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -6,8 +6,9 @@
 import pytest
 
 from rattanridge.kernel import codes, compression
-from rattanridge.mesh import node as nodes, records, store_health, watching
-from rattanridge.platform import configs, orders, store as stores
+from rattanridge.mesh import node as nodes, records, watching
+from rattanridge.platform import configs, orders
+from rattanridge.policies import budget_nodes
 from tests import mesh_world
 
 
@@ -113,7 +114,7 @@
     # Guards against: nodes whose watches wait for long have no share of the retry
     # budget's allowance, as they do not know whether their records are current.
     async def test_records_stay_current_while_nothing_changes(self, world, monkeypatch):
-        monkeypatch.setattr(store_health, "MAX_SILENCE", 0.1)
+        monkeypatch.setattr(watching, "STALE_WAIT_SHARES", (0.05, 0.06))
         await world.start("registry")
         node = world.nodes[0]
         await world.wait(lambda: all(watch.pending for watch in node.watches))
@@ -188,9 +189,8 @@
 
     async def test_one_failed_watch_makes_all_list_again(self, world, monkeypatch):
         """The store stops answering watches and drops its history."""
-        monkeypatch.setattr(watching, "MIN_LONGEST_WAIT", 0.4)
-        monkeypatch.setattr(watching, "WAIT_PER_NODE", 0.0)
-        monkeypatch.setattr(stores, "WATCH_MARGIN", 0.2)
+        monkeypatch.setattr(watching, "WAIT_SHARES", (0.05, 0.13))
+        monkeypatch.setattr(watching, "MARGIN_SHARE", 0.03)
         await world.start("workshop")
         node = world.nodes[0]
         world.store.faults.mute = True
@@ -204,15 +204,19 @@
         watch = world.nodes[0].watches[0]
         assert len({watch.draw_wait() for _ in range(20)}) == 20
 
-    @pytest.mark.parametrize(("nodes", "longest"), [(10, 10), (195, 18), (830, 18)])
-    async def test_some_node_renews_its_watch_each_second(self, world, nodes, longest):
-        """It finds out that the store has dropped its history, and tells the others."""
+    @pytest.mark.parametrize("nodes", [10, 195, 830])
+    async def test_each_node_renews_its_watches_soon(self, world, nodes):
+        """It finds out what it has missed, however many nodes there are."""
         await world.start("registry")
-        watch = world.nodes[0].watches[0]
-        watch.health.nodes = nodes
-        waits = [watch.draw_wait() for _ in range(200)]
-        assert nodes / (sum(waits) / len(waits)) > 1
-        assert 0.9 * longest < max(waits) <= longest
+        contact = world.nodes[0].config.contact_ms / 1000
+        for watch in world.nodes[0].watches:
+            watch.health.nodes = nodes
+            longest = max(watch.draw_wait() for _ in range(200)) + watch.margin()
+            if watch.allow_stale:
+                assert 2 * longest <= budget_nodes.MAX_CONTACT_AGE
+            else:
+                assert longest <= 0.9 * contact
+            assert nodes / longest > 1
 
     # Guards against: a change was made while the watches heard nothing, the history was
     # dropped, and all nodes handled requests by the older version for over 4 s.
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -94,7 +94,7 @@
         for number in range(changes):
             await world.store.put("things", f"b{number}", b"1")
         with pytest.raises(codes.Failure) as found:
-            await store.watch("things", listing.revision, 0.1)
+            await store.watch("things", listing.revision, 0.1, 0.8)
         assert found.value.code is codes.WATCH_LOST
         await store.close()
 
--- a/tests/test_store_health.py
+++ b/tests/test_store_health.py
@@ -34,10 +34,6 @@
 
     def __init__(self):
         self.renewed_at = []
-        self.checks = []
-
-    def record_check(self, began_at):
-        self.checks.append(began_at)
 
     def renew(self):
         self.renewed_at.append(asyncio.get_running_loop().time())
@@ -56,10 +52,10 @@
     def test_follow_each_watch_that_begins(self):
         async def run():
             store = Store()
-            health, watch = make_node(store)
+            health, _ = make_node(store)
             health.record_watch()
             await asyncio.sleep(1.0)
-            assert store.calls == watch.checks == [store_health.CHECK_DELAY]
+            assert store.calls == [store_health.CHECK_DELAY]
 
         virtual_time.run(run())
 
--- /dev/null
+++ b/tests/test_watching.py
@@ -0,0 +1,216 @@
+"""How soon a node hears of a change that the store took after a disturbance.
+
+Most in virtual time: real watches, and a store that swallows the calls of some moments.
+"""
+
+import asyncio
+import itertools
+import random
+
+import pytest
+
+from rattanridge.kernel import codes
+from rattanridge.mesh import settings, store_health, watching
+from rattanridge.platform import store_objects
+from tests import mesh_world, silent_log, virtual_time
+
+KIND = "config"
+CALM = 20.0  # seconds before the first change
+CALL_TIMEOUT = 2.0  # seconds until an unanswered list fails
+CONTACT = 3.0  # seconds after a disturbance in which nodes get in touch again
+CONFIG = settings.Settings(
+    name="node",
+    zone="a",
+    store="127.0.0.1:1",
+    listen=settings.Listen(*(f"127.0.0.1:{port}" for port in range(2, 6))),
+)
+
+
+class Store:
+    """A store that takes no call in a disturbance, and whose answers are lost then.
+
+    :param silences: begin and end of each, in seconds.
+    :param refuses: whether calls are refused then, in place of not answered.
+    """
+
+    def __init__(self, silences=(), refuses=False):
+        self.silences = silences
+        self.refuses = refuses
+        self.revision = 1
+        self.changed = asyncio.Condition()
+        self.calls = 0
+
+    async def reach(self, timeout, code):
+        """Return once the store takes a call; raise if a silence swallows it."""
+        self.calls += 1
+        if self.is_silent():
+            if self.refuses:
+                raise codes.Failure(codes.PLATFORM_BUSY)
+            await asyncio.sleep(timeout)
+            raise codes.Failure(code)
+
+    def is_silent(self):
+        now = asyncio.get_running_loop().time()
+        return any(begin <= now < end for begin, end in self.silences)
+
+    async def check(self):
+        await self.reach(0.8, codes.PLATFORM_DOWN)
+
+    async def list(self, kind, allow_stale=False):
+        await self.reach(CALL_TIMEOUT, codes.PLATFORM_DOWN)
+        return self.answer()
+
+    async def watch(self, kind, revision, wait, margin, stale=False):
+        end = asyncio.get_running_loop().time() + wait + margin
+        await self.reach(wait + margin, codes.WATCH_UNANSWERED)
+        try:
+            async with asyncio.timeout(wait), self.changed:
+                await self.changed.wait_for(lambda: self.revision > revision)
+        except TimeoutError:
+            pass
+        if self.is_silent():
+            await asyncio.sleep(end - asyncio.get_running_loop().time())
+            raise codes.Failure(codes.WATCH_UNANSWERED)
+        return self.answer(since=revision)
+
+    async def change(self):
+        async with self.changed:
+            self.revision += 1
+            self.changed.notify_all()
+
+    def answer(self, since=0):
+        items = [store_objects.StoredObject("main", self.revision)]
+        return store_objects.Listing(items[: self.revision > since], self.revision)
+
+
+class Node:
+    """One watch of a node, and when it learnt of each revision."""
+
+    def __init__(self, store, seed=1, **more):
+        self.learnt_at = {}
+        self.health = store_health.StoreHealth(
+            CONFIG, store.check, silent_log.SilentLog(), random.Random(seed)
+        )
+        self.watch = watching.Watch(
+            store,
+            KIND,
+            self.health,
+            lambda items: [self.apply(item) for item in items],
+            self.apply,
+            silent_log.SilentLog(),
+            0.25,
+            large=True,
+            **more,
+        )
+        self.task = asyncio.create_task(self.watch.run())
+
+    def apply(self, item):
+        now = asyncio.get_running_loop().time()
+        self.learnt_at.setdefault(item.revision, now)
+
+    def close(self):
+        self.task.cancel()
+        self.health.close()
+
+
+async def play(silences, changes, seed, **more):
+    """Return when a node learnt of each change, by its time.
+
+    :param silences: begin and end of each, in seconds after the first change.
+    :param changes: seconds after CALM at which the store takes them.
+    """
+    store = Store([(CALM + begin, CALM + end) for begin, end in silences], **more)
+    node = Node(store, seed)
+    loop = asyncio.get_running_loop()
+    for at in changes:
+        await asyncio.sleep(CALM + at - loop.time())
+        await store.change()
+    await asyncio.sleep(30.0)
+    node.close()
+    return [node.learnt_at[number] - CALM for number in range(2, store.revision + 1)]
+
+
+class TestSilence:
+    # Guards against: a watch that began in a short silence of the store was never
+    # answered, counted as current by the answer to a check, and the node acted on an
+    # old configuration for up to 10 s after the next change.
+    @pytest.mark.parametrize("length", [0.05, 0.1, 0.3, 0.7, 1.5, 2.3, 4.5])
+    @pytest.mark.parametrize("begin", [0.05, 0.1, 0.2, 0.24])
+    def test_change_after_it_is_heard_in_time(self, begin, length):
+        end = begin + length
+        for seed, later in itertools.product(range(4), (0.0, 0.5, 1.5, 3.2)):
+            at = end + later
+            learnt = virtual_time.run(play([(begin, end)], [0.0, at], seed))
+            assert learnt[1] <= max(end + CONTACT, at + 0.1)
+
+    # Guards against: the call that took the place of a swallowed one was swallowed by
+    # another short silence, and nothing asked again.
+    @pytest.mark.parametrize("gap", [0.6, 1.0, 2.0, 2.4, 2.6, 2.7, 3.0])
+    def test_change_after_several_is_heard_in_time(self, gap):
+        silences = [(0.1 + gap * part, 0.4 + gap * part) for part in range(4)]
+        end = silences[-1][1]
+        for seed in range(8):
+            learnt = virtual_time.run(play(silences, [0.0, end + 0.1], seed))
+            assert learnt[1] <= end + CONTACT
+
+    @pytest.mark.parametrize("refuses", [False, True])
+    @pytest.mark.parametrize("length", [0.5, 2.0, 4.5, 9.0, 15.0])
+    def test_change_in_it_is_heard_in_time(self, length, refuses):
+        silence = (0.1, 0.1 + length)
+        for seed in range(16):
+            run = play([silence], [0.0, 0.4], seed, refuses=refuses)
+            assert virtual_time.run(run)[1] <= silence[1] + CONTACT
+
+
+class TestMesh:
+    """The same with real nodes, and a stand-in of the store."""
+
+    # Guards against: a watch that began in a short silence was never answered, counted
+    # as current by the answer to a check, and a node without calls from others went on
+    # with the old configuration for up to 10 s.
+    async def test_watch_that_began_in_a_short_silence(self, world):
+        await world.start("registry", "workshop")
+        watches = [watch for node in world.nodes for watch in node.watches]
+        await world.wait(lambda: all(watch.pending for watch in watches))
+        for node in world.nodes:
+            await node.health.wait_for_answer()  # no check comes in the silence
+        await world.configure(2, *mesh_world.DEFAULT_ROUTES)
+        await asyncio.sleep(0.1)
+        world.store.faults.silent = True
+        await asyncio.sleep(0.3)
+        world.store.faults.silent = False
+        await asyncio.sleep(0.7)
+        await world.configure(3, *mesh_world.DEFAULT_ROUTES)
+        await world.wait(
+            lambda: all(node.configs.version == 3 for node in world.nodes), 2.3
+        )
+
+
+class TestCheck:
+    # Guards against: the answer to a check counted as one to each watch that waited, so
+    # that a node whose watch was dead kept its share of the retry budget.
+    def test_its_answer_says_nothing_of_a_watch_that_waits(self):
+        async def run():
+            heard = []
+            node = Node(Store(), on_answer=lambda: heard.append(1))
+            await asyncio.sleep(CALM)
+            answers, at = len(heard), node.watch.heard_at
+            await node.health.wait_for_answer()
+            assert (len(heard), node.watch.heard_at) == (answers, at)
+            node.close()
+
+        virtual_time.run(run())
+
+
+class TestRest:
+    @pytest.mark.parametrize(("stale", "most"), [(False, 0.5), (True, 0.35)])
+    def test_calls_are_few(self, stale, most):
+        async def run():
+            store = Store()
+            node = Node(store, allow_stale=stale)
+            node.health.check = lambda: asyncio.sleep(0)
+            await asyncio.sleep(100.0)
+            node.close()
+            return store.calls
+
+        assert virtual_time.run(run()) <= 100 * most
