Quarantine: a line tells when evidence ends before its time

Change: evidence-dropped has the node, the names and the seconds left. What is done by it is as before.

--- a/rattanridge/mesh/suspects.py
+++ b/rattanridge/mesh/suspects.py
@@ -84,8 +84,29 @@
 
     def apply(self, node: str, found: tuple[quarantine.Suspect, ...]) -> None:
         """Apply the evidence that another node published; an empty one removes it."""
-        if node != self.node:
-            self.quarantine.apply(node, found)
+        if node == self.node:
+            return
+        self.log_dropped(node, {item.fingerprint for item in found})
+        self.quarantine.apply(node, found)
+
+    def log_dropped(self, node: str, names: set[str]) -> None:
+        """Log the evidence of a node that ends before its time.
+
+        :param names: fingerprints of what the node publishes now.
+        """
+        now = self.wall_clock()
+        dropped = [
+            item
+            for item in self.quarantine.reported.get(node, ())
+            if item.fingerprint not in names and item.until > now
+        ]
+        if dropped:
+            self.log.note(
+                "evidence-dropped",
+                name=node,
+                names=",".join(item.fingerprint for item in dropped),
+                left=max(item.until for item in dropped) - now,
+            )
 
     def notify(self) -> None:
         """Apply this node's evidence, and call the listeners, which publish it."""
