--- a/rattanridge/admin/zone_reports.py
+++ b/rattanridge/admin/zone_reports.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from rattanridge.kernel import untrusted_json
-from rattanridge.mesh import evacuation, node as nodes, records
+from rattanridge.mesh import evacuation, node as nodes
+from rattanridge.mesh.discovery import records
 
 MAX_CONCURRENT_FETCHES = 64  # nodes whose page is fetched at the same time
 
--- a/rattanridge/measure/node_cost.py
+++ b/rattanridge/measure/node_cost.py
@@ -12,7 +12,8 @@
 
 from rattanridge.kernel import routes
 from rattanridge.measure import base, node_processes, processes
-from rattanridge.mesh import records, settings
+from rattanridge.mesh import settings
+from rattanridge.mesh.discovery import records
 from rattanridge.platform import configs, headers
 from rattanridge.standin import fleet, metadata, upstream as upstreams
 
--- a/rattanridge/mesh/calls.py
+++ b/rattanridge/mesh/calls.py
@@ -5,7 +5,7 @@
 import multidict
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import announcements
+from rattanridge.mesh.discovery import announcements
 from rattanridge.platform import headers
 from rattanridge.policies import cold_rate, load_shedding, placement
 from rattanridge.web import headers as own_headers
--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from rattanridge.kernel import codes, compression, routes
-from rattanridge.mesh import events, store_health, watching
+from rattanridge.mesh import events
+from rattanridge.mesh.discovery import store_health, watching
 from rattanridge.platform import configs, store as stores, store_objects
 from rattanridge.policies import freshness
 
--- a/rattanridge/mesh/confirmation.py
+++ b/rattanridge/mesh/confirmation.py
@@ -4,13 +4,13 @@
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import (
-    announcements,
     configs,
     connections,
     events,
     exchanges,
     upstream as upstreams,
 )
+from rattanridge.mesh.discovery import announcements
 from rattanridge.platform import headers
 
 CHECK_TIMEOUT = 0.5  # seconds for one health check
--- a/rattanridge/mesh/coordinator.py
+++ b/rattanridge/mesh/coordinator.py
@@ -14,16 +14,15 @@
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import (
-    directory as directories,
     evaluation as evaluations,
     events,
     monitoring,
     peers as forwarders,
     settings,
-    store_health,
     trial as trials,
     versions as versioning,
 )
+from rattanridge.mesh.discovery import directory as directories, store_health
 from rattanridge.platform import orders, store as stores
 from rattanridge.policies import evidence, evidence_history, placement, ramp as ramps
 
--- a/rattanridge/mesh/directory.py
+++ b/rattanridge/mesh/discovery/directory.py
@@ -3,13 +3,8 @@
 import msgspec
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import (
-    announcements,
-    events,
-    records,
-    suspects as suspecting,
-    upstream as upstreams,
-)
+from rattanridge.mesh import events, suspects as suspecting, upstream as upstreams
+from rattanridge.mesh.discovery import announcements, records
 from rattanridge.platform import store_objects
 from rattanridge.policies import placement
 
--- a/rattanridge/mesh/membership.py
+++ b/rattanridge/mesh/discovery/membership.py
@@ -6,16 +6,18 @@
 
 from rattanridge.kernel import clock, codes
 from rattanridge.mesh import (
-    directory as directories,
     events,
-    publisher as publishers,
-    records,
     settings,
     shutdown as shutdowns,
-    store_health,
     suspects as suspecting,
     upstream as upstreams,
 )
+from rattanridge.mesh.discovery import (
+    directory as directories,
+    publisher as publishers,
+    records,
+    store_health,
+)
 from rattanridge.platform import store as stores, store_objects
 from rattanridge.policies import budget_nodes
 
--- a/rattanridge/mesh/publisher.py
+++ b/rattanridge/mesh/discovery/publisher.py
@@ -4,7 +4,8 @@
 import collections.abc
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import events, records, store_health
+from rattanridge.mesh import events
+from rattanridge.mesh.discovery import records, store_health
 from rattanridge.platform import store as stores, store_objects
 
 
--- a/rattanridge/mesh/watches.py
+++ b/rattanridge/mesh/discovery/watches.py
@@ -1,15 +1,7 @@
 """The watches of a node: which kinds of objects it follows, and who applies them."""
 
-from rattanridge.mesh import (
-    configs,
-    evacuation,
-    events,
-    membership,
-    records,
-    store_health,
-    versions,
-    watching,
-)
+from rattanridge.mesh import configs, evacuation, events, versions
+from rattanridge.mesh.discovery import membership, records, store_health, watching
 from rattanridge.platform import (
     configs as wire_configs,
     evacuations as wire_evacuations,
--- a/rattanridge/mesh/dispatcher.py
+++ b/rattanridge/mesh/dispatcher.py
@@ -7,7 +7,6 @@
 from rattanridge.kernel import clock, codes, routes
 from rattanridge.mesh import (
     calls,
-    directory as directories,
     evacuation,
     events,
     exit as exits,
@@ -15,6 +14,7 @@
     settings,
     shutdown as shutdowns,
 )
+from rattanridge.mesh.discovery import directory as directories
 from rattanridge.policies import cold_rate, placement, retry_budget, tickets
 
 MAX_EXIT_REFUSALS = 3  # attempts of one call that did not reach an upstream
--- a/rattanridge/mesh/evacuation.py
+++ b/rattanridge/mesh/evacuation.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from rattanridge.kernel import untrusted_json
-from rattanridge.mesh import directory as directories, events, settings
+from rattanridge.mesh import events, settings
+from rattanridge.mesh.discovery import directory as directories
 from rattanridge.platform import store_objects
 
 PATH = "/evacuations"
--- a/rattanridge/mesh/evacuation_repair.py
+++ b/rattanridge/mesh/evacuation_repair.py
@@ -7,7 +7,8 @@
 import asyncio
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import directory as directories, evacuation, events, membership
+from rattanridge.mesh import evacuation, events
+from rattanridge.mesh.discovery import directory as directories, membership
 from rattanridge.platform import evacuations, store as stores
 
 FIRST_DELAY = 0.3  # seconds
--- a/rattanridge/mesh/exit.py
+++ b/rattanridge/mesh/exit.py
@@ -4,7 +4,6 @@
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import (
-    announcements,
     calls,
     connections,
     events,
@@ -20,6 +19,7 @@
     upstream as upstreams,
     upstream_messages,
 )
+from rattanridge.mesh.discovery import announcements
 from rattanridge.platform import headers
 from rattanridge.policies import (
     admissions,
--- a/rattanridge/mesh/handlers.py
+++ b/rattanridge/mesh/handlers.py
@@ -10,7 +10,6 @@
 from rattanridge.mesh import (
     calls,
     configs as configurations,
-    directory as directories,
     evacuation,
     events,
     exit as exits,
@@ -19,11 +18,11 @@
     monitoring,
     settings,
     shutdown as shutdowns,
-    store_health,
     trial as trials,
     upstream as upstreams,
     versions as versioning,
 )
+from rattanridge.mesh.discovery import directory as directories, store_health
 from rattanridge.mesh.quota import service as quotas
 from rattanridge.platform import headers, heartbeats
 from rattanridge.web import bodies, headers as own_headers
--- a/rattanridge/mesh/hop_headers.py
+++ b/rattanridge/mesh/hop_headers.py
@@ -6,7 +6,8 @@
 import urllib.parse
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import announcements, calls, upstream as upstreams
+from rattanridge.mesh import calls, upstream as upstreams
+from rattanridge.mesh.discovery import announcements
 from rattanridge.platform import headers
 from rattanridge.policies import cold_rate, load_shedding, placement
 from rattanridge.web import headers as own_headers
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -18,19 +18,16 @@
     gate,
     handlers,
     hop_auth,
-    membership,
     peers as forwarders,
     ports,
-    records,
     settings,
     shutdown as shutdowns,
-    store_health,
     suspects as suspecting,
     tasks as tasking,
     upstream as upstreams,
     versions,
-    watches,
 )
+from rattanridge.mesh.discovery import membership, records, store_health, watches
 from rattanridge.mesh.quota import service as quotas
 from rattanridge.platform import orders, store as stores
 from rattanridge.web import memory
--- a/rattanridge/mesh/quota/allocator.py
+++ b/rattanridge/mesh/quota/allocator.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from rattanridge.kernel import accounts, codes
-from rattanridge.mesh import directory as directories, events, peers as forwarders
+from rattanridge.mesh import events, peers as forwarders
+from rattanridge.mesh.discovery import directory as directories
 from rattanridge.mesh.quota import lease as leases, messages
 from rattanridge.policies import quota, quota_ledger
 
--- a/rattanridge/mesh/quota/client.py
+++ b/rattanridge/mesh/quota/client.py
@@ -4,7 +4,8 @@
 import collections.abc
 
 from rattanridge.kernel import accounts, codes
-from rattanridge.mesh import events, peers as forwarders, store_health
+from rattanridge.mesh import events, peers as forwarders
+from rattanridge.mesh.discovery import store_health
 from rattanridge.mesh.quota import allocator as allocators, lease as leases, messages
 from rattanridge.policies import quota
 
--- a/rattanridge/mesh/quota/service.py
+++ b/rattanridge/mesh/quota/service.py
@@ -10,12 +10,11 @@
 from rattanridge.kernel import accounts, clock
 from rattanridge.mesh import (
     configs as configurations,
-    directory as directories,
     events,
     peers as forwarders,
     settings,
-    store_health,
 )
+from rattanridge.mesh.discovery import directory as directories, store_health
 from rattanridge.mesh.quota import allocator, client, lease, messages
 from rattanridge.platform import store as stores
 from rattanridge.web import bodies
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -5,14 +5,8 @@
 
 import pytest
 
-from rattanridge.mesh import (
-    announcements,
-    directory,
-    hop_headers,
-    records,
-    shutdown,
-    upstream as upstreams,
-)
+from rattanridge.mesh import hop_headers, shutdown, upstream as upstreams
+from rattanridge.mesh.discovery import announcements, directory, records
 from rattanridge.platform import store_objects
 from tests import silent_log
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rattanridge.mesh import directory as directories, records
+from rattanridge.mesh.discovery import directory as directories, records
 from rattanridge.platform import store_objects
 from tests import silent_log
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,7 +11,8 @@
 from rattanridge.admin import server
 from rattanridge.cli import main
 from rattanridge.kernel import codes, registry
-from rattanridge.mesh import configs, directory, monitoring, trial, versions
+from rattanridge.mesh import configs, monitoring, trial, versions
+from rattanridge.mesh.discovery import directory
 from rattanridge.mesh.quota import messages
 from rattanridge.web import headers
 
--- a/tests/test_mesh_store.py
+++ b/tests/test_mesh_store.py
@@ -6,7 +6,8 @@
 import pytest
 
 from rattanridge.kernel import codes, compression
-from rattanridge.mesh import node as nodes, records, watching
+from rattanridge.mesh import node as nodes
+from rattanridge.mesh.discovery import records, watching
 from rattanridge.platform import configs, orders
 from tests import mesh_world
 
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -6,7 +6,8 @@
 import msgspec
 import pytest
 
-from rattanridge.mesh import node as nodes, records
+from rattanridge.mesh import node as nodes
+from rattanridge.mesh.discovery import records
 from rattanridge.platform import heartbeats
 
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -8,7 +8,8 @@
 import pytest
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import kept_claims, node as nodes, records
+from rattanridge.mesh import kept_claims, node as nodes
+from rattanridge.mesh.discovery import records
 from rattanridge.platform import configs, orders, store as stores, store_objects
 from rattanridge.standin import fleet, upstream as upstreams
 from rattanridge.web import headers
--- a/tests/test_store_health.py
+++ b/tests/test_store_health.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import store_health
+from rattanridge.mesh.discovery import store_health
 from tests import silent_log, virtual_time
 
 TIMEOUT = 0.8  # seconds until a call to the silent store fails
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -10,7 +10,8 @@
 import pytest
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import settings, store_health, watching
+from rattanridge.mesh import settings
+from rattanridge.mesh.discovery import store_health, watching
 from rattanridge.platform import store_objects
 from rattanridge.policies import budget_nodes
 from tests import mesh_world, silent_log, virtual_time
