--- a/tests/test_mesh_rollouts.py
+++ b/tests/test_mesh_rollouts.py
@@ -97,7 +97,7 @@
         await start(world)
         await send_until(world, lambda: state(world) == orders.RUNNING)
         stopped = world.fleet.hosts[holder(world)].node
-        for task in stopped.tasks:
+        for task in stopped.tasks.items:
             if "Coordinator" in repr(task.get_coro()):
                 task.cancel()
         await send_until(world, lambda: state(world) == orders.COMPLETED)
