--- a/rattanridge/mesh/discovery/watching.py
+++ b/rattanridge/mesh/discovery/watching.py
@@ -69,9 +69,9 @@
         freshness: freshnesses.Freshness | None = None,
         on_answer: collections.abc.Callable[[], None] | None = None,
     ):
-        self.freshness = freshness or freshnesses.Freshness()
         self.large = large
         self.is_behind = is_behind
+        self.freshness = freshness or freshnesses.Freshness()
         self.on_answer = on_answer
         self.changed_at = float("-inf")
         self.batch_delay = batch_delay
@@ -87,7 +87,8 @@
         self.listed = False
         self.heard_at = 0.0
         self.began_at = 0.0
-        # When the watch ends that waits now, over all calls that it takes.
+        # When the watch that waits now ends, over all calls that it takes; None if
+        # none waits.
         self.ends_at: float | None = None
         self.renewal: asyncio.TimerHandle | None = None
         self.unanswered = 0  # watches in a row
@@ -170,6 +171,17 @@
             return draw.uniform(LAST_WAIT_SHARE * longest, longest)
         return wait
 
+    def continue_wait(self) -> float:
+        """Return the seconds that a call which begins now waits for changes.
+
+        A call that takes another one's place waits for the rest of its time.
+        """
+        if self.ends_at is not None:
+            return max(self.ends_at - self.began_at, MIN_WAIT)
+        wait = self.draw_wait()
+        self.ends_at = self.began_at + wait
+        return wait
+
     def margin(self) -> float:
         """Return the seconds beyond its wait within which a call must be answered."""
         return ANSWER_MARGIN * 2**self.unanswered
@@ -183,20 +195,11 @@
         if self.interrupted:
             raise codes.Failure(codes.WATCH_LOST, "interrupted to list again")
         self.began_at = asyncio.get_running_loop().time()
-        if self.ends_at is None:
-            wait = self.draw_wait()
-            self.ends_at = self.began_at + wait
-        else:
-            wait = max(self.ends_at - self.began_at, MIN_WAIT)
-        self.pending = asyncio.create_task(
-            self.store.watch(
-                self.kind,
-                self.revision,
-                wait,
-                self.margin(),
-                self.allow_stale,
-            )
+        wait = self.continue_wait()
+        call = self.store.watch(
+            self.kind, self.revision, wait, self.margin(), self.allow_stale
         )
+        self.pending = asyncio.create_task(call)
         self.schedule_renewal()
         self.health.record_watch()
         try:
@@ -218,12 +221,17 @@
             self.pending = None
             self.cancel_renewal()
         self.record_answer()
-        self.revision = max(self.revision, changes.revision)
-        for item in changes.items:
-            self.apply_one(item)
         if not changes.items:
             self.record_wait(wait)
+        await self.apply_changes(changes)
+
+    async def apply_changes(self, changes: store_objects.Listing) -> None:
+        """Apply the answer to a watch; return when the next one may begin."""
+        self.revision = max(self.revision, changes.revision)
+        if not changes.items:
             return
+        for item in changes.items:
+            self.apply_one(item)
         self.log.note(
             "watch-answered",
             kind=self.kind,
