--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -10,7 +10,7 @@
 import pytest
 
 from rattanridge.kernel import codes
-from rattanridge.mesh import settings
+from rattanridge.mesh import hop_headers, settings
 from rattanridge.mesh.discovery import store_health, watching
 from rattanridge.platform import store_objects
 from rattanridge.policies import budget_nodes
@@ -203,6 +203,20 @@
             lambda: all(node.configs.version == 3 for node in world.nodes), 2.3
         )
 
+    # Guards against: an answer that took long on its way proves more than its exit knew
+    # when it gave it.
+    async def test_answer_of_another_node_proves_what_that_knew(self, world):
+        await world.start("workshop", "registry")
+        entry, exit = (node.configs.freshness for node in world.nodes)
+        entry.known_at = float("-inf")
+        exit.record(asyncio.get_running_loop().time())
+        assert (await world.call("/lookup/1"))[0] == 200
+        assert exit.known_at - 0.5 < entry.known_at <= exit.known_at
+
+    @pytest.mark.parametrize("text", ["", "-1", "x", "1.5", "²", "9" * 10])
+    def test_unreadable_age_proves_nothing(self, text):
+        assert hop_headers.decode_known(text) == float("inf")
+
 
 class TestCheck:
     # Guards against: the answer to a check counted as one to each watch that waited, so
