--- a/rattanridge/mesh/discovery/membership.py
+++ b/rattanridge/mesh/discovery/membership.py
@@ -124,7 +124,7 @@
         self.budget_nodes.set_span(self.config.repeats.budget_settings().span())
 
     def record_answer(self) -> None:
-        """Record that the store has told of all records."""
+        """Record that the store has answered the watch of the records."""
         self.budget_nodes.record_contact(clock.seconds_since_boot())
 
     def count_budget_nodes(self) -> int:
