--- a/review/lab3.py
+++ b/review/lab3.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import shutil
 import signal
@@ -21,13 +22,27 @@
 HOST = "mesh.example"
 BEAT_SECONDS = 1.5
 READY_TIMEOUT = 20.0
+PORTS = (10_000, 30_000)
+
+taken = set()
 
 
 def free_port():
-    """Return a free port of the loopback address."""
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
+    """Return a free port of the loopback address.
+
+    It is below those that the system gives to outgoing connections, which could take
+    it before a process listens there.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as found:
+            try:
+                found.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in taken:
+            taken.add(port)
+            return port
 
 
 def environment(**more):
