--- a/review/lab3.py
+++ b/review/lab3.py
@@ -22,7 +22,9 @@
 HOST = "mesh.example"
 BEAT_SECONDS = 1.5
 READY_TIMEOUT = 20.0
-PORTS = (10_000, 30_000)
+FIRST_PORT = 10_000
+PORTS = 100  # of one script
+PORT_RANGES = 200
 
 taken = set()
 
@@ -31,10 +33,12 @@
     """Return a free port of the loopback address.
 
     It is below those that the system gives to outgoing connections, which could take
-    it before a process listens there.
+    it before a process listens there, and in a range that scripts beside each other
+    hardly share.
     """
+    first = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS
     while True:
-        port = random.randrange(*PORTS)
+        port = random.randrange(first, first + PORTS)
         with socket.socket() as found:
             try:
                 found.bind(("127.0.0.1", port))
@@ -377,6 +381,7 @@
     async def wait_ready(self):
         for node in self.nodes:
             if not await node.wait_ready():
+                self.record.write(f"{node.name} is not ready: {node.log()[-2000:]}")
                 raise RuntimeError(f"{node.name} is not ready")
         await asyncio.sleep(2 * BEAT_SECONDS)
 
@@ -431,6 +436,9 @@
     """Run a case; exit with 1 if it returns a broken rule, 2 if it could not run."""
 
     async def main():
+        # A script that is ended ends its processes, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         lab = Lab(folder)
         try:
             async with asyncio.timeout(110):
@@ -440,7 +448,7 @@
 
     try:
         broken = asyncio.run(main())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     print(broken or "held")
