--- a/review/lab3.py
+++ b/review/lab3.py
@@ -26,19 +26,34 @@
 PORTS = 100  # of one script
 PORT_RANGES = 200
 
+ranges = []  # the socket that holds the range of this script
 taken = set()
 
 
-def free_port():
-    """Return a free port of the loopback address.
+def hold_range():
+    """Return a bound socket whose port is the first of a range that is ours.
 
-    It is below those that the system gives to outgoing connections, which could take
-    it before a process listens there, and in a range that scripts beside each other
-    hardly share.
+    Scripts beside each other do the same, so none takes the ports of another one. The
+    ranges are below the ports that the system gives to outgoing connections.
     """
-    first = FIRST_PORT + os.getpid() % PORT_RANGES * PORTS
     while True:
-        port = random.randrange(first, first + PORTS)
+        first = FIRST_PORT + random.randrange(PORT_RANGES) * PORTS
+        held = socket.socket()
+        try:
+            held.bind(("127.0.0.1", first))
+        except OSError:
+            held.close()
+            continue
+        return held
+
+
+def free_port():
+    """Return a free port of the loopback address, of the range that is ours."""
+    if not ranges:
+        ranges.append(hold_range())
+    first = ranges[0].getsockname()[1]
+    while True:
+        port = random.randrange(first + 1, first + PORTS)
         with socket.socket() as found:
             try:
                 found.bind(("127.0.0.1", port))
