A weight of a traffic split is a number of any size

Cause: the wire format took whole numbers only, and one field that can't be read refuses the whole version.

A whole weight is written without a fraction, as nodes of the version before refuse 75.0 in a rolling upgrade.

--- a/rattanridge/kernel/routes.py
+++ b/rattanridge/kernel/routes.py
@@ -25,10 +25,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Share:
-    """One service of a route, with its weight in the traffic split."""
+    """One service of a route, with its weight in the traffic split.
+
+    :param weight: any number from 0 on; only the proportions of the weights count.
+    """
 
     service: str
-    weight: int
+    weight: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -13,6 +13,7 @@
 NON_IDEMPOTENT_KIND = "unsafe"
 KINDS = (IDEMPOTENT_KIND, LARGE_KIND, NON_IDEMPOTENT_KIND)
 VERSION_BASE = 16
+MAX_EXACT = 2**53  # whole numbers up to this one are the same as a float
 DEFAULT_TIMEOUT_MS = 10_000.0  # of a route that sets none
 
 
@@ -20,7 +21,7 @@
     """One service of a traffic split and its weight."""
 
     service: str = msgspec.field(name="Service")
-    weight: int = msgspec.field(name="Weight")
+    weight: float = msgspec.field(name="Weight")
 
 
 class WireExtras(msgspec.Struct, omit_defaults=True):
@@ -289,7 +290,7 @@
     if len(route.shares) == 1:
         wire.service = route.shares[0].service
     else:
-        wire.split = [WireShare(item.service, item.weight) for item in route.shares]
+        wire.split = [encode_share(item) for item in route.shares]
     if route.methods or route.bare or route.key:
         wire.extras = WireExtras(sorted(route.methods), route.bare, route.key)
     if route.public:
@@ -297,6 +298,18 @@
     return wire
 
 
+def encode_share(share: routes.Share) -> WireShare:
+    """Return a share in wire format.
+
+    A whole weight is written without a fraction: nodes of earlier versions of this
+    program refuse ``75.0``.
+    """
+    weight = share.weight
+    if weight == int(weight) and weight <= MAX_EXACT:
+        weight = int(weight)
+    return WireShare(share.service, weight)
+
+
 def kind_of(route: routes.Route) -> str:
     """Return the platform's kind of a route."""
     if not route.idempotent:
