JSON has one kind of number: 6.0 is read where 6 is

What callers saw: a version with Priority 1.0 or MaxAttempts 2.0, both whole numbers, was refused by every node like one with fractions as weights; an endpoint whose reports say Slots 6.0 was never used; an object of the store whose Revision is 6.0 was left out of what the store said.

Cause: the library takes no number with a fraction part or an exponent for an int, and each document was decoded whole.

Change: kernel/untrusted_json reads the parts of a document one by one where the whole does not match its type. Configurations, reports, farewells, records, orders, status, objects, lists, watches, claims, pages of nodes and idempotency keys in bodies go through it. The tuple of the library's errors, which stood nine times, stands once.

What a report may not hold (6.5, null, text) is refused as before.

--- a/rattanridge/admin/rollouts.py
+++ b/rattanridge/admin/rollouts.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from rattanridge.admin import server, store_writes
-from rattanridge.kernel import codes, settings
+from rattanridge.kernel import codes, settings, untrusted_json
 from rattanridge.mesh import node as nodes, versions
 from rattanridge.platform import orders, store_objects
 from rattanridge.policies import ramp
@@ -224,8 +224,8 @@
 async def start_rollout(served: server.Server, request: server.Request) -> object:
     """Start a rollout of a service."""
     try:
-        requested = msgspec.json.decode(request.body, type=Start)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        requested = untrusted_json.decode(request.body, Start)
+    except untrusted_json.ERRORS as error:
         raise codes.Failure(codes.ADMIN_BAD_REQUEST, str(error))
     return await Rollouts(served.node).start(request.arguments["service"], requested)
 
--- a/rattanridge/mesh/discovery/directory.py
+++ b/rattanridge/mesh/discovery/directory.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes
+from rattanridge.kernel import codes, untrusted_json
 from rattanridge.mesh import events, suspects as suspecting, upstream as upstreams
 from rattanridge.mesh.discovery import announcements, records
 from rattanridge.platform import store_objects
@@ -67,8 +67,8 @@
     def apply_page(self, data: bytes) -> bool:
         """Apply the records that another node sent; return False if unreadable."""
         try:
-            page = msgspec.json.decode(data, type=Page)
-        except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+            page = untrusted_json.decode(data, Page)
+        except untrusted_json.ERRORS as error:
             self.log.note("record-unreadable", name="page", why=str(error))
             return False
         for name, (record, revision) in page.records.items():
--- a/rattanridge/mesh/discovery/records.py
+++ b/rattanridge/mesh/discovery/records.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes
+from rattanridge.kernel import untrusted_json
 from rattanridge.policies import quarantine
 
 KIND = "nodes"
@@ -33,10 +33,7 @@
 
 def decode(data: bytes) -> Record:
     """Decode a record; raise ``bad-field`` if it is invalid."""
-    try:
-        return msgspec.json.decode(data, type=Record)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
-        raise codes.Failure(codes.BAD_FIELD, str(error), where="node record")
+    return untrusted_json.decode_or_fail(data, Record, "node record")
 
 
 def encode(record: Record) -> bytes:
--- a/rattanridge/mesh/quota/messages.py
+++ b/rattanridge/mesh/quota/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from rattanridge.kernel import untrusted_json
 from rattanridge.policies import quota
 
 # Followed by a slash and the number of the partition.
@@ -76,5 +77,5 @@
     """Return a decoded message; None if it is unreadable."""
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+    except untrusted_json.ERRORS:
         return None
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -1,10 +1,15 @@
-"""Wire format of the configuration, and its conversion to the kernel's types."""
+"""Wire format of the configuration, and its conversion to the kernel's types.
+
+The pages name no number here that has to be whole. Counts are used without their
+fraction, so that nothing gets more than its operator has written.
+"""
 
 import functools
+import math
 
 import msgspec
 
-from rattanridge.kernel import accounts, codes, routes
+from rattanridge.kernel import accounts, codes, routes, untrusted_json
 
 KIND = "config"
 NAME = "main"
@@ -48,10 +53,10 @@
     name: str = msgspec.field(name="Name")
     prefix: str = msgspec.field(name="PathPrefix")
     kind: str = msgspec.field(name="Kind")
-    priority: int = msgspec.field(name="Priority", default=0)
+    priority: float = msgspec.field(name="Priority", default=0)
     timeout_ms: float = msgspec.field(name="TimeoutMs", default=DEFAULT_TIMEOUT_MS)
     target_ms: float = msgspec.field(name="TargetLatencyMs", default=0.0)
-    attempts: int = msgspec.field(name="MaxAttempts", default=1)
+    attempts: float = msgspec.field(name="MaxAttempts", default=1)
     service: str | msgspec.UnsetType = msgspec.field(
         name="Service", default=msgspec.UNSET
     )
@@ -78,7 +83,7 @@
 
     name: str = msgspec.field(name="Name")
     health_path: str = msgspec.field(name="HealthPath", default="/healthz")
-    connections: int = msgspec.field(name="MaxConnections", default=100)
+    connections: float = msgspec.field(name="MaxConnections", default=100)
     cold_start: float | msgspec.UnsetType | None = msgspec.field(
         name="ColdStartS", default=msgspec.UNSET
     )
@@ -90,8 +95,8 @@
 class WireLimits(msgspec.Struct):
     """Limits on callers: sizes in bytes, times in milliseconds."""
 
-    header_bytes: int = msgspec.field(name="MaxHeaderBytes", default=16_384)
-    body_bytes: int = msgspec.field(name="MaxBodyBytes", default=67_108_864)
+    header_bytes: float = msgspec.field(name="MaxHeaderBytes", default=16_384)
+    body_bytes: float = msgspec.field(name="MaxBodyBytes", default=67_108_864)
     header_ms: float = msgspec.field(name="HeaderTimeoutMs", default=3_000)
     idle_ms: float = msgspec.field(name="IdleTimeoutMs", default=15_000)
 
@@ -101,7 +106,7 @@
 
     name: str = msgspec.field(name="Name", default="")
     keys: list[str] | None = msgspec.field(name="ApiKeys", default=None)
-    priority: int | None = msgspec.field(name="Priority", default=None)
+    priority: float | None = msgspec.field(name="Priority", default=None)
     rate: float = msgspec.field(name="RatePerS", default=0.0)
     burst: float = msgspec.field(name="Burst", default=0.0)
 
@@ -126,9 +131,9 @@
     ``bad-account``, or ``missing-service`` for a route to an undefined service.
     """
     try:
-        wire = msgspec.json.decode(data, type=WireConfiguration)
+        wire = untrusted_json.decode(data, WireConfiguration)
         version = int(wire.version, VERSION_BASE)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+    except (*untrusted_json.ERRORS, ValueError) as error:
         raise codes.Failure(codes.BAD_FIELD, str(error), where="configuration")
     services = {item.name: decode_service(item) for item in wire.services}
     decoded = [
@@ -137,8 +142,8 @@
         for item in group.paths
     ]
     limits = routes.Limits(
-        wire.limits.header_bytes,
-        wire.limits.body_bytes,
+        math.floor(wire.limits.header_bytes),
+        math.floor(wire.limits.body_bytes),
         wire.limits.header_ms / 1000,
         wire.limits.idle_ms / 1000,
     )
@@ -156,7 +161,8 @@
 def decode_account(item: WireAccount) -> accounts.Account:
     """Return an account of the wire format, which is not checked yet."""
     keys = tuple(item.keys or ())
-    return accounts.Account(item.name, keys, item.priority, item.rate, item.burst)
+    priority = math.floor(item.priority) if item.priority is not None else None
+    return accounts.Account(item.name, keys, priority, item.rate, item.burst)
 
 
 def encode_account(item: accounts.Account) -> WireAccount:
@@ -173,7 +179,11 @@
             codes.BAD_FIELD, "a number below zero", where=f"service {item.name}"
         )
     return routes.Service(
-        item.name, item.health_path, item.connections, cold_start, cold_rate
+        item.name,
+        item.health_path,
+        math.floor(item.connections),
+        cold_start,
+        cold_rate,
     )
 
 
@@ -196,8 +206,8 @@
         large=item.kind == LARGE_KIND,
         timeout=item.timeout_ms / 1000,
         target_latency=(item.target_ms or item.timeout_ms) / 1000,
-        priority=item.priority,
-        attempts=max(item.attempts, 1),
+        priority=math.floor(item.priority),
+        attempts=max(math.floor(item.attempts), 1),
         shares=shares,
         methods=frozenset(extras.methods),
         bare=extras.bare,
--- a/rattanridge/platform/heartbeats.py
+++ b/rattanridge/platform/heartbeats.py
@@ -60,10 +60,7 @@
 
 def decode(endpoint: str, data: bytes) -> Heartbeat:
     """Decode a heartbeat; raise ``bad-field`` if a field is missing or invalid."""
-    try:
-        wire = msgspec.json.decode(data, type=WireHeartbeat)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
-        raise codes.Failure(codes.BAD_FIELD, str(error), where="heartbeat")
+    wire = untrusted_json.decode_or_fail(data, WireHeartbeat, "heartbeat")
     if wire.state not in STATES or wire.slots < 1 or not wire.service:
         raise codes.Failure(
             codes.BAD_FIELD,
--- a/rattanridge/platform/orders.py
+++ b/rattanridge/platform/orders.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes, untrusted_json
+from rattanridge.kernel import untrusted_json
 
 KIND = "rollouts"
 RUNNING = "running"
@@ -92,10 +92,7 @@
 
 def decode_order(data: bytes) -> Order:
     """Decode an order; raise ``bad-field`` if it is invalid."""
-    try:
-        wire = msgspec.json.decode(data, type=WireOrder)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise codes.Failure(codes.BAD_FIELD, str(error), where="rollout")
+    wire = untrusted_json.decode_or_fail(data, WireOrder, "rollout")
     return Order(wire.service, wire.version, wire.duration)
 
 
--- a/rattanridge/platform/store_objects.py
+++ b/rattanridge/platform/store_objects.py
@@ -123,6 +123,6 @@
 def decode(data: bytes, target_type: type) -> typing.Any:
     """Decode an answer of the store; raise ``platform-refused`` if it is unreadable."""
     try:
-        return msgspec.json.decode(data, type=target_type)
-    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        return untrusted_json.decode(data, target_type)
+    except untrusted_json.ERRORS as error:
         raise codes.Failure(codes.PLATFORM_REFUSED, f"unreadable answer: {error}")
--- a/rattanridge/policies/keys.py
+++ b/rattanridge/policies/keys.py
@@ -5,7 +5,7 @@
 import msgspec
 import multidict
 
-from rattanridge.kernel import routes
+from rattanridge.kernel import routes, untrusted_json
 
 MAX_KEY_LENGTH = 256  # characters; a longer key counts as missing
 
@@ -42,12 +42,14 @@
     def read(self, headers: multidict.CIMultiDict, body: bytes | bytearray) -> str:
         try:
             value = msgspec.json.decode(body)
-        except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+        except untrusted_json.ERRORS:
             return ""
         for field in self.name.split("."):
             if not isinstance(value, dict):
                 return ""
             value = value.get(field)
+        if isinstance(value, float) and value.is_integer():
+            value = int(value)  # 6.0 is the same number as 6
         if isinstance(value, bool) or not isinstance(value, str | int):
             return ""
         return drop_if_too_long(str(value))
