A route that no service can be used for refuses only its own requests

What callers saw: by reading and by decode alone, a version of which one route has no service, a split without a weight above zero, or a part of weight 0 that the version doesn't define, was refused whole: all routes stayed on the version before, and new nodes were never ready.

Cause: each check of a route raised for the whole version.

Change: such a route is in force and refuses its requests at once, 'not run' (5043), so that they don't fall to a route with a shorter prefix. A part of weight 0 needs no definition. A part with a weight still does.

--- a/rattanridge/kernel/codes.py
+++ b/rattanridge/kernel/codes.py
@@ -274,6 +274,12 @@
     503,
     "The node has no share of the account's quota and cannot get one now",
 )
+NO_SERVICE = define(
+    5043,
+    "no-service",
+    503,
+    "The configuration names no service for the route that can be used",
+)
 ENDPOINT_COLD = define(
     5050,
     "endpoint-cold",
--- a/rattanridge/kernel/routes.py
+++ b/rattanridge/kernel/routes.py
@@ -46,7 +46,8 @@
     :param target_latency: seconds within which an answer counts as timely.
     :param priority: priority of its requests; 0 is the highest.
     :param attempts: maximum number of endpoints that one request is sent to.
-    :param shares: one or more services and their weights.
+    :param shares: services and their weights; its requests are refused if none has a
+        weight above zero.
     :param methods: HTTP methods that match; empty for all.
     :param bare: whether the prefix without its trailing slash matches, too.
     :param key: source of the idempotency key that identifies repeated requests;
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -217,10 +217,13 @@
 
 
 def decode_shares(item: WireRoute) -> tuple[routes.Share, ...]:
-    """Return the weighted services of a route: its split, or its only service."""
+    """Return the weighted services of a route: its split, or its only service.
+
+    Empty if the route has neither.
+    """
     if item.split:
         return tuple(routes.Share(part.service, part.weight) for part in item.split)
-    return single_share(item.service or "")
+    return single_share(item.service) if item.service else ()
 
 
 @functools.lru_cache(maxsize=1024)
@@ -245,13 +248,11 @@
         raise codes.Failure(codes.BAD_FIELD, "times below zero", where=where)
     if item.split and min(share.weight for share in shares) < 0:
         raise codes.Failure(codes.BAD_FIELD, "a weight below zero", where=where)
-    if item.split and max(share.weight for share in shares) <= 0:
-        raise codes.Failure(codes.BAD_FIELD, "no weight above zero", where=where)
     key = item.extras.key if item.extras else None
     if key is not None and key.source not in routes.KEY_SOURCES.items:
         raise codes.Failure(codes.BAD_FIELD, f"key source {key.source!r}", where=where)
     for share in shares:
-        if share.service not in services:
+        if share.weight > 0 and share.service not in services:
             raise codes.Failure(codes.MISSING_SERVICE, share.service, where=where)
 
 
--- a/rattanridge/policies/splitting.py
+++ b/rattanridge/policies/splitting.py
@@ -3,11 +3,12 @@
 import dataclasses
 import random
 
-from rattanridge.kernel import routes
+from rattanridge.kernel import codes, routes
 
 # Traffic splits whose progress is kept in memory. All are discarded when there are
 # more, as those of earlier configurations are never removed one by one.
 MAX_SPLITS = 1_000
+NO_SERVICE_RETRY_AFTER = 1.0  # seconds; only another configuration changes it
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,7 +56,13 @@
         self.splits: dict[tuple[routes.Share, ...], Split] = {}
 
     def choose(self, route: routes.Route) -> str:
-        """Return the service that the next request of a route goes to."""
+        """Return the service that the next request of a route goes to.
+
+        Raise ``no-service`` if no service has a weight above zero.
+        """
+        if not any(share.weight > 0 for share in route.shares):
+            wait = NO_SERVICE_RETRY_AFTER
+            raise codes.Failure(codes.NO_SERVICE, route.name, retry_after=wait)
         if len(route.shares) == 1:
             return route.shares[0].service
         split = self.splits.get(route.shares) or self.begin(route.shares)
--- a/tests/test_config_forms.py
+++ b/tests/test_config_forms.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from rattanridge.kernel import routes
+from rattanridge.kernel import codes, routes
 from rattanridge.platform import configs
 from tests import mesh_world
 
@@ -50,6 +50,31 @@
         assert [repr(part["Weight"]) for part in parts] == ["75", "0.25"]
 
 
+class TestRouteWithoutService:
+    # Guards against a version refused whole because one of its routes has no service
+    # to go to: every node went on with the version before, on all routes.
+    @pytest.mark.parametrize(
+        "more",
+        [
+            {},
+            {"split": []},
+            {"split": [configs.WireShare("registry", 0)]},
+            {"split": [configs.WireShare("gone", 0)]},
+        ],
+    )
+    async def test_only_its_own_requests_are_refused(self, world, more):
+        await world.start("registry")
+        kept = mesh_world.route("kept", "/kept/", "registry")
+        wide = mesh_world.route("wide", "/", "registry")
+        without = configs.WireRoute("without", "/without/", "safe", **more)
+        await world.apply(2, kept, wide, without)
+        assert (await world.call("/kept/1"))[0] == 200
+        status, found, _ = await world.call("/without/1")
+        assert (status, found["Rattanridge-Ran"]) == (503, "not-run")
+        assert found["Rattanridge-Code"] == str(codes.NO_SERVICE.number)
+        assert float(found["Retry-After"]) >= 0.8
+
+
 def configuration_of(route):
     services = {share.service: routes.Service(share.service) for share in route.shares}
     return routes.Configuration(1, routes.group_by_host([route]), services)
