What a version may leave out counts as left out if null or unusable

What callers saw: a version in which one optional field is null, holds a value of another type, or a number below zero was refused whole: every node went on with the version before, and nodes that started then were never ready.

Cause: the document was decoded whole, and some checks raised for the whole version where only one field was concerned.

Change: structs of the wire format are 'tolerant': null is left out, and so is a value that doesn't match, which is logged (configuration-values-unused) and counted in a gauge. Needed, as before: version, hosts, prefixes, names of services and what belongs to accounts, without which a version lets others in or sends requests elsewhere.

--- a/rattanridge/kernel/routes.py
+++ b/rattanridge/kernel/routes.py
@@ -116,6 +116,8 @@
     :param routes: routes by host, with the longest prefix first.
     :param unknown_kinds: kinds of its routes that this program does not know.
     :param accounts: client accounts by name; empty if no keys are needed.
+    :param unused: place and fault of each value that is not used, as if it were left
+        out.
     """
 
     version: int
@@ -126,6 +128,7 @@
     accounts: dict[str, client_accounts.Account] = dataclasses.field(
         default_factory=dict
     )
+    unused: tuple[str, ...] = ()
     accounts_by_key: dict[str, client_accounts.Account] = dataclasses.field(
         init=False, compare=False, repr=False
     )
--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -150,6 +150,14 @@
                 version=found.version,
                 kinds=",".join(sorted(found.unknown_kinds)),
             )
+        self.meters.unused_values.set(len(found.unused))
+        if found.unused:
+            self.log.warn(
+                "configuration-values-unused",
+                version=found.version,
+                count=len(found.unused),
+                first=found.unused[0],
+            )
         for listener in self.listeners:
             listener()
 
--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -63,6 +63,11 @@
             "unknown_route_kinds",
             "Kinds of routes in the configuration that this program does not know",
         )
+        self.unused_values = self.gauge(
+            "configuration_unused_values",
+            "Values of the configuration in force that cannot be used, and count as "
+            "left out",
+        )
         self.running = self.gauge("running", "Requests running at the local endpoint")
         self.waiting = self.gauge(
             "waiting", "Requests in the queue of the local endpoint"
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from rattanridge.kernel import accounts, codes, routes, untrusted_json
+from rattanridge.kernel import accounts, codes, json_parts, routes, untrusted_json
 
 KIND = "config"
 NAME = "main"
@@ -22,11 +22,11 @@
 DEFAULT_TIMEOUT_MS = 10_000.0  # of a route that sets none
 
 
-class WireShare(msgspec.Struct):
+class WireShare(json_parts.TolerantStruct):
     """One service of a traffic split and its weight."""
 
     service: str = msgspec.field(name="Service")
-    weight: float = msgspec.field(name="Weight")
+    weight: float = msgspec.field(name="Weight", default=0.0)
 
 
 class WireExtras(msgspec.Struct, omit_defaults=True):
@@ -43,16 +43,19 @@
 NO_EXTRAS = WireExtras()
 
 
-class WireRoute(msgspec.Struct):
+class WireRoute(json_parts.TolerantStruct):
     """One path of a host.
 
     ``Kind`` tells whether its requests are idempotent and whether its answers are
-    large.
+    large. Without its prefix nobody knows which requests a route is for, and without
+    its extras their work might run twice.
     """
 
-    name: str = msgspec.field(name="Name")
-    prefix: str = msgspec.field(name="PathPrefix")
-    kind: str = msgspec.field(name="Kind")
+    needed = frozenset({"prefix", "extras"})
+
+    name: str = msgspec.field(name="Name", default="")
+    prefix: str = msgspec.field(name="PathPrefix", default="")
+    kind: str = msgspec.field(name="Kind", default="")
     priority: float = msgspec.field(name="Priority", default=0)
     timeout_ms: float = msgspec.field(name="TimeoutMs", default=DEFAULT_TIMEOUT_MS)
     target_ms: float = msgspec.field(name="TargetLatencyMs", default=0.0)
@@ -78,21 +81,21 @@
     paths: list[WireRoute] = msgspec.field(name="Paths")
 
 
-class WireService(msgspec.Struct):
+class WireService(json_parts.TolerantStruct):
     """One service: health check, connection limit, and its endpoints when cold."""
 
     name: str = msgspec.field(name="Name")
     health_path: str = msgspec.field(name="HealthPath", default="/healthz")
     connections: float = msgspec.field(name="MaxConnections", default=100)
-    cold_start: float | msgspec.UnsetType | None = msgspec.field(
+    cold_start: float | msgspec.UnsetType = msgspec.field(
         name="ColdStartS", default=msgspec.UNSET
     )
-    cold_rate: float | msgspec.UnsetType | None = msgspec.field(
+    cold_rate: float | msgspec.UnsetType = msgspec.field(
         name="ColdPerS", default=msgspec.UNSET
     )
 
 
-class WireLimits(msgspec.Struct):
+class WireLimits(json_parts.TolerantStruct):
     """Limits on callers: sizes in bytes, times in milliseconds."""
 
     header_bytes: float = msgspec.field(name="MaxHeaderBytes", default=16_384)
@@ -101,24 +104,34 @@
     idle_ms: float = msgspec.field(name="IdleTimeoutMs", default=15_000)
 
 
-class WireAccount(msgspec.Struct, omit_defaults=True):
-    """One client account: its keys, and its rate in requests per second."""
+class WireAccount(json_parts.TolerantStruct, omit_defaults=True):
+    """One client account: its keys, and its rate in requests per second.
+
+    An account that cannot be read whole might let in somebody else, or too much.
+    """
+
+    needed = frozenset({"name", "keys", "priority", "rate", "burst"})
 
     name: str = msgspec.field(name="Name", default="")
-    keys: list[str] | None = msgspec.field(name="ApiKeys", default=None)
+    keys: list[str] = msgspec.field(name="ApiKeys", default_factory=list)
     priority: float | None = msgspec.field(name="Priority", default=None)
     rate: float = msgspec.field(name="RatePerS", default=0.0)
     burst: float = msgspec.field(name="Burst", default=0.0)
 
 
-class WireConfiguration(msgspec.Struct):
-    """The whole configuration; ``Version`` is a hexadecimal number."""
+class WireConfiguration(json_parts.TolerantStruct):
+    """The whole configuration; ``Version`` is a hexadecimal number.
+
+    Without its accounts everybody would be let in.
+    """
+
+    needed = frozenset({"accounts"})
 
     version: str = msgspec.field(name="Version")
     hosts: list[WireHost] = msgspec.field(name="VirtualHosts")
     services: list[WireService] = msgspec.field(name="Services")
     limits: WireLimits = msgspec.field(name="Limits", default_factory=WireLimits)
-    accounts: list[WireAccount] | msgspec.UnsetType | None = msgspec.field(
+    accounts: list[WireAccount] | msgspec.UnsetType = msgspec.field(
         name="Tenants", default=msgspec.UNSET
     )
 
@@ -127,17 +140,19 @@
     """Decode and validate a configuration.
 
     A later version of the platform may define further kinds of routes. A route of an
-    unknown kind is used as one that is not idempotent. Raise ``bad-field``,
+    unknown kind is used as one that is not idempotent. What may be left out counts as
+    left out if its value is null or cannot be used; ``unused`` of the configuration
+    then says so, unless it is null. Raise ``bad-field``,
     ``bad-account``, or ``missing-service`` for a route to an undefined service.
     """
     try:
-        wire = untrusted_json.decode(data, WireConfiguration)
+        wire, unused = untrusted_json.decode_with_gaps(data, WireConfiguration)
         version = int(wire.version, VERSION_BASE)
     except (*untrusted_json.ERRORS, ValueError) as error:
         raise codes.Failure(codes.BAD_FIELD, str(error), where="configuration")
-    services = {item.name: decode_service(item) for item in wire.services}
+    services = {item.name: decode_service(item, unused) for item in wire.services}
     decoded = [
-        decode_route(group.host, item, services)
+        decode_route(group.host, item, services, unused)
         for group in wire.hosts
         for item in group.paths
     ]
@@ -155,12 +170,13 @@
         limits,
         frozenset(unknown_kinds.difference(KINDS)),
         accounts.by_name(map(decode_account, wire.accounts or ()), "configuration"),
+        tuple(unused),
     )
 
 
 def decode_account(item: WireAccount) -> accounts.Account:
     """Return an account of the wire format, which is not checked yet."""
-    keys = tuple(item.keys or ())
+    keys = tuple(item.keys)
     priority = math.floor(item.priority) if item.priority is not None else None
     return accounts.Account(item.name, keys, priority, item.rate, item.burst)
 
@@ -170,42 +186,58 @@
     return WireAccount(item.name, list(item.keys), item.priority, item.rate, item.burst)
 
 
-def decode_service(item: WireService) -> routes.Service:
-    """Decode one service; raise ``bad-field`` if a number is below zero."""
+def not_negative(value: float, default: float, place: str, unused: list[str]) -> float:
+    """Return a number, or its default if it is below zero.
+
+    :param place: where it stands, for ``unused``.
+    :param unused: gets a line for each value that is not used.
+    """
+    if value >= 0:
+        return value
+    unused.append(f"{place}: {value:g} is below zero")
+    return default
+
+
+def decode_service(item: WireService, unused: list[str]) -> routes.Service:
+    """Decode one service; a number below zero counts as left out."""
+    where = f"service {item.name}"
     cold_start = item.cold_start or 0.0
     cold_rate = item.cold_rate or 0.0
-    if cold_start < 0 or cold_rate < 0:
-        raise codes.Failure(
-            codes.BAD_FIELD, "a number below zero", where=f"service {item.name}"
-        )
     return routes.Service(
         item.name,
         item.health_path,
         math.floor(item.connections),
-        cold_start,
-        cold_rate,
+        not_negative(cold_start, 0.0, f"{where}: ColdStartS", unused),
+        not_negative(cold_rate, 0.0, f"{where}: ColdPerS", unused),
     )
 
 
 def decode_route(
-    host: str, item: WireRoute, services: dict[str, routes.Service]
+    host: str,
+    item: WireRoute,
+    services: dict[str, routes.Service],
+    unused: list[str],
 ) -> routes.Route:
-    """Decode one route.
+    """Decode one route; a number below zero counts as left out.
 
     Raise ``bad-field`` for an invalid field, or ``missing-service`` if ``services``
     lacks one of its services.
     """
-    shares = decode_shares(item)
+    where = f"route {item.name}"
+    shares = decode_shares(item, where, unused)
     check_route(item, shares, services)
     extras = item.extras or NO_EXTRAS
+    timeout = not_negative(item.timeout_ms, 0.0, f"{where}: TimeoutMs", unused)
+    timeout = timeout or DEFAULT_TIMEOUT_MS
+    target = not_negative(item.target_ms, 0.0, f"{where}: TargetLatencyMs", unused)
     return routes.Route(
         name=item.name,
         host=host.lower(),
         prefix=item.prefix,
         idempotent=item.kind in (IDEMPOTENT_KIND, LARGE_KIND),
         large=item.kind == LARGE_KIND,
-        timeout=item.timeout_ms / 1000,
-        target_latency=(item.target_ms or item.timeout_ms) / 1000,
+        timeout=timeout / 1000,
+        target_latency=(target or timeout) / 1000,
         priority=math.floor(item.priority),
         attempts=max(math.floor(item.attempts), 1),
         shares=shares,
@@ -216,16 +248,24 @@
     )
 
 
-def decode_shares(item: WireRoute) -> tuple[routes.Share, ...]:
+def decode_shares(
+    item: WireRoute, where: str, unused: list[str]
+) -> tuple[routes.Share, ...]:
     """Return the weighted services of a route: its split, or its only service.
 
-    Empty if the route has neither.
+    Empty if the route has neither. A weight below zero counts as zero.
     """
     if item.split:
-        return tuple(routes.Share(part.service, part.weight) for part in item.split)
+        return tuple(decode_share(part, where, unused) for part in item.split)
     return single_share(item.service) if item.service else ()
 
 
+def decode_share(part: WireShare, where: str, unused: list[str]) -> routes.Share:
+    """Decode one service of a split; a weight below zero counts as zero."""
+    place = f"{where}: Weight of {part.service}"
+    return routes.Share(part.service, not_negative(part.weight, 0.0, place, unused))
+
+
 @functools.lru_cache(maxsize=1024)
 def single_share(service: str) -> tuple[routes.Share, ...]:
     """Return the only share of a service, one object for all routes to it."""
@@ -244,10 +284,6 @@
     where = f"route {item.name}"
     if not (item.prefix.startswith("/") and item.prefix.endswith("/")):
         raise codes.Failure(codes.BAD_FIELD, f"prefix {item.prefix!r}", where=where)
-    if item.timeout_ms <= 0 or item.target_ms < 0:
-        raise codes.Failure(codes.BAD_FIELD, "times below zero", where=where)
-    if item.split and min(share.weight for share in shares) < 0:
-        raise codes.Failure(codes.BAD_FIELD, "a weight below zero", where=where)
     key = item.extras.key if item.extras else None
     if key is not None and key.source not in routes.KEY_SOURCES.items:
         raise codes.Failure(codes.BAD_FIELD, f"key source {key.source!r}", where=where)
