A choice is numbered above a stored version that cannot be used

What operators would see (by reading): the store holds a version that this program can't use; the next 'preset use' is numbered as if it were none, below it. Nodes that can use the stored one ignore the choice as older.

Cause: the number was read by decoding the whole configuration.

Change: configs.version_of reads the number alone.

Result: test_number_of_a_configuration_that_cannot_be_used failed before (generation 1, not 17), passes.

--- a/rattanridge/admin/presets.py
+++ b/rattanridge/admin/presets.py
@@ -213,14 +213,11 @@
 
 
 def version_of(stored: store_objects.StoredObject | None) -> int:
-    """Return the version of the stored configuration; 0 if it is absent or invalid."""
-    if stored is None:
-        return 0
-    try:
-        return configs.decode(stored.spec).version
-    except codes.Failure:
-        # The next choice replaces it by a valid one.
-        return 0
+    """Return the version of the stored configuration; 0 if there is none.
+
+    The rest of it may be unreadable: the next choice replaces it by a valid one.
+    """
+    return configs.version_of(stored.spec) if stored is not None else 0
 
 
 def find_choice(past: list[objects.Choice], generation: int) -> objects.Choice | None:
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -136,6 +136,21 @@
     )
 
 
+class WireVersion(msgspec.Struct):
+    """The version of a configuration, of which nothing else has to be readable."""
+
+    version: str = msgspec.field(name="Version")
+
+
+def version_of(data: bytes) -> int:
+    """Return the version of a configuration; 0 if it cannot be read."""
+    wire = untrusted_json.decode_or_none(data, WireVersion)
+    try:
+        return int(wire.version, VERSION_BASE) if wire is not None else 0
+    except ValueError:
+        return 0
+
+
 def decode(data: bytes) -> routes.Configuration:
     """Decode and validate a configuration.
 
--- a/tests/test_presets.py
+++ b/tests/test_presets.py
@@ -167,6 +167,15 @@
                 await standin.put(configs.KIND, configs.NAME, invalid)
             assert (await presets.use("day", "olga")).generation == 3
 
+    # Guards against a choice with a lower number than the version in the store: nodes
+    # that can use that one would ignore the choice.
+    async def test_number_of_a_configuration_that_cannot_be_used(self):
+        async with presets_on() as (presets, standin):
+            await presets.put("day", DAY, "olga")
+            unusable = b'{"Version":"00000010","VirtualHosts":"none"}'
+            await standin.put(configs.KIND, configs.NAME, unusable)
+            assert (await presets.use("day", "olga")).generation == 17
+
     async def test_outdated_expected_generation(self):
         async with presets_on() as (presets, _):
             await presets.put("day", DAY, "olga")
