Metrics say which acknowledged version is not in force, and since when

What on-call saw: a version that all nodes refuse showed as one log line of each node, and nowhere in the metrics. The state named it for ever if the operator went back to the version in force, and also named versions that were older than that one.

Change: two gauges, the number of the refused version and the time since when; the log line has the number, too. They end with the next version that can be used, also if it is the one in force, but not with an older one that another node sends.

--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import time
 
 import msgspec
 
@@ -63,6 +64,8 @@
         self.content = b""
         self.compressed_content = b""
         self.refused = ""
+        # Version that was refused; 0 if there is none, or if it cannot be read.
+        self.refused_version = 0
         self.log = log
         self.meters = meters
         self.freshness = freshness.Freshness()
@@ -105,30 +108,25 @@
         """Apply a stored configuration if it is newer; ignore an invalid one."""
         if item.name != configs.NAME or item.deleted:
             return
-        self.apply_content(item.spec, f"revision {item.revision}")
+        if self.apply_content(item.spec, f"revision {item.revision}"):
+            self.record_usable()
 
-    def apply_content(self, content: bytes, source: str) -> None:
+    def apply_content(self, content: bytes, source: str) -> bool:
         """Apply a configuration, as the operator wrote it, if it is newer.
 
-        An invalid one changes nothing but ``refused``.
+        Return whether it can be used. An invalid one changes nothing but ``refused``.
 
         :param source: where it was read, for the log and the node's state.
         """
         if content == self.content:
-            return
+            return True
         try:
             found = configs.decode(content)
         except codes.Failure as failure:
-            self.log.error(
-                "configuration-refused",
-                source=source,
-                code=failure.code.number,
-                why=str(failure),
-            )
-            self.refused = f"{source}: {failure}"
-            return
+            self.record_refused(content, source, failure)
+            return False
         if found.version <= self.version:
-            return
+            return True
         self.log.info(
             "configuration-in-force",
             version=found.version,
@@ -141,7 +139,8 @@
         self.changed_at = asyncio.get_running_loop().time()
         self.content = content
         self.compressed_content = b""
-        self.refused = ""
+        if found.version > self.refused_version > 0:
+            self.record_usable()
         self.meters.version.set(found.version)
         self.meters.unknown_kinds.set(len(found.unknown_kinds))
         if found.unknown_kinds:
@@ -160,6 +159,34 @@
             )
         for listener in self.listeners:
             listener()
+        return True
+
+    def record_refused(
+        self, content: bytes, source: str, failure: codes.Failure
+    ) -> None:
+        """Record that a configuration cannot be used, unless it is an old one."""
+        version = configs.version_of(content)
+        if 0 < version <= self.version:
+            return
+        self.log.error(
+            "configuration-refused",
+            version=version,
+            source=source,
+            code=failure.code.number,
+            why=str(failure),
+        )
+        if not self.refused:
+            self.meters.refused_since.set(time.time())
+        self.meters.refused_version.set(version)
+        self.refused_version = version
+        self.refused = f"{source}: {failure}"
+
+    def record_usable(self) -> None:
+        """Record that the configuration that the store holds can be used."""
+        self.refused = ""
+        self.refused_version = 0
+        self.meters.refused_since.set(0)
+        self.meters.refused_version.set(0)
 
     def known_age(self) -> float:
         """Return the seconds since the version in force was known to be the newest."""
--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -63,6 +63,16 @@
             "unknown_route_kinds",
             "Kinds of routes in the configuration that this program does not know",
         )
+        self.refused_version = self.gauge(
+            "configuration_refused_version",
+            "Version that the store holds and that cannot be used; 0 if there is none, "
+            "or if its number cannot be read",
+        )
+        self.refused_since = self.gauge(
+            "configuration_refused_since_seconds",
+            "Unix time since when the version that the store holds cannot be used; 0 "
+            "if it can",
+        )
         self.unused_values = self.gauge(
             "configuration_unused_values",
             "Values of the configuration in force that cannot be used, and count as "
--- /dev/null
+++ b/tests/test_refused_configuration.py
@@ -0,0 +1,64 @@
+"""What nodes say and do while the store holds a version that they cannot use."""
+
+import asyncio
+import time
+
+from tests import mesh_world
+
+UNDEFINED = mesh_world.route("r", "/r/", "undefined")
+
+
+def gauge(node, name):
+    """Return the value of a gauge on a node's metrics page."""
+    lines = node.meters.render().decode().splitlines()
+    prefix = f"rattanridge_{name} "
+    return float(next(line for line in lines if line.startswith(prefix))[len(prefix) :])
+
+
+async def refuse(world, version=3):
+    """Put a version into the store that no node can use."""
+    await world.configure(version, UNDEFINED)
+    await world.wait(lambda: all(node.configs.refused for node in world.nodes))
+
+
+class TestState:
+    # Guards against an acknowledged version that is not in force, while no metric says
+    # so: on-call had one log line of each node.
+    async def test_gauges_say_which_version_and_since_when(self, world):
+        await world.start("registry")
+        node = world.nodes[0]
+        assert gauge(node, "configuration_refused_version") == 0
+        await refuse(world)
+        began = gauge(node, "configuration_refused_since_seconds")
+        assert abs(time.time() - began) < 60
+        assert gauge(node, "configuration_refused_version") == 3
+        await world.configure(4, UNDEFINED)
+        await world.wait(lambda: gauge(node, "configuration_refused_version") == 4)
+        assert gauge(node, "configuration_refused_since_seconds") == began
+        await world.apply(5, *mesh_world.DEFAULT_ROUTES)
+        assert gauge(node, "configuration_refused_version") == 0
+        assert gauge(node, "configuration_refused_since_seconds") == 0
+        assert not node.configs.refused
+
+    # Guards against a status that names a refused version for ever.
+    async def test_version_in_force_is_written_again(self, world):
+        await world.start("registry")
+        await refuse(world)
+        await world.configure(1, *mesh_world.DEFAULT_ROUTES)
+        await world.wait(lambda: not world.nodes[0].configs.refused)
+
+    async def test_older_version_is_not_refused(self, world):
+        await world.start("registry")
+        await world.apply(9, *mesh_world.DEFAULT_ROUTES)
+        await world.configure(5, UNDEFINED)
+        await asyncio.sleep(0.4)
+        assert not world.nodes[0].configs.refused
+
+    async def test_older_version_of_another_node_leaves_it_refused(self, world):
+        await world.start("registry")
+        await refuse(world, version=9)
+        held = world.nodes[0].configs
+        older = mesh_world.configuration(5, *mesh_world.DEFAULT_ROUTES)
+        assert held.apply_content(older, "another node")
+        assert (held.version, held.refused_version) == (5, 9)
+        assert held.refused
