A node that refuses a version does not call the one before the newest

What would happen (by reading, shown by the test): a node has heard of a version that it can't use, and tells others, with each answer, that their version, the same as its own, was the newest a moment ago. They put off asking the store, and one that could use the version, as in a rolling upgrade, learns of it late.

Cause: the proof of freshness rests on when the store was heard, not on what it said.

Change: there is no such proof while a version is refused.

Result: TestProof failed before and passes.

--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -189,7 +189,12 @@
         self.meters.refused_version.set(0)
 
     def known_age(self) -> float:
-        """Return the seconds since the version in force was known to be the newest."""
+        """Return the seconds since the version in force was known to be the newest.
+
+        Infinite while a newer one is known that cannot be used.
+        """
+        if self.refused:
+            return float("inf")
         return self.freshness.age(asyncio.get_running_loop().time())
 
     def record_peer_version(
--- a/tests/test_refused_configuration.py
+++ b/tests/test_refused_configuration.py
@@ -1,8 +1,10 @@
 """What nodes say and do while the store holds a version that they cannot use."""
 
 import asyncio
+import math
 import time
 
+from rattanridge.policies import freshness
 from tests import mesh_world
 
 UNDEFINED = mesh_world.route("r", "/r/", "undefined")
@@ -62,3 +64,21 @@
         assert held.apply_content(older, "another node")
         assert (held.version, held.refused_version) == (5, 9)
         assert held.refused
+
+
+class TestProof:
+    # Guards against a node that refuses a version and tells others that theirs, which
+    # is the same as its own, is the newest: they put off asking the store for it.
+    async def test_old_version_is_not_called_the_newest(self, world):
+        await world.start("registry", "workshop")
+        assert await self.proved_at(world) > -math.inf
+        await refuse(world)
+        assert await self.proved_at(world) == -math.inf
+
+    async def proved_at(self, world):
+        """Return what the second node hears from the first about their version."""
+        # Its own watch goes on with the object that it has.
+        asked = world.nodes[1].configs
+        asked.freshness = freshness.Freshness()
+        assert (await world.call("/lookup/1", node=1))[0] == 200
+        return asked.freshness.known_at
