A node that starts while a version is refused goes by the others' version

What callers saw: a node that was started or restarted while the store held a version that no node can use was not ready, and answered 503 (5001), for as long as that version stood, though all others served by the one before.

Cause: only the store was asked, and it holds the latest version alone. Others tell their version with calls, and nobody calls a node that is not ready.

Change: such a node asks another one each second. If all nodes are restarted meanwhile, nobody has that version: that remains.

Result: TestNodeThatStarts failed before (not ready in time) and passes.

--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -285,6 +285,15 @@
         if self.is_behind():
             await self.read_from_peer()
 
+    async def learn(self, address: str) -> None:
+        """Read the configuration of another node, if this one can use none.
+
+        It goes by an older version then, as the others do, and serves as they do.
+        """
+        if self.current is None and self.refused and address:
+            self.peer_address = address
+            await self.read_from_peer()
+
     async def read_from_peer(self) -> None:
         """Read the configuration, records and rollouts from the node that is ahead."""
         if not self.peer_address:
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -219,6 +219,10 @@
         if address:
             await self.fetch_orders(address)
 
+    async def learn_configuration(self) -> None:
+        """Read another node's configuration while the store's cannot be used."""
+        await self.configs.learn(self.membership.draw_other_address())
+
     async def exchange_evacuations(self) -> None:
         """Exchange what is known with another node while a zone is evacuated."""
         if not self.directory.evacuated:
@@ -304,6 +308,7 @@
             self.exit.parents.expire()
             self.dispatcher.peers.pool.expire_idle()
             await self.learn_rollouts()
+            await self.learn_configuration()
             self.evacuation_repair.start_if_needed()
             await self.exchange_evacuations()
             if self.settings_file is not None and self.settings_file.changed():
--- a/tests/test_refused_configuration.py
+++ b/tests/test_refused_configuration.py
@@ -4,6 +4,7 @@
 import math
 import time
 
+from rattanridge.platform import configs
 from rattanridge.policies import freshness
 from tests import mesh_world
 
@@ -82,3 +83,18 @@
         asked.freshness = freshness.Freshness()
         assert (await world.call("/lookup/1", node=1))[0] == 200
         return asked.freshness.known_at
+
+
+class TestNodeThatStarts:
+    # Guards against a restarted or new node that is not ready for as long as a version
+    # stands that it cannot use, while the others serve by the one before.
+    async def test_goes_by_the_version_of_the_others(self, world):
+        await world.start("registry", "workshop")
+        await refuse(world)
+        node = await world.add("registry")
+        assert node.configs.version == 1
+        assert node.configs.refused
+        assert (await world.call("/lookup/1", node=2))[0] == 200
+        await world.apply(4, *mesh_world.DEFAULT_ROUTES)
+        assert not node.configs.refused
+        assert configs.version_of(node.configs.content) == 4
