A deadline with a fraction is a deadline

Cause: the header was read by digits only.

Change: it is read as a number in JSON. What is none, is below zero, or over nine digits counts as no deadline, as before.

--- a/rattanridge/platform/headers.py
+++ b/rattanridge/platform/headers.py
@@ -1,6 +1,7 @@
 """Platform headers in requests and answers of callers and upstreams."""
 
 import math
+import re
 
 ATTEMPT = "Attempt-Id"  # id of one attempt; a client's retry gets a new one
 DEADLINE = "Deadline-Ms"  # milliseconds for which the sender still waits
@@ -15,7 +16,9 @@
 AUTHORIZATION = "Authorization"  # of a caller: "Token", a space, and a key
 ACCOUNT = "Tenant-Id"  # name of the client account that a request belongs to
 
-DEADLINE_DIGITS = 9
+DEADLINE_CHARACTERS = 32
+MAX_DEADLINE_MS = 999_999_999
+NUMBER = re.compile(r"\d+(\.\d+)?([eE][+-]?\d+)?", re.ASCII)  # as in JSON
 LEAVING_VALUE = "1"
 
 KEY_SCHEME = "Token"
@@ -40,10 +43,16 @@
 
 
 def parse_deadline(text: str | None) -> float | None:
-    """Return the seconds left by a deadline header; None if it is absent or invalid."""
-    if not text or len(text) > DEADLINE_DIGITS or not text.isdecimal():
+    """Return the seconds left by a deadline header; None if it is absent or invalid.
+
+    Its milliseconds may have a fraction or an exponent, as any number.
+    """
+    if not text or len(text) > DEADLINE_CHARACTERS:
+        return None
+    if not text.isdecimal() and not NUMBER.fullmatch(text):
         return None
-    return int(text) / 1000
+    milliseconds = float(text)
+    return milliseconds / 1000 if milliseconds <= MAX_DEADLINE_MS else None
 
 
 def parse_cold(text: str | None) -> float | None:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -101,11 +101,35 @@
 class TestHeaders:
     @pytest.mark.parametrize(
         ("text", "seconds"),
-        [("1500", 1.5), (None, None), ("", None), ("-5", None), ("9" * 12, None)],
+        [
+            ("1500", 1.5),
+            (None, None),
+            ("", None),
+            ("-5", None),
+            ("9" * 12, None),
+            ("999999999", 999_999.999),
+            ("1e400", None),
+            ("1e9", None),
+            ("inf", None),
+            ("nan", None),
+            ("1_500", None),
+            ("15OO", None),
+            ("1.", None),
+            ("0" * 40, None),
+        ],
     )
     def test_deadline(self, text, seconds):
         assert headers.parse_deadline(text) == seconds
 
+    # Guards against a deadline that is taken for none, whose endpoint works for the
+    # route's whole time.
+    @pytest.mark.parametrize(
+        ("text", "seconds"),
+        [("1500.0", 1.5), ("1500.5", 1.5005), ("1.5e3", 1.5), ("0.5", 0.0005)],
+    )
+    def test_deadline_with_a_fraction(self, text, seconds):
+        assert headers.parse_deadline(text) == pytest.approx(seconds)
+
     def test_parent(self):
         assert headers.parent_of("a1.b2.c3") == "a1.b2"
         assert headers.parent_of("a1") == ""
