Bounds of the platform in the settings may be fractions

What would happen (by reading, shown by the test): the pages say that Bounds are whole numbers, fractions, or true or false; a node whose ConfigApplyMs, ContactMs or HeartbeatMs is 1500.0 or 1500.5 doesn't start, and a reload of such a file is refused.

Cause: milliseconds and the store's rate were typed as whole numbers.

--- a/rattanridge/kernel/settings.py
+++ b/rattanridge/kernel/settings.py
@@ -10,6 +10,8 @@
 HOST_PORT = re.compile(r"[0-9a-fA-F.:\[\]]+:\d{1,5}")
 
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86400)]
+Milliseconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86_400_000)]
+Rate = typing.Annotated[float, msgspec.Meta(gt=0, le=1e9)]  # per second
 Count = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Bytes = typing.Annotated[int, msgspec.Meta(ge=1024, le=100_000_000)]
 Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
--- a/rattanridge/mesh/settings.py
+++ b/rattanridge/mesh/settings.py
@@ -168,10 +168,10 @@
     service: str = ""
     upstream: str = ""
     store: str
-    store_reads_per_s: settings.Count = 2_000
-    apply_ms: settings.Count = 2_000
-    contact_ms: settings.Count = 3_000
-    heartbeat_ms: settings.Count = 1_500
+    store_reads_per_s: settings.Rate = 2_000
+    apply_ms: settings.Milliseconds = 2_000
+    contact_ms: settings.Milliseconds = 3_000
+    heartbeat_ms: settings.Milliseconds = 1_500
     key: str = ""
     tokens: list[settings.Token] = []
     listen: Listen
@@ -181,7 +181,7 @@
     claims: Claims = msgspec.field(default_factory=Claims)
     policies: Policies = msgspec.field(default_factory=Policies)
     cold: Cold | None = None
-    evacuation_ms: settings.Count | None = None
+    evacuation_ms: settings.Milliseconds | None = None
 
     def bounds(self) -> freshness.Bounds:
         """Return how long facts on the data in the store last."""
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import json
 import pathlib
 import re
 
@@ -274,6 +275,20 @@
         with pytest.raises(codes.Failure):
             settings.load(str(path))
 
+    # Guards against a node that does not start because a bound of the platform, whose
+    # figures may be fractions, is read as a whole number.
+    @pytest.mark.parametrize("value", ["1500.0", "1500.5", "1.5e3"])
+    def test_bounds_that_are_fractions(self, value):
+        names = "apply_ms", "contact_ms", "heartbeat_ms", "evacuation_ms"
+        plain = msgspec.yaml.decode(SETTINGS)
+        # The template writes JSON, in which numbers have other forms than in YAML.
+        numbers = "".join(
+            f'"{name}":{value},' for name in (*names, "store_reads_per_s")
+        )
+        found = settings.parse("{" + numbers + json.dumps(plain)[1:])
+        assert found.bounds().contact == pytest.approx(float(value) / 1000)
+        assert {getattr(found, name) for name in names} == {float(value)}
+
     def test_check_command(self, tmp_path):
         path = tmp_path / "node.yaml"
         path.write_text(SETTINGS)
