A gauge tells that a changed settings file is not in force

What on-call saw: one log line (settings-refused); what was read before stays in force, which no metric showed.

Result: test_gauge_says_that_a_reload_was_refused failed before (no gauge).

--- a/rattanridge/mesh/events.py
+++ b/rattanridge/mesh/events.py
@@ -63,6 +63,10 @@
             "unknown_route_kinds",
             "Kinds of routes in the configuration that this program does not know",
         )
+        self.settings_refused = self.gauge(
+            "settings_refused",
+            "1 while the settings file has changed and cannot be used",
+        )
         self.refused_version = self.gauge(
             "configuration_refused_version",
             "Version that the store holds and that cannot be used; 0 if there is none, "
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -320,12 +320,14 @@
             fresh = settings.load(file.path)
         except codes.Failure as failure:
             self.log.error("settings-refused", why=str(failure))
+            self.meters.settings_refused.set(1)
             return
         for name in fresh.__struct_fields__:
             setattr(self.config, name, getattr(fresh, name))
         self.dispatcher.apply_settings()
         self.membership.reload()
         self.exit.gate.apply_change()
+        self.meters.settings_refused.set(0)
         self.log.info("settings-reloaded", service=fresh.service, store=fresh.store)
 
     def request_count(self) -> int:
--- a/tests/test_refused_configuration.py
+++ b/tests/test_refused_configuration.py
@@ -4,6 +4,9 @@
 import math
 import time
 
+import msgspec
+
+from rattanridge.mesh import settings
 from rattanridge.platform import configs
 from rattanridge.policies import freshness
 from tests import mesh_world
@@ -98,3 +101,16 @@
         await world.apply(4, *mesh_world.DEFAULT_ROUTES)
         assert not node.configs.refused
         assert configs.version_of(node.configs.content) == 4
+
+
+class TestSettingsFile:
+    # Guards against a refused settings file that only one log line tells of.
+    async def test_gauge_says_that_a_reload_was_refused(self, world, tmp_path):
+        await world.start("registry")
+        node = world.nodes[0]
+        path = tmp_path / "node.yaml"
+        good = msgspec.yaml.encode(node.config)
+        for content, refused in ((good + b"odd: 1\n", 1), (good, 0)):
+            path.write_bytes(content)
+            node.reload(settings.SettingsFile(str(path)))
+            assert gauge(node, "settings_refused") == refused
