Null in an answer of the store is what is left out; what is dropped is counted

A page of a list without a readable object was asked for again for ever.

Change: null counts as left out there. What can't be read is counted (store_calls, decode, unreadable-object). A page that names no object ends the list with a failure.

--- a/rattanridge/platform/store.py
+++ b/rattanridge/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store: read, write and watch its objects."""
 
+import collections.abc
 import dataclasses
 import socket
 import typing
@@ -36,6 +37,8 @@
 REVISION = "Revision"
 STALE = "AllowStale"
 
+Observe = collections.abc.Callable[[str, str], None]
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Answer:
@@ -76,7 +79,7 @@
     def __init__(
         self,
         address: str,
-        observe: typing.Callable[[str, str], None] = lambda call, outcome: None,
+        observe: Observe = lambda call, outcome: None,
     ):
         self.base = f"http://{address}/api/objects/"
         self.observe = observe
@@ -147,11 +150,20 @@
             if first_era not in (None, era):
                 raise codes.Failure(codes.PLATFORM_BUSY, f"{kind}: era {era} began")
             first_era = era
-            page = [
-                store_objects.decode_object(bytes(raw), era=era) for raw in wire.items
-            ]
-            items.extend(item for item in page if item is not None)
-            if not wire.more or not items:
+            page = drop_unreadable(
+                self.observe,
+                [
+                    store_objects.decode_object(bytes(raw), era=era)
+                    for raw in wire.items or ()
+                ],
+            )
+            items.extend(page)
+            if wire.more and not page:
+                # Nothing names the object after which the next page begins.
+                raise codes.Failure(
+                    codes.PLATFORM_REFUSED, f"{kind}: a page of a list has no object"
+                )
+            if not wire.more:
                 return store_objects.Listing(
                     items, store_objects.make_revision(era, wire.revision)
                 )
@@ -192,11 +204,13 @@
         if revision and era != store_objects.era_of(revision):
             raise codes.Failure(codes.WATCH_LOST, f"{kind}: answer of era {era}")
         wire = store_objects.decode(answer.body, store_objects.WireChanges)
-        page = [
-            store_objects.decode_object(bytes(item.object), item.deleted, era)
-            for item in wire.events
-        ]
-        items = [item for item in page if item is not None]
+        items = drop_unreadable(
+            self.observe,
+            [
+                store_objects.decode_object(bytes(item.object), bool(item.deleted), era)
+                for item in wire.events or ()
+            ],
+        )
         return store_objects.Listing(
             items, store_objects.make_revision(era, wire.revision)
         )
@@ -332,6 +346,16 @@
         raise codes.Failure(code, f"{method} {path}: {status}")
 
 
+def drop_unreadable(
+    observe: Observe, found: list[store_objects.StoredObject | None]
+) -> list[store_objects.StoredObject]:
+    """Return the objects that could be read; count the others."""
+    readable = [item for item in found if item is not None]
+    for _ in range(len(found) - len(readable)):
+        observe("decode", "unreadable-object")
+    return readable
+
+
 async def read_answer(response: aiohttp.ClientResponse) -> bytes:
     """Return the body of an answer; raise if it exceeds ``MAX_ANSWER_BYTES``."""
     parts = []
--- a/rattanridge/platform/store_objects.py
+++ b/rattanridge/platform/store_objects.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from rattanridge.kernel import codes, untrusted_json
+from rattanridge.kernel import codes, json_parts, untrusted_json
 
 NULL = b"null"
 ERA_REVISIONS = 2**40  # more revisions than the store gives out in one era
@@ -42,9 +42,11 @@
     revision: int
 
 
-class WireMetadata(msgspec.Struct, omit_defaults=True):
+class WireMetadata(json_parts.TolerantStruct, omit_defaults=True):
     """Name, revision and deletion mark of an object."""
 
+    needed = frozenset({"revision", "marked"})
+
     name: str = msgspec.field(name="Name")
     revision: int = msgspec.field(name="Revision", default=0)
     marked: bool = msgspec.field(name="MarkedForDeletion", default=False)
@@ -62,21 +64,21 @@
     """One change in the answer to a watch."""
 
     object: msgspec.Raw = msgspec.field(name="Object")
-    deleted: bool = msgspec.field(name="IsDeleted", default=False)
+    deleted: bool | None = msgspec.field(name="IsDeleted", default=False)
 
 
 class WireListing(msgspec.Struct):
     """The answer to a list."""
 
-    items: list[msgspec.Raw] = []
-    more: bool = msgspec.field(name="HasMore", default=False)
+    items: list[msgspec.Raw] | None = None
+    more: bool | None = msgspec.field(name="HasMore", default=False)
     revision: int = msgspec.field(name="CurrentRev", default=0)
 
 
 class WireChanges(msgspec.Struct):
     """The answer to a watch."""
 
-    events: list[WireEvent] = []
+    events: list[WireEvent] | None = None
     revision: int = msgspec.field(name="CurrentRev", default=0)
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -20,6 +20,7 @@
     headers,
     heartbeats,
     orders,
+    store as stores,
     store_objects,
 )
 from rattanridge.policies import keys  # noqa: F401 (registers the key sources)
@@ -145,6 +146,55 @@
         data = b'{"Metadata":{"Name":"n","Revision":5,"MarkedForDeletion":true}}'
         assert store_objects.decode_object(data).deleted
 
+    # Guards against an object that is not seen, without a trace, as its mark is null.
+    def test_null_is_the_same_as_left_out(self):
+        data = b'{"Metadata":{"Name":"n","Revision":null,"MarkedForDeletion":null}}'
+        assert store_objects.decode_object(data) == store_objects.StoredObject("n", 0)
+
+
+class Answers(stores.Store):
+    """A client of the store that is given the bodies of its answers."""
+
+    def __init__(self, *bodies):
+        self.observed = []
+        super().__init__("", lambda *outcome: self.observed.append(outcome))
+        self.bodies = list(bodies)
+
+    async def call(self, *arguments, **more):
+        return stores.Answer(json.dumps(self.bodies.pop(0)).encode(), 0)
+
+
+class TestStoreAnswers:
+    NAMED = {"Metadata": {"Name": "n", "Revision": 5}}
+    UNREADABLE = {"Metadata": {"Name": "m", "Revision": "?"}}
+
+    async def test_objects_that_cannot_be_read_are_counted(self):
+        items = [self.NAMED, self.UNREADABLE]
+        store = Answers({"items": items, "CurrentRev": 9})
+        assert [item.name for item in (await store.list("k")).items] == ["n"]
+        assert store.observed == [("decode", "unreadable-object")]
+
+    async def test_null_is_the_same_as_left_out(self):
+        store = Answers(
+            {"items": [self.NAMED], "HasMore": None, "CurrentRev": 9},
+            {"items": None, "CurrentRev": 9},
+            {"events": [{"Object": self.NAMED, "IsDeleted": None}], "CurrentRev": 9},
+            {"events": None, "CurrentRev": 9},
+        )
+        assert len((await store.list("k")).items) == 1
+        assert not (await store.list("k")).items
+        found = (await store.watch("k", 5, 1.0, 1.0)).items
+        assert [item.deleted for item in found] == [False]
+        assert not (await store.watch("k", 5, 1.0, 1.0)).items
+
+    # Guards against a list that asks for the same page for ever.
+    async def test_page_that_names_no_object_ends_the_list(self):
+        page = {"items": [self.UNREADABLE], "HasMore": True, "CurrentRev": 9}
+        store = Answers({"items": [self.NAMED], "HasMore": True, "CurrentRev": 9}, page)
+        with pytest.raises(codes.Failure) as caught:
+            await store.list("k")
+        assert caught.value.code is codes.PLATFORM_REFUSED
+
 
 class TestConfiguration:
     def test_split_and_priorities(self):
