--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -1,7 +1,7 @@
-"""Wire format of the configuration, and its conversion to the kernel's types.
+"""Conversion of configurations between the wire format and the kernel's types.
 
-The pages name no number here that has to be whole. Counts are used without their
-fraction, so that nothing gets more than its operator has written.
+Counts are used without their fraction, so that nothing gets more than its operator has
+written.
 """
 
 import functools
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from rattanridge.kernel import accounts, codes, json_parts, routes, untrusted_json
+from rattanridge.kernel import accounts, codes, routes, untrusted_json
+from rattanridge.platform import config_wire
 
 KIND = "config"
 NAME = "main"
@@ -19,132 +20,11 @@
 KINDS = (IDEMPOTENT_KIND, LARGE_KIND, NON_IDEMPOTENT_KIND)
 VERSION_BASE = 16
 MAX_EXACT = 2**53  # whole numbers up to this one are the same as a float
-DEFAULT_TIMEOUT_MS = 10_000.0  # of a route that sets none
-
-
-class WireShare(json_parts.TolerantStruct):
-    """One service of a traffic split and its weight."""
-
-    service: str = msgspec.field(name="Service")
-    weight: float = msgspec.field(name="Weight", default=0.0)
-
-
-class WireExtras(msgspec.Struct, omit_defaults=True):
-    """Fields of a preset's route for which the platform has no field of its own.
-
-    :param bare: whether the prefix without its trailing slash matches, too.
-    """
-
-    methods: list[str] = msgspec.field(name="Methods", default_factory=list)
-    bare: bool = msgspec.field(name="BarePrefix", default=False)
-    key: routes.KeySource | None = msgspec.field(name="IdempotencyKey", default=None)
-
-
-NO_EXTRAS = WireExtras()
-
-
-class WireRoute(json_parts.TolerantStruct):
-    """One path of a host.
-
-    ``Kind`` tells whether its requests are idempotent and whether its answers are
-    large. Without its prefix nobody knows which requests a route is for, and without
-    its extras their work might run twice.
-    """
-
-    needed = frozenset({"prefix", "extras"})
-
-    name: str = msgspec.field(name="Name", default="")
-    prefix: str = msgspec.field(name="PathPrefix", default="")
-    kind: str = msgspec.field(name="Kind", default="")
-    priority: float = msgspec.field(name="Priority", default=0)
-    timeout_ms: float = msgspec.field(name="TimeoutMs", default=DEFAULT_TIMEOUT_MS)
-    target_ms: float = msgspec.field(name="TargetLatencyMs", default=0.0)
-    attempts: float = msgspec.field(name="MaxAttempts", default=1)
-    service: str | msgspec.UnsetType = msgspec.field(
-        name="Service", default=msgspec.UNSET
-    )
-    split: list[WireShare] | msgspec.UnsetType = msgspec.field(
-        name="TrafficSplit", default=msgspec.UNSET
-    )
-    extras: WireExtras | msgspec.UnsetType = msgspec.field(
-        name="Extras", default=msgspec.UNSET
-    )
-    public: bool | msgspec.UnsetType = msgspec.field(
-        name="Public", default=msgspec.UNSET
-    )
-
-
-class WireHost(msgspec.Struct):
-    """One host with its routes."""
-
-    host: str = msgspec.field(name="Host")
-    paths: list[WireRoute] = msgspec.field(name="Paths")
-
-
-class WireService(json_parts.TolerantStruct):
-    """One service: health check, connection limit, and its endpoints when cold."""
-
-    name: str = msgspec.field(name="Name")
-    health_path: str = msgspec.field(name="HealthPath", default="/healthz")
-    connections: float = msgspec.field(name="MaxConnections", default=100)
-    cold_start: float | msgspec.UnsetType = msgspec.field(
-        name="ColdStartS", default=msgspec.UNSET
-    )
-    cold_rate: float | msgspec.UnsetType = msgspec.field(
-        name="ColdPerS", default=msgspec.UNSET
-    )
-
-
-class WireLimits(json_parts.TolerantStruct):
-    """Limits on callers: sizes in bytes, times in milliseconds."""
-
-    header_bytes: float = msgspec.field(name="MaxHeaderBytes", default=16_384)
-    body_bytes: float = msgspec.field(name="MaxBodyBytes", default=67_108_864)
-    header_ms: float = msgspec.field(name="HeaderTimeoutMs", default=3_000)
-    idle_ms: float = msgspec.field(name="IdleTimeoutMs", default=15_000)
-
-
-class WireAccount(json_parts.TolerantStruct, omit_defaults=True):
-    """One client account: its keys, and its rate in requests per second.
-
-    An account that cannot be read whole might let in somebody else, or too much.
-    """
-
-    needed = frozenset({"name", "keys", "priority", "rate", "burst"})
-
-    name: str = msgspec.field(name="Name", default="")
-    keys: list[str] = msgspec.field(name="ApiKeys", default_factory=list)
-    priority: float | None = msgspec.field(name="Priority", default=None)
-    rate: float = msgspec.field(name="RatePerS", default=0.0)
-    burst: float = msgspec.field(name="Burst", default=0.0)
-
-
-class WireConfiguration(json_parts.TolerantStruct):
-    """The whole configuration; ``Version`` is a hexadecimal number.
-
-    Without its accounts everybody would be let in.
-    """
-
-    needed = frozenset({"accounts"})
-
-    version: str = msgspec.field(name="Version")
-    hosts: list[WireHost] = msgspec.field(name="VirtualHosts")
-    services: list[WireService] = msgspec.field(name="Services")
-    limits: WireLimits = msgspec.field(name="Limits", default_factory=WireLimits)
-    accounts: list[WireAccount] | msgspec.UnsetType = msgspec.field(
-        name="Tenants", default=msgspec.UNSET
-    )
-
-
-class WireVersion(msgspec.Struct):
-    """The version of a configuration, of which nothing else has to be readable."""
-
-    version: str = msgspec.field(name="Version")
 
 
 def version_of(data: bytes) -> int:
     """Return the version of a configuration; 0 if it cannot be read."""
-    wire = untrusted_json.decode_or_none(data, WireVersion)
+    wire = untrusted_json.decode_or_none(data, config_wire.WireVersion)
     try:
         return int(wire.version, VERSION_BASE) if wire is not None else 0
     except ValueError:
@@ -161,7 +41,9 @@
     ``bad-account``, or ``missing-service`` for a route to an undefined service.
     """
     try:
-        wire, unused = untrusted_json.decode_with_gaps(data, WireConfiguration)
+        wire, unused = untrusted_json.decode_with_gaps(
+            data, config_wire.WireConfiguration
+        )
         version = int(wire.version, VERSION_BASE)
     except (*untrusted_json.ERRORS, ValueError) as error:
         raise codes.Failure(codes.BAD_FIELD, str(error), where="configuration")
@@ -189,16 +71,18 @@
     )
 
 
-def decode_account(item: WireAccount) -> accounts.Account:
+def decode_account(item: config_wire.WireAccount) -> accounts.Account:
     """Return an account of the wire format, which is not checked yet."""
     keys = tuple(item.keys)
     priority = math.floor(item.priority) if item.priority is not None else None
     return accounts.Account(item.name, keys, priority, item.rate, item.burst)
 
 
-def encode_account(item: accounts.Account) -> WireAccount:
+def encode_account(item: accounts.Account) -> config_wire.WireAccount:
     """Return an account in wire format."""
-    return WireAccount(item.name, list(item.keys), item.priority, item.rate, item.burst)
+    return config_wire.WireAccount(
+        item.name, list(item.keys), item.priority, item.rate, item.burst
+    )
 
 
 def not_negative(value: float, default: float, place: str, unused: list[str]) -> float:
@@ -213,7 +97,7 @@
     return default
 
 
-def decode_service(item: WireService, unused: list[str]) -> routes.Service:
+def decode_service(item: config_wire.WireService, unused: list[str]) -> routes.Service:
     """Decode one service; a number below zero counts as left out."""
     where = f"service {item.name}"
     cold_start = item.cold_start or 0.0
@@ -229,7 +113,7 @@
 
 def decode_route(
     host: str,
-    item: WireRoute,
+    item: config_wire.WireRoute,
     services: dict[str, routes.Service],
     unused: list[str],
 ) -> routes.Route:
@@ -241,9 +125,9 @@
     where = f"route {item.name}"
     shares = decode_shares(item, where, unused)
     check_route(item, shares, services)
-    extras = item.extras or NO_EXTRAS
+    extras = item.extras or config_wire.NO_EXTRAS
     timeout = not_negative(item.timeout_ms, 0.0, f"{where}: TimeoutMs", unused)
-    timeout = timeout or DEFAULT_TIMEOUT_MS
+    timeout = timeout or config_wire.DEFAULT_TIMEOUT_MS
     target = not_negative(item.target_ms, 0.0, f"{where}: TargetLatencyMs", unused)
     return routes.Route(
         name=item.name,
@@ -264,7 +148,7 @@
 
 
 def decode_shares(
-    item: WireRoute, where: str, unused: list[str]
+    item: config_wire.WireRoute, where: str, unused: list[str]
 ) -> tuple[routes.Share, ...]:
     """Return the weighted services of a route: its split, or its only service.
 
@@ -275,7 +159,9 @@
     return single_share(item.service) if item.service else ()
 
 
-def decode_share(part: WireShare, where: str, unused: list[str]) -> routes.Share:
+def decode_share(
+    part: config_wire.WireShare, where: str, unused: list[str]
+) -> routes.Share:
     """Decode one service of a split; a weight below zero counts as zero."""
     place = f"{where}: Weight of {part.service}"
     return routes.Share(part.service, not_negative(part.weight, 0.0, place, unused))
@@ -288,7 +174,7 @@
 
 
 def check_route(
-    item: WireRoute,
+    item: config_wire.WireRoute,
     shares: tuple[routes.Share, ...],
     services: dict[str, routes.Service],
 ) -> None:
@@ -310,14 +196,14 @@
 def encode(configuration: routes.Configuration) -> bytes:
     """Return a configuration in the platform's wire format."""
     limits = configuration.limits
-    wire = WireConfiguration(
+    wire = config_wire.WireConfiguration(
         f"{configuration.version:08x}",
         [
-            WireHost(host, [encode_route(route) for route in group])
+            config_wire.WireHost(host, [encode_route(route) for route in group])
             for host, group in configuration.routes.items()
         ],
         [
-            WireService(
+            config_wire.WireService(
                 item.name,
                 item.health_path,
                 item.connections,
@@ -326,7 +212,7 @@
             )
             for item in configuration.services.values()
         ],
-        WireLimits(
+        config_wire.WireLimits(
             limits.header_bytes,
             limits.body_bytes,
             limits.header_timeout * 1000,
@@ -338,9 +224,9 @@
     return msgspec.json.encode(wire)
 
 
-def encode_route(route: routes.Route) -> WireRoute:
+def encode_route(route: routes.Route) -> config_wire.WireRoute:
     """Return a route in wire format; fields that the platform lacks go into extras."""
-    wire = WireRoute(
+    wire = config_wire.WireRoute(
         route.name,
         route.prefix,
         kind_of(route),
@@ -354,13 +240,15 @@
     else:
         wire.split = [encode_share(item) for item in route.shares]
     if route.methods or route.bare or route.key:
-        wire.extras = WireExtras(sorted(route.methods), route.bare, route.key)
+        wire.extras = config_wire.WireExtras(
+            sorted(route.methods), route.bare, route.key
+        )
     if route.public:
         wire.public = True
     return wire
 
 
-def encode_share(share: routes.Share) -> WireShare:
+def encode_share(share: routes.Share) -> config_wire.WireShare:
     """Return a share in wire format.
 
     A whole weight is written without a fraction: nodes of earlier versions of this
@@ -369,7 +257,7 @@
     weight = share.weight
     if weight == int(weight) and weight <= MAX_EXACT:
         weight = int(weight)
-    return WireShare(share.service, weight)
+    return config_wire.WireShare(share.service, weight)
 
 
 def kind_of(route: routes.Route) -> str:
--- a/tests/mesh_world.py
+++ b/tests/mesh_world.py
@@ -8,7 +8,7 @@
 import yarl
 
 from rattanridge.mesh import calls
-from rattanridge.platform import configs, headers, orders
+from rattanridge.platform import config_wire, configs, headers, orders
 from rattanridge.standin import fleet, upstream as upstreams
 from rattanridge.web import streams
 
@@ -16,16 +16,16 @@
 
 
 def route(name, prefix, service, kind="safe", **more):
-    return configs.WireRoute(
+    return config_wire.WireRoute(
         name, prefix, kind, timeout_ms=2000, target_ms=500, service=service, **more
     )
 
 
 def configuration(version, *paths, services=("registry", "workshop"), accounts=()):
-    wire = configs.WireConfiguration(
+    wire = config_wire.WireConfiguration(
         f"{version:08x}",
-        [configs.WireHost(HOST, list(paths))],
-        [configs.WireService(name) for name in services],
+        [config_wire.WireHost(HOST, list(paths))],
+        [config_wire.WireService(name) for name in services],
     )
     if accounts:
         wire.accounts = list(accounts)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -16,6 +16,7 @@
 from rattanridge.kernel import codes, files, routes
 from rattanridge.mesh import settings
 from rattanridge.platform import (
+    config_wire,
     configs,
     headers,
     heartbeats,
@@ -198,16 +199,16 @@
 
 class TestConfiguration:
     def test_split_and_priorities(self):
-        parts = [configs.WireShare("a", 90), configs.WireShare("b", 10)]
-        wire = configs.WireConfiguration(
+        parts = [config_wire.WireShare("a", 90), config_wire.WireShare("b", 10)]
+        wire = config_wire.WireConfiguration(
             "0000000c",
             [
-                configs.WireHost(
+                config_wire.WireHost(
                     "H.example",
-                    [configs.WireRoute("r", "/p/", "unsafe", 2, 1200, split=parts)],
+                    [config_wire.WireRoute("r", "/p/", "unsafe", 2, 1200, split=parts)],
                 )
             ],
-            [configs.WireService("a"), configs.WireService("b")],
+            [config_wire.WireService("a"), config_wire.WireService("b")],
         )
         found = configs.decode(msgspec.json.encode(wire))
         route = found.match("h.example", "/p/1", "POST")
@@ -227,10 +228,14 @@
         ],
     )
     def test_kinds_of_routes(self, kind, idempotent, large, unknown):
-        wire = configs.WireConfiguration(
+        wire = config_wire.WireConfiguration(
             "1",
-            [configs.WireHost("h", [configs.WireRoute("r", "/p/", kind, service="a")])],
-            [configs.WireService("a")],
+            [
+                config_wire.WireHost(
+                    "h", [config_wire.WireRoute("r", "/p/", kind, service="a")]
+                )
+            ],
+            [config_wire.WireService("a")],
         )
         found = configs.decode(msgspec.json.encode(wire))
         route = found.match("h", "/p/1", "GET")
@@ -274,27 +279,27 @@
         assert len(found.unused) == (value == -1)
 
     def test_unknown_key_source_is_refused(self):
-        extras = configs.WireExtras(key=routes.KeySource("none-such", "x"))
-        wire = configs.WireConfiguration(
+        extras = config_wire.WireExtras(key=routes.KeySource("none-such", "x"))
+        wire = config_wire.WireConfiguration(
             "1",
             [
-                configs.WireHost(
+                config_wire.WireHost(
                     "h",
                     [
-                        configs.WireRoute(
+                        config_wire.WireRoute(
                             "r", "/p/", "unsafe", service="a", extras=extras
                         )
                     ],
                 )
             ],
-            [configs.WireService("a")],
+            [config_wire.WireService("a")],
         )
         with pytest.raises(codes.Failure) as caught:
             configs.decode(msgspec.json.encode(wire))
         assert caught.value.code is codes.BAD_FIELD
 
     def test_plain_route_has_only_the_platform_fields(self):
-        wire = configs.WireRoute("r", "/p/", "safe", service="s")
+        wire = config_wire.WireRoute("r", "/p/", "safe", service="s")
         assert set(msgspec.json.decode(msgspec.json.encode(wire))) == {
             "Name", "PathPrefix", "Kind", "Priority", "TimeoutMs", "TargetLatencyMs",
             "MaxAttempts", "Service",
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -12,14 +12,14 @@
 from rattanridge.kernel import accounts, codes, log, routes
 from rattanridge.mesh import parents
 from rattanridge.mesh.accounts import authentication
-from rattanridge.platform import configs, headers
+from rattanridge.platform import config_wire, configs, headers
 from rattanridge.standin import fleet
 from tests import mesh_world, test_admin
 
 KEY = "kR7-secret-of-large"
 OTHER_KEY = "qZ3-secret-of-small"
-LARGE = configs.WireAccount("large", [KEY], 0, 5.0, 2.0)
-SMALL = configs.WireAccount("small", [OTHER_KEY])
+LARGE = config_wire.WireAccount("large", [KEY], 0, 5.0, 2.0)
+SMALL = config_wire.WireAccount("small", [OTHER_KEY])
 PATHS = (
     mesh_world.route("lookup", "/lookup/", "registry", priority=3),
     mesh_world.route("open", "/open/", "registry", priority=3, public=True),
@@ -234,7 +234,7 @@
             reader, writer = await world.connect()
             writer.write(f"GET / HTTP/1.1\r\nAuthorization: {KEY}\x01\r\n\r\n".encode())
             pages = [(await reader.read(10_000)).decode()]
-            twice = configs.WireAccount("twice", [KEY])
+            twice = config_wire.WireAccount("twice", [KEY])
             await world.configure(3, *PATHS, accounts=[LARGE, twice])
             await world.wait(lambda: world.nodes[0].configs.refused)
             preset = fleet.make_preset("day", ["registry"])
--- a/tests/test_cold_rate.py
+++ b/tests/test_cold_rate.py
@@ -10,7 +10,7 @@
 
 from rattanridge.kernel import codes
 from rattanridge.mesh import hop_headers, settings
-from rattanridge.platform import configs, headers
+from rattanridge.platform import config_wire, configs, headers
 from rattanridge.policies import cold_rate
 from tests import evacuated_zones, mesh_world, test_restarts
 
@@ -37,7 +37,7 @@
     """Start nodes with endpoints that are cold or not, and wait until they serve."""
     await world.start(*services, slots=40, cold=COLD, **more)
     plain = mesh_world.configuration(2, *mesh_world.DEFAULT_ROUTES)
-    wire = msgspec.json.decode(plain, type=configs.WireConfiguration)
+    wire = msgspec.json.decode(plain, type=config_wire.WireConfiguration)
     for service in wire.services:
         service.cold_rate = RATE
     await world.store.put(configs.KIND, configs.NAME, msgspec.json.encode(wire))
--- a/tests/test_config_forms.py
+++ b/tests/test_config_forms.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies
 
 from rattanridge.kernel import codes, routes
-from rattanridge.platform import configs
+from rattanridge.platform import config_wire, configs
 from rattanridge.policies import splitting
 from tests import mesh_world
 
@@ -19,8 +19,8 @@
 def split_between(first, second):
     """Return a route that is split between two services by these weights."""
     weights = {"registry": first, "workshop": second}
-    parts = [configs.WireShare(name, weight) for name, weight in weights.items()]
-    return configs.WireRoute("split", "/split/", "safe", split=parts)
+    parts = [config_wire.WireShare(name, weight) for name, weight in weights.items()]
+    return config_wire.WireRoute("split", "/split/", "safe", split=parts)
 
 
 def read(*paths):
@@ -263,8 +263,8 @@
         [
             {},
             {"split": []},
-            {"split": [configs.WireShare("registry", 0)]},
-            {"split": [configs.WireShare("registry", -1)]},
+            {"split": [config_wire.WireShare("registry", 0)]},
+            {"split": [config_wire.WireShare("registry", -1)]},
             {"split": 5},
         ],
     )
@@ -272,7 +272,7 @@
         await world.start("registry")
         kept = mesh_world.route("kept", "/kept/", "registry")
         wide = mesh_world.route("wide", "/", "registry")
-        without = configs.WireRoute("without", "/without/", "safe", **more)
+        without = config_wire.WireRoute("without", "/without/", "safe", **more)
         await world.apply(2, kept, wide, without)
         assert (await world.call("/kept/1"))[0] == 200
         status, found, _ = await world.call("/without/1")
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -6,7 +6,7 @@
 
 from rattanridge.kernel import codes
 from rattanridge.mesh.quota import lease, messages
-from rattanridge.platform import configs
+from rattanridge.platform import config_wire
 from rattanridge.policies import quota
 from tests import mesh_world
 
@@ -15,7 +15,7 @@
 
 
 def limit(rate=RATE, burst=0.0):
-    return configs.WireAccount("heating", ["k1"], rate=rate, burst=burst)
+    return config_wire.WireAccount("heating", ["k1"], rate=rate, burst=burst)
 
 
 @pytest.fixture
--- a/tests/test_untrusted_json.py
+++ b/tests/test_untrusted_json.py
@@ -6,10 +6,10 @@
 import msgspec
 import pytest
 
-from rattanridge.kernel import untrusted_json
+from rattanridge.kernel import codes, untrusted_json
 from rattanridge.mesh import claim, versions
 from rattanridge.mesh.discovery import records
-from rattanridge.platform import configs, heartbeats, orders, store_objects
+from rattanridge.platform import config_wire, configs, heartbeats, orders, store_objects
 from rattanridge.policies import keys
 from tests import mesh_world
 
@@ -32,7 +32,7 @@
 PAGE = b'{"rollouts":[["s",7,{"a":1.5},null]]}'
 CONFIGURATION = mesh_world.configuration(
     3,
-    configs.WireRoute(
+    config_wire.WireRoute(
         "r",
         "/p/",
         "safe",
@@ -40,9 +40,12 @@
         1200,
         300,
         4,
-        split=[configs.WireShare("registry", 9), configs.WireShare("workshop", 1)],
+        split=[
+            config_wire.WireShare("registry", 9),
+            config_wire.WireShare("workshop", 1),
+        ],
     ),
-    accounts=[configs.WireAccount("a", ["k"], 3, 5, 8)],
+    accounts=[config_wire.WireAccount("a", ["k"], 3, 5, 8)],
 )
 ANSWER = claim.RecordedAnswer(201, [("a", "b")], b"done")
 CLAIM = claim.encode(claim.Claim("d", "s", 3, claim.State.RUNNING, ANSWER))
@@ -97,9 +100,9 @@
     @pytest.mark.parametrize("value", ["6.5", "null", '"6"', "1e400", "true"])
     def test_other_values_of_a_report_are_still_refused(self, field, value):
         text = re.sub(rf'"{field}":\d+', f'"{field}":{value}', REPORT.decode())
-        with pytest.raises(Exception, match=field) as caught:
+        with pytest.raises(codes.Failure, match=field) as caught:
             heartbeats.decode("i-1", text.encode())
-        assert caught.value.code.name == "bad-field"
+        assert caught.value.code is codes.BAD_FIELD
 
 
 class TestDecode:
