Ranges of a configuration's numbers stand in its wire types

A number below zero was looked for by hand in some fields; a limit on bodies below zero refused all bodies, and was not looked for. The types say now which numbers may not be below zero, so such a value counts as left out like any other that doesn't match. A route without a name is called by its prefix.

--- a/rattanridge/platform/config_wire.py
+++ b/rattanridge/platform/config_wire.py
@@ -3,18 +3,22 @@
 The pages name no number here that has to be whole.
 """
 
+import typing
+
 import msgspec
 
 from rattanridge.kernel import json_parts, routes
 
 DEFAULT_TIMEOUT_MS = 10_000.0  # of a route that sets none
 
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+
 
 class WireShare(json_parts.TolerantStruct):
     """One service of a traffic split and its weight."""
 
     service: str = msgspec.field(name="Service")
-    weight: float = msgspec.field(name="Weight", default=0.0)
+    weight: NotNegative = msgspec.field(name="Weight", default=0.0)
 
 
 class WireExtras(msgspec.Struct, omit_defaults=True):
@@ -45,9 +49,11 @@
     prefix: str = msgspec.field(name="PathPrefix", default="")
     kind: str = msgspec.field(name="Kind", default="")
     priority: float = msgspec.field(name="Priority", default=0)
-    timeout_ms: float = msgspec.field(name="TimeoutMs", default=DEFAULT_TIMEOUT_MS)
-    target_ms: float = msgspec.field(name="TargetLatencyMs", default=0.0)
-    attempts: float = msgspec.field(name="MaxAttempts", default=1)
+    timeout_ms: NotNegative = msgspec.field(
+        name="TimeoutMs", default=DEFAULT_TIMEOUT_MS
+    )
+    target_ms: NotNegative = msgspec.field(name="TargetLatencyMs", default=0.0)
+    attempts: NotNegative = msgspec.field(name="MaxAttempts", default=1)
     service: str | msgspec.UnsetType = msgspec.field(
         name="Service", default=msgspec.UNSET
     )
@@ -74,11 +80,11 @@
 
     name: str = msgspec.field(name="Name")
     health_path: str = msgspec.field(name="HealthPath", default="/healthz")
-    connections: float = msgspec.field(name="MaxConnections", default=100)
-    cold_start: float | msgspec.UnsetType = msgspec.field(
+    connections: NotNegative = msgspec.field(name="MaxConnections", default=100)
+    cold_start: NotNegative | msgspec.UnsetType = msgspec.field(
         name="ColdStartS", default=msgspec.UNSET
     )
-    cold_rate: float | msgspec.UnsetType = msgspec.field(
+    cold_rate: NotNegative | msgspec.UnsetType = msgspec.field(
         name="ColdPerS", default=msgspec.UNSET
     )
 
@@ -86,10 +92,10 @@
 class WireLimits(json_parts.TolerantStruct):
     """Limits on callers: sizes in bytes, times in milliseconds."""
 
-    header_bytes: float = msgspec.field(name="MaxHeaderBytes", default=16_384)
-    body_bytes: float = msgspec.field(name="MaxBodyBytes", default=67_108_864)
-    header_ms: float = msgspec.field(name="HeaderTimeoutMs", default=3_000)
-    idle_ms: float = msgspec.field(name="IdleTimeoutMs", default=15_000)
+    header_bytes: NotNegative = msgspec.field(name="MaxHeaderBytes", default=16_384)
+    body_bytes: NotNegative = msgspec.field(name="MaxBodyBytes", default=67_108_864)
+    header_ms: NotNegative = msgspec.field(name="HeaderTimeoutMs", default=3_000)
+    idle_ms: NotNegative = msgspec.field(name="IdleTimeoutMs", default=15_000)
 
 
 class WireAccount(json_parts.TolerantStruct, omit_defaults=True):
--- a/rattanridge/platform/configs.py
+++ b/rattanridge/platform/configs.py
@@ -47,9 +47,9 @@
         version = int(wire.version, VERSION_BASE)
     except (*untrusted_json.ERRORS, ValueError) as error:
         raise codes.Failure(codes.BAD_FIELD, str(error), where="configuration")
-    services = {item.name: decode_service(item, unused) for item in wire.services}
+    services = {item.name: decode_service(item) for item in wire.services}
     decoded = [
-        decode_route(group.host, item, services, unused)
+        decode_route(group.host, item, services)
         for group in wire.hosts
         for item in group.paths
     ]
@@ -85,58 +85,37 @@
     )
 
 
-def not_negative(value: float, default: float, place: str, unused: list[str]) -> float:
-    """Return a number, or its default if it is below zero.
-
-    :param place: where it stands, for ``unused``.
-    :param unused: gets a line for each value that is not used.
-    """
-    if value >= 0:
-        return value
-    unused.append(f"{place}: {value:g} is below zero")
-    return default
-
-
-def decode_service(item: config_wire.WireService, unused: list[str]) -> routes.Service:
-    """Decode one service; a number below zero counts as left out."""
-    where = f"service {item.name}"
-    cold_start = item.cold_start or 0.0
-    cold_rate = item.cold_rate or 0.0
+def decode_service(item: config_wire.WireService) -> routes.Service:
+    """Decode one service."""
     return routes.Service(
         item.name,
         item.health_path,
         math.floor(item.connections),
-        not_negative(cold_start, 0.0, f"{where}: ColdStartS", unused),
-        not_negative(cold_rate, 0.0, f"{where}: ColdPerS", unused),
+        item.cold_start or 0.0,
+        item.cold_rate or 0.0,
     )
 
 
 def decode_route(
-    host: str,
-    item: config_wire.WireRoute,
-    services: dict[str, routes.Service],
-    unused: list[str],
+    host: str, item: config_wire.WireRoute, services: dict[str, routes.Service]
 ) -> routes.Route:
-    """Decode one route; a number below zero counts as left out.
+    """Decode one route.
 
     Raise ``bad-field`` for an invalid field, or ``missing-service`` if ``services``
     lacks one of its services.
     """
-    where = f"route {item.name}"
-    shares = decode_shares(item, where, unused)
+    shares = decode_shares(item)
     check_route(item, shares, services)
     extras = item.extras or config_wire.NO_EXTRAS
-    timeout = not_negative(item.timeout_ms, 0.0, f"{where}: TimeoutMs", unused)
-    timeout = timeout or config_wire.DEFAULT_TIMEOUT_MS
-    target = not_negative(item.target_ms, 0.0, f"{where}: TargetLatencyMs", unused)
+    timeout_ms = item.timeout_ms or config_wire.DEFAULT_TIMEOUT_MS
     return routes.Route(
-        name=item.name,
+        name=item.name or item.prefix,
         host=host.lower(),
         prefix=item.prefix,
         idempotent=item.kind in (IDEMPOTENT_KIND, LARGE_KIND),
         large=item.kind == LARGE_KIND,
-        timeout=timeout / 1000,
-        target_latency=(target or timeout) / 1000,
+        timeout=timeout_ms / 1000,
+        target_latency=(item.target_ms or timeout_ms) / 1000,
         priority=math.floor(item.priority),
         attempts=max(math.floor(item.attempts), 1),
         shares=shares,
@@ -147,26 +126,16 @@
     )
 
 
-def decode_shares(
-    item: config_wire.WireRoute, where: str, unused: list[str]
-) -> tuple[routes.Share, ...]:
+def decode_shares(item: config_wire.WireRoute) -> tuple[routes.Share, ...]:
     """Return the weighted services of a route: its split, or its only service.
 
-    Empty if the route has neither. A weight below zero counts as zero.
+    Empty if the route has neither.
     """
     if item.split:
-        return tuple(decode_share(part, where, unused) for part in item.split)
+        return tuple(routes.Share(part.service, part.weight) for part in item.split)
     return single_share(item.service) if item.service else ()
 
 
-def decode_share(
-    part: config_wire.WireShare, where: str, unused: list[str]
-) -> routes.Share:
-    """Decode one service of a split; a weight below zero counts as zero."""
-    place = f"{where}: Weight of {part.service}"
-    return routes.Share(part.service, not_negative(part.weight, 0.0, place, unused))
-
-
 @functools.lru_cache(maxsize=1024)
 def single_share(service: str) -> tuple[routes.Share, ...]:
     """Return the only share of a service, one object for all routes to it."""
