--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import collections.abc
-import time
 
 import msgspec
 
 from rattanridge.kernel import codes, compression, routes
-from rattanridge.mesh import events
+from rattanridge.mesh import events, refusal
 from rattanridge.mesh.discovery import store_health, watching
 from rattanridge.platform import configs, store as stores, store_objects
 from rattanridge.policies import freshness
@@ -63,9 +62,7 @@
         self.peer_address = ""
         self.content = b""
         self.compressed_content = b""
-        self.refused = ""
-        # Version that was refused; 0 if there is none, or if it cannot be read.
-        self.refused_version = 0
+        self.refusal = refusal.Refusal(log, meters)
         self.log = log
         self.meters = meters
         self.freshness = freshness.Freshness()
@@ -86,7 +83,7 @@
 
     def state(self) -> bytes:
         """Return the node's ``State`` as JSON, for other nodes."""
-        state = State(self.version, self.refused, self.health.up.is_set())
+        state = State(self.version, self.refusal.why, self.health.up.is_set())
         return msgspec.json.encode(state)
 
     def compressed(self) -> bytes:
@@ -109,12 +106,12 @@
         if item.name != configs.NAME or item.deleted:
             return
         if self.apply_content(item.spec, f"revision {item.revision}"):
-            self.record_usable()
+            self.refusal.end()
 
     def apply_content(self, content: bytes, source: str) -> bool:
         """Apply a configuration, as the operator wrote it, if it is newer.
 
-        Return whether it can be used. An invalid one changes nothing but ``refused``.
+        Return whether it can be used. An invalid one changes nothing but ``refusal``.
 
         :param source: where it was read, for the log and the node's state.
         """
@@ -139,8 +136,8 @@
         self.changed_at = asyncio.get_running_loop().time()
         self.content = content
         self.compressed_content = b""
-        if found.version > self.refused_version > 0:
-            self.record_usable()
+        if found.version > self.refusal.version > 0:
+            self.refusal.end()
         self.meters.version.set(found.version)
         self.meters.unknown_kinds.set(len(found.unknown_kinds))
         if found.unknown_kinds:
@@ -166,34 +163,15 @@
     ) -> None:
         """Record that a configuration cannot be used, unless it is an old one."""
         version = configs.version_of(content)
-        if 0 < version <= self.version:
-            return
-        self.log.error(
-            "configuration-refused",
-            version=version,
-            source=source,
-            code=failure.code.number,
-            why=str(failure),
-        )
-        if not self.refused:
-            self.meters.refused_since.set(time.time())
-        self.meters.refused_version.set(version)
-        self.refused_version = version
-        self.refused = f"{source}: {failure}"
-
-    def record_usable(self) -> None:
-        """Record that the configuration that the store holds can be used."""
-        self.refused = ""
-        self.refused_version = 0
-        self.meters.refused_since.set(0)
-        self.meters.refused_version.set(0)
+        if version == 0 or version > self.version:
+            self.refusal.record(version, source, failure)
 
     def known_age(self) -> float:
         """Return the seconds since the version in force was known to be the newest.
 
         Infinite while a newer one is known that cannot be used.
         """
-        if self.refused:
+        if self.refusal.why:
             return float("inf")
         return self.freshness.age(asyncio.get_running_loop().time())
 
@@ -290,7 +268,7 @@
 
         It goes by an older version then, as the others do, and serves as they do.
         """
-        if self.current is None and self.refused and address:
+        if self.current is None and self.refusal.why and address:
             self.peer_address = address
             await self.read_from_peer()
 
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -236,7 +236,7 @@
             pages = [(await reader.read(10_000)).decode()]
             twice = config_wire.WireAccount("twice", [KEY])
             await world.configure(3, *PATHS, accounts=[LARGE, twice])
-            await world.wait(lambda: world.nodes[0].configs.refused)
+            await world.wait(lambda: world.nodes[0].configs.refusal.why)
             preset = fleet.make_preset("day", ["registry"])
             account = {"name": "large", "keys": [KEY], "priority": "high"}
             document = msgspec.to_builtins(preset) | {"accounts": [account]}
--- a/tests/test_refused_configuration.py
+++ b/tests/test_refused_configuration.py
@@ -24,7 +24,7 @@
 async def refuse(world, version=3):
     """Put a version into the store that no node can use."""
     await world.configure(version, UNDEFINED)
-    await world.wait(lambda: all(node.configs.refused for node in world.nodes))
+    await world.wait(lambda: all(node.configs.refusal.why for node in world.nodes))
 
 
 class TestState:
@@ -44,21 +44,21 @@
         await world.apply(5, *mesh_world.DEFAULT_ROUTES)
         assert gauge(node, "configuration_refused_version") == 0
         assert gauge(node, "configuration_refused_since_seconds") == 0
-        assert not node.configs.refused
+        assert not node.configs.refusal.why
 
     # Guards against a status that names a refused version for ever.
     async def test_version_in_force_is_written_again(self, world):
         await world.start("registry")
         await refuse(world)
         await world.configure(1, *mesh_world.DEFAULT_ROUTES)
-        await world.wait(lambda: not world.nodes[0].configs.refused)
+        await world.wait(lambda: not world.nodes[0].configs.refusal.why)
 
     async def test_older_version_is_not_refused(self, world):
         await world.start("registry")
         await world.apply(9, *mesh_world.DEFAULT_ROUTES)
         await world.configure(5, UNDEFINED)
         await asyncio.sleep(0.4)
-        assert not world.nodes[0].configs.refused
+        assert not world.nodes[0].configs.refusal.why
 
     async def test_older_version_of_another_node_leaves_it_refused(self, world):
         await world.start("registry")
@@ -66,8 +66,8 @@
         held = world.nodes[0].configs
         older = mesh_world.configuration(5, *mesh_world.DEFAULT_ROUTES)
         assert held.apply_content(older, "another node")
-        assert (held.version, held.refused_version) == (5, 9)
-        assert held.refused
+        assert (held.version, held.refusal.version) == (5, 9)
+        assert held.refusal.why
 
 
 class TestProof:
@@ -96,10 +96,10 @@
         await refuse(world)
         node = await world.add("registry")
         assert node.configs.version == 1
-        assert node.configs.refused
+        assert node.configs.refusal.why
         assert (await world.call("/lookup/1", node=2))[0] == 200
         await world.apply(4, *mesh_world.DEFAULT_ROUTES)
-        assert not node.configs.refused
+        assert not node.configs.refusal.why
         assert configs.version_of(node.configs.content) == 4
 
 
