A route that only a refused version has is not denied with 404

What callers saw: while a node refuses a version, requests on the routes that it adds got 404, which no client sends again, though the route is there.

Cause: only versions that other nodes have in force counted as newer ones.

--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -228,15 +228,24 @@
         return True
 
     def highest_known_version(self) -> int:
-        """Return the highest version that this or another node has in force."""
-        return max(self.version, self.newest_known)
+        """Return the highest version that is known, also one that is refused."""
+        return max(self.version, self.newest_known, self.refusal.version)
+
+    def knows_newer(self) -> bool:
+        """Return whether a version is known that is newer than the one in force."""
+        return self.highest_known_version() > self.version
 
     def is_behind(self) -> bool:
         """Return whether another node has a newer version in force."""
         return self.newest_known > self.version
 
     async def wait_caught_up(self) -> None:
-        """Get the newer version of another node at once, within CATCH_UP_TIMEOUT."""
+        """Get the newer version of another node at once, within CATCH_UP_TIMEOUT.
+
+        Return at once if no node has one that this node can use.
+        """
+        if not self.is_behind():
+            return
         if self.catch_up_task is None:
             self.catch_up_task = asyncio.create_task(self.catch_up(self.newest_known))
         self.wanted.set()
--- a/rattanridge/mesh/entry.py
+++ b/rattanridge/mesh/entry.py
@@ -217,13 +217,13 @@
         try:
             return self.accept(request)
         except codes.Failure as failure:
-            if failure.code not in VERSION_CODES or not self.configs.is_behind():
+            if failure.code not in VERSION_CODES or not self.configs.knows_newer():
                 raise
         await self.configs.wait_caught_up()
         try:
             return self.accept(request)
         except codes.Failure as failure:
-            if failure.code in VERSION_CODES and self.configs.is_behind():
+            if failure.code in VERSION_CODES and self.configs.knows_newer():
                 raise codes.Failure(codes.CONFIGURATION_BEHIND)
             raise
 
--- a/tests/test_refused_configuration.py
+++ b/tests/test_refused_configuration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from rattanridge.kernel import codes
 from rattanridge.mesh import settings
 from rattanridge.platform import configs
 from rattanridge.policies import freshness
@@ -88,6 +89,18 @@
         return asked.freshness.known_at
 
 
+class TestRequests:
+    # Guards against 404 for a route that a version has which the node refuses.
+    async def test_nobody_is_told_that_a_new_route_is_not_there(self, world):
+        await world.start("registry")
+        assert (await world.call("/r/1"))[0] == 404
+        await refuse(world)
+        status, found, _ = await world.call("/r/1")
+        assert (status, found["Rattanridge-Ran"]) == (503, "not-run")
+        assert found["Rattanridge-Code"] == str(codes.CONFIGURATION_BEHIND.number)
+        assert (await world.call("/lookup/1"))[0] == 200
+
+
 class TestNodeThatStarts:
     # Guards against a restarted or new node that is not ready for as long as a version
     # stands that it cannot use, while the others serve by the one before.
