A version that a node refuses is asked of another node once

What would happen (by reading, shown by the test): in a rolling upgrade some nodes may have a version in force that others can't use. With each answer of theirs such a node began to catch up: all kinds listed, or the configuration read from the store, every half second.

Change: it asks the other node for its copy, in case only its own is bad, and no more for that version if that can't be used either.

Result: test_is_asked_for_once_if_it_cannot_be_used failed before, passes; test_is_used_if_only_the_own_copy_is_bad passes before and after.

--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -190,7 +190,7 @@
             return
         self.newest_known = max(version, self.newest_known)
         self.peer_address = address or self.peer_address
-        if self.catch_up_task is None:
+        if self.is_behind() and self.catch_up_task is None:
             self.catch_up_task = asyncio.create_task(self.catch_up(version))
 
     async def catch_up(self, version: int) -> None:
@@ -207,7 +207,8 @@
             if version <= self.version:
                 return
             self.log.note("configuration-behind", version=self.version, other=version)
-            if wanted or in_storm or not self.health.up.is_set():
+            refused = version <= self.refusal.version
+            if wanted or in_storm or refused or not self.health.up.is_set():
                 await self.read_from_peer()
             elif not self.health.relist(f"another node has version {version} in force"):
                 await self.read_from_store()
@@ -236,8 +237,8 @@
         return self.highest_known_version() > self.version
 
     def is_behind(self) -> bool:
-        """Return whether another node has a newer version in force."""
-        return self.newest_known > self.version
+        """Return whether another node has a newer version in force that may help."""
+        return self.newest_known > max(self.version, self.refusal.version_of_peers)
 
     async def wait_caught_up(self) -> None:
         """Get the newer version of another node at once, within CATCH_UP_TIMEOUT.
@@ -288,7 +289,8 @@
         content = self.decompress(await self.fetch(self.peer_address, PATH))
         if content:
             await self.fetch_members(self.peer_address)
-            self.apply_content(content, self.peer_address)
+            if not self.apply_content(content, self.peer_address):
+                self.refusal.version_of_peers = configs.version_of(content)
 
     def decompress(self, data: bytes | None) -> bytes:
         """Return what another node sent, decompressed.
--- a/tests/test_refused_configuration.py
+++ b/tests/test_refused_configuration.py
@@ -101,6 +101,38 @@
         assert (await world.call("/lookup/1"))[0] == 200
 
 
+class TestVersionOfAnotherNode:
+    async def start(self, world, *, copy):
+        """Start two nodes; the second has version 3, which the first refuses.
+
+        :param copy: what the second one sends as its configuration.
+        """
+        await world.start("workshop", "registry")
+        await refuse(world)
+        used = mesh_world.configuration(3, *mesh_world.DEFAULT_ROUTES)
+        other = world.nodes[1].configs
+        assert other.apply_content(used, "a store that answers well")
+        other.content = copy or used
+        return world.nodes[0].configs
+
+    async def test_is_used_if_only_the_own_copy_is_bad(self, world):
+        held = await self.start(world, copy=b"")
+        await world.call("/lookup/1")
+        await world.wait(lambda: held.version == 3)
+
+    # Guards against a node that reads the same version again and again, from the store
+    # and from others, as long as one has it in force: as in a rolling upgrade.
+    async def test_is_asked_for_once_if_it_cannot_be_used(self, world):
+        held = await self.start(world, copy=mesh_world.configuration(3, UNDEFINED))
+        await world.call("/lookup/1")
+        await world.wait(lambda: held.refusal.version_of_peers == 3)
+        await world.wait(lambda: held.catch_up_task is None)
+        await world.call("/lookup/1")
+        assert held.catch_up_task is None
+        assert held.version == 1
+        assert (await world.call("/none/1"))[0] == 503
+
+
 class TestNodeThatStarts:
     # Guards against a restarted or new node that is not ready for as long as a version
     # stands that it cannot use, while the others serve by the one before.
