--- a/tests/test_config_any_form.py
+++ b/tests/test_config_any_form.py
@@ -115,3 +115,41 @@
             else:
                 with pytest.raises(codes.Failure):
                     splitter.choose(route)
+
+
+ANYTHING = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+PLACES = sorted(
+    {
+        test_config_forms.name_of(place): place
+        for place in test_config_forms.places(test_config_forms.FULL)
+    }.items()
+)
+REASONS = (codes.BAD_FIELD, codes.BAD_ACCOUNT, codes.MISSING_SERVICE)
+REFUSING = test_config_forms.NEEDED | test_config_forms.EXACT
+
+
+class TestAnyValue:
+    # Guards against a value that refuses a version which can do without it, and against
+    # an error that is no coded one and ends the watch.
+    @hypothesis.settings(max_examples=500)
+    @hypothesis.given(strategies.sampled_from(PLACES), ANYTHING)
+    def test_costs_a_version_only_what_depends_on_it(self, named, value):
+        name, place = named
+        try:
+            found = test_config_forms.decode_with(place, value)
+        except codes.Failure as failure:
+            assert failure.code in REASONS
+            assert name in REFUSING or (place[-1] == "Service" and value)
+        else:
+            assert found.version == 12 or name == "Version"
