Design note: a part without a service costs its route, as the code has it

The table said that it refuses the version; the code refuses the route's requests, and a case of test_only_its_own_requests_are_refused shows it now.

--- a/rattanridge/kernel/json_parts.py
+++ b/rattanridge/kernel/json_parts.py
@@ -23,7 +23,8 @@
     An optional field that is null counts as left out. So does one whose value does not
     match its type, and ``PartsDecoder.left_out`` then names it.
 
-    :cvar needed: optional fields that have to match if they are there and not null.
+    :cvar needed: attributes of optional fields that have to match if they are there
+        and not null.
     """
 
     needed: typing.ClassVar[frozenset[str]] = frozenset()
--- a/tests/test_config_forms.py
+++ b/tests/test_config_forms.py
@@ -275,6 +275,7 @@
             {"split": [config_wire.WireShare("registry", 0)]},
             {"split": [config_wire.WireShare("registry", -1)]},
             {"split": 5},
+            {"split": [config_wire.WireShare(None, 1)]},
         ],
     )
     async def test_only_its_own_requests_are_refused(self, world, more):
