--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -122,8 +122,14 @@
         except codes.Failure as failure:
             self.record_refused(content, source, failure)
             return False
-        if found.version <= self.version:
-            return True
+        if found.version > self.version:
+            self.put_in_force(found, content, source)
+        return True
+
+    def put_in_force(
+        self, found: routes.Configuration, content: bytes, source: str
+    ) -> None:
+        """Replace the configuration by a newer one."""
         self.log.info(
             "configuration-in-force",
             version=found.version,
@@ -139,6 +145,12 @@
         if found.version > self.refusal.version > 0:
             self.refusal.end()
         self.meters.version.set(found.version)
+        self.report_oddities(found)
+        for listener in self.listeners:
+            listener()
+
+    def report_oddities(self, found: routes.Configuration) -> None:
+        """Show what of a configuration in force this program does not know or use."""
         self.meters.unknown_kinds.set(len(found.unknown_kinds))
         if found.unknown_kinds:
             self.log.warn(
@@ -154,9 +166,6 @@
                 count=len(found.unused),
                 first=found.unused[0],
             )
-        for listener in self.listeners:
-            listener()
-        return True
 
     def record_refused(
         self, content: bytes, source: str, failure: codes.Failure
