Numbers with bounds are read in every form, too: presets, tokens, limits

What operators would see: with a store that writes 6.0 for 6, 'preset put' fails as a conflict with 'another writer', and no revision is listed.

Cause: types with bounds were not among those that are read by parts. Found by a stand-in of the store that writes whole numbers with a fraction, under all that reads from it: records, configurations, rollouts, evacuations, quotas, presets, choices and claims.

Change: such types are read like those without bounds, and then checked; a struct that forbids unknown fields forbids them in this way, too.

--- a/rattanridge/kernel/json_parts.py
+++ b/rattanridge/kernel/json_parts.py
@@ -59,7 +59,7 @@
         decoder = DECODERS.get(typing.get_origin(target_type) or target_type)
         if decoder is None:
             raise error
-        return decoder(self, data, typing.get_args(target_type))
+        return decoder(self, data, target_type)
 
     def decode_item(
         self, place: str, data: Data, target_type: typing.Any
@@ -74,7 +74,7 @@
         finally:
             self.place.pop()
 
-    def decode_whole_number(self, data: Data, arguments: tuple) -> int:
+    def decode_whole_number(self, data: Data, target_type: typing.Any) -> int:
         """Return a whole number in any form, as ``6.0`` or ``6e0``."""
         number = msgspec.json.decode(data, type=float)
         if not number.is_integer():
@@ -84,8 +84,12 @@
     def decode_struct(
         self, data: Data, target_type: type[msgspec.Struct]
     ) -> typing.Any:
-        """Return a JSON object, or array, as a struct; unknown fields are ignored."""
+        """Return a JSON object, or array, as a struct.
+
+        Unknown fields are ignored, unless the struct forbids them.
+        """
         found = named_parts(data, target_type)
+        check_unknown(found, target_type)
         if issubclass(target_type, TolerantStruct):
             found = without_null(found, target_type)
             try:
@@ -122,16 +126,18 @@
         """Record that the value of a field is not used."""
         self.left_out.append(f"{''.join(self.place)}.{name}: {error}")
 
-    def decode_list(self, data: Data, arguments: tuple) -> list:
+    def decode_list(self, data: Data, target_type: typing.Any) -> list:
         """Return a JSON array as a list."""
+        (item_type,) = typing.get_args(target_type)
         items = msgspec.json.decode(data, type=list[msgspec.Raw])
         return [
-            self.decode_item(f"[{index}]", item, arguments[0])
+            self.decode_item(f"[{index}]", item, item_type)
             for index, item in enumerate(items)
         ]
 
-    def decode_tuple(self, data: Data, arguments: tuple) -> tuple:
+    def decode_tuple(self, data: Data, target_type: typing.Any) -> tuple:
         """Return a JSON array as a tuple, of any length if its type ends in ``...``."""
+        arguments = typing.get_args(target_type)
         items = msgspec.json.decode(data, type=list[msgspec.Raw])
         if arguments[1:] == (...,):
             arguments = arguments[:1] * len(items)
@@ -142,25 +148,34 @@
             for index, item in enumerate(items)
         )
 
-    def decode_dict(self, data: Data, arguments: tuple) -> dict:
-        """Return a JSON object as a dictionary with text as its keys."""
+    def decode_dict(self, data: Data, target_type: typing.Any) -> dict:
+        """Return a JSON object as a dictionary."""
+        key_type, item_type = typing.get_args(target_type)
         found = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
         return {
-            name: self.decode_item(f".{name}", item, arguments[1])
+            msgspec.convert(name, key_type): self.decode_item(
+                f".{name}", item, item_type
+            )
             for name, item in found.items()
         }
 
-    def decode_union(self, data: Data, arguments: tuple) -> typing.Any:
+    def decode_union(self, data: Data, target_type: typing.Any) -> typing.Any:
         """Return JSON as the first type of a union that it matches."""
-        for item_type in arguments[:-1]:
+        *others, last = typing.get_args(target_type)
+        for item_type in others:
             try:
                 return self.decode(data, item_type)
             except msgspec.ValidationError:
                 continue
-        return self.decode(data, arguments[-1])
+        return self.decode(data, last)
+
+    def decode_annotated(self, data: Data, target_type: typing.Any) -> typing.Any:
+        """Return JSON as a type with constraints, which are checked."""
+        value = self.decode(data, typing.get_args(target_type)[0])
+        return msgspec.convert(value, target_type)
 
 
-Decoder = collections.abc.Callable[[PartsDecoder, Data, tuple], typing.Any]
+Decoder = collections.abc.Callable[[PartsDecoder, Data, typing.Any], typing.Any]
 # By the origin of a type without its arguments.
 DECODERS: dict[typing.Any, Decoder] = {
     int: PartsDecoder.decode_whole_number,
@@ -169,6 +184,7 @@
     dict: PartsDecoder.decode_dict,
     typing.Union: PartsDecoder.decode_union,
     types.UnionType: PartsDecoder.decode_union,
+    typing.Annotated: PartsDecoder.decode_annotated,
 }
 
 
@@ -185,6 +201,17 @@
     return issubclass(target_type, TolerantStruct) and name not in target_type.needed
 
 
+def check_unknown(
+    parts: dict[str, msgspec.Raw], target_type: type[msgspec.Struct]
+) -> None:
+    """Raise if a struct that forbids unknown fields has one."""
+    if not target_type.__struct_config__.forbid_unknown_fields:
+        return
+    unknown = parts.keys() - {field.encode_name for field in fields_of(target_type)}
+    if unknown:
+        raise msgspec.ValidationError(f"unknown field {min(unknown)}")
+
+
 def without_null(
     parts: dict[str, msgspec.Raw], target_type: type[msgspec.Struct]
 ) -> dict[str, msgspec.Raw]:
--- a/rattanridge/standin/metadata.py
+++ b/rattanridge/standin/metadata.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import re
 import time
 
 import aiohttp.web
@@ -13,6 +14,9 @@
 
 MAX_HISTORY = 1000  # latest changes that a watch can still read
 PREFIX = "/api/objects/"
+# Texts and numbers of JSON.
+TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|-?\d[\d.eE+-]*')
+WHOLE_NUMBER = re.compile(rb"-?\d+")
 FAULTS_PATH = "/faults"
 RETURN_PATH = "/return"
 
@@ -27,6 +31,7 @@
     :param delay: seconds before each call is processed.
     :param deaf: watches report no change before their waiting time is over.
     :param mute: no watch is answered.
+    :param fractions: whole numbers in answers are written with a fraction, as ``6.0``.
     """
 
     down: bool = False
@@ -35,6 +40,7 @@
     delay: float = 0.0
     deaf: bool = False
     mute: bool = False
+    fractions: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -291,13 +297,20 @@
 
     def reply(self, body: object, status: int = 200) -> aiohttp.web.Response:
         """Return a response with a JSON body."""
+        text = msgspec.json.encode(body)
+        if self.faults.fractions:
+            text = TOKEN.sub(add_fraction, text)
         return aiohttp.web.Response(
-            status=status,
-            body=msgspec.json.encode(body),
-            content_type="application/json",
+            status=status, body=text, content_type="application/json"
         )
 
 
+def add_fraction(token: re.Match[bytes]) -> bytes:
+    """Return a token of JSON, a whole number as one with a fraction."""
+    text = token[0]
+    return text + b".0" if WHOLE_NUMBER.fullmatch(text) else text
+
+
 def copy(item: store_objects.WireObject | None) -> store_objects.WireObject | None:
     """Return a copy of an object that later writes do not change."""
     if item is None:
--- a/tests/test_untrusted_json.py
+++ b/tests/test_untrusted_json.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from rattanridge.kernel import codes, untrusted_json
+from rattanridge.kernel import codes, routes, settings, untrusted_json
 from rattanridge.mesh import claim, versions
 from rattanridge.mesh.discovery import records
 from rattanridge.platform import config_wire, configs, heartbeats, orders, store_objects
@@ -115,6 +115,9 @@
             (b'{"a":"x"}', dict[str, int]),
             (b'"x"', int | None),
             (b"{}", records.Record),
+            (b"0.0", settings.Count),
+            (b'{"a b":1.0}', dict[settings.Name, int]),
+            (b'{"source":"header","odd":1.0}', routes.KeySource),
             (b"[" * 10_000, int),
             (b'"\xff"', str),
         ],
@@ -122,6 +125,18 @@
     def test_what_does_not_match_gives_none(self, data, target_type):
         assert untrusted_json.decode_or_none(data, target_type) is None
 
+    @pytest.mark.parametrize(
+        ("data", "target_type", "value"),
+        [
+            (b"7.0", settings.Count, 7),
+            (b'{"a":7.0}', dict[settings.Name, settings.Count], {"a": 7}),
+            (b"[7.0,8e0]", tuple[int, ...], (7, 8)),
+            (b"null", int | None, None),
+        ],
+    )
+    def test_parts_of_all_types(self, data, target_type, value):
+        assert untrusted_json.decode(data, target_type) == value
+
     def test_error_names_the_place(self):
         with pytest.raises(msgspec.ValidationError, match=r"\$\.Metadata\.Name"):
             untrusted_json.decode(b'{"Metadata":{"Name":5}}', store_objects.WireObject)
