A node looks for another's configuration only if it needs one

Each node drew the address of another one from all records each second, also when it had a configuration. Behaviour stays; TestNodeThatStarts passes.

--- a/rattanridge/mesh/configs.py
+++ b/rattanridge/mesh/configs.py
@@ -282,14 +282,17 @@
         if self.is_behind():
             await self.read_from_peer()
 
+    def has_none_to_use(self) -> bool:
+        """Return whether the store's configuration is the first one and is refused."""
+        return self.current is None and bool(self.refusal.why)
+
     async def learn(self, address: str) -> None:
-        """Read the configuration of another node, if this one can use none.
+        """Read the configuration of another node, which may be an older version.
 
-        It goes by an older version then, as the others do, and serves as they do.
+        :param address: hop address of that node; empty if none is known.
         """
-        if self.current is None and self.refusal.why and address:
-            self.peer_address = address
-            await self.read_from_peer()
+        self.peer_address = address or self.peer_address
+        await self.read_from_peer()
 
     async def read_from_peer(self) -> None:
         """Read the configuration, records and rollouts from the node that is ahead."""
--- a/rattanridge/mesh/node.py
+++ b/rattanridge/mesh/node.py
@@ -220,8 +220,9 @@
             await self.fetch_orders(address)
 
     async def learn_configuration(self) -> None:
-        """Read another node's configuration while the store's cannot be used."""
-        await self.configs.learn(self.membership.draw_other_address())
+        """Read another node's configuration if the store's cannot be used."""
+        if self.configs.has_none_to_use():
+            await self.configs.learn(self.membership.draw_other_address())
 
     async def exchange_evacuations(self) -> None:
         """Exchange what is known with another node while a zone is evacuated."""
